--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+SEED ?= 1
+STEPS ?= 100000
+
+.PHONY: demo test check soak bench clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/cyclamenyoked demo
+
+test: $(VENV)/.installed
+	$(BIN)/pytest
+
+check: $(VENV)/.installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+
+soak: $(VENV)/.installed
+	PYTHONPATH=tests $(BIN)/python -m soak --seed $(SEED) --steps $(STEPS)
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/cyclamenyoke/adapters/http_endpoint.py
@@ -0,0 +1,83 @@
+"""Runs calls on an endpoint over its usual HTTP API."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+
+from cyclamenyoke.core.messages import Call
+from cyclamenyoke.core.units import KIBIBYTE, SECOND
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.endpoint import (
+    EndpointClient,
+    EndpointData,
+    EndpointError,
+    EndpointEvent,
+    EndpointHead,
+)
+
+CONNECT_TIME = 1 * SECOND
+"""Seconds that a connection to the endpoint may take."""
+
+PART_SIZE = 64 * KIBIBYTE
+"""Largest part of a plain answer in bytes."""
+
+EVENT_STREAM = "text/event-stream"
+EVENT_END = b"\n\n"
+LAST_EVENT = b"data: [DONE]"
+
+_NOT_BEGUN = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class HttpEndpoint(EndpointClient):
+    """A client of one endpoint.
+
+    :param url: the base address of the endpoint.
+    """
+
+    def __init__(self, url: str, clock: Clock) -> None:
+        self._clock = clock
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
+        self._client = httpx.AsyncClient(base_url=url, limits=limits)
+
+    async def close(self) -> None:
+        await self._client.aclose()
+
+    async def run(self, call: Call) -> AsyncIterator[EndpointEvent]:
+        remaining = max(0.001, call.deadline - self._clock.now())
+        timeout = httpx.Timeout(remaining, connect=min(CONNECT_TIME, remaining))
+        headers = {"X-Request-Id": call.request_id, "X-Customer": call.customer}
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.key:
+            headers["Idempotency-Key"] = call.key
+        try:
+            async with self._client.stream(
+                call.method,
+                call.path,
+                content=call.body,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                content_type = response.headers.get("Content-Type", "")
+                yield EndpointHead(response.status_code, content_type)
+                if content_type.startswith(EVENT_STREAM):
+                    parts = _events(response)
+                else:
+                    parts = response.aiter_bytes(PART_SIZE)
+                async for data in parts:
+                    yield EndpointData(data)
+        except httpx.HTTPError as error:
+            began = not isinstance(error, _NOT_BEGUN)
+            raise EndpointError(f"{type(error).__name__}: {error}", began) from error
+
+
+async def _events(response: httpx.Response) -> AsyncIterator[bytes]:
+    """Yield each server-sent event whole; the stream must end with the last one."""
+    pending = b""
+    last = b""
+    async for data in response.aiter_raw():
+        *events, pending = (pending + data).split(EVENT_END)
+        for last in events:
+            yield last + EVENT_END
+    if pending.strip() or last != LAST_EVENT:
+        raise EndpointError("event stream ended before its last event", began=True)
--- /dev/null
+++ b/src/cyclamenyoke/adapters/http_server.py
@@ -0,0 +1,70 @@
+"""Serves an ASGI application with uvicorn inside a running event loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND
+
+HEADER_LIMIT = 32 * KIBIBYTE
+"""Largest request head in bytes."""
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+
+START_POLL = 5 * MILLISECOND
+"""Seconds between two looks at whether the server has started."""
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the daemon."""
+        yield
+
+
+class HttpServer:
+    """One listening socket and the application behind it.
+
+    :param port: 0 for any free port.
+    """
+
+    def __init__(self, app: Any, ip: str, port: int) -> None:
+        config = uvicorn.Config(
+            app,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            backlog=BACKLOG,
+            http="httptools",
+            ws="none",
+            server_header=False,
+            timeout_keep_alive=30,
+        )
+        self._server = _Server(config)
+        self._socket = socket.create_server((ip, port), backlog=BACKLOG)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._socket.getsockname()[1])
+
+    async def start(self) -> None:
+        """Begin to serve; returns once requests are accepted."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(START_POLL)
+        if self._task.done():
+            self._task.result()
+
+    async def stop(self) -> None:
+        """Stop accepting, finish the requests in progress and return."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+        self._socket.close()
--- /dev/null
+++ b/src/cyclamenyoke/adapters/logs.py
@@ -0,0 +1,65 @@
+"""Structured logs: one JSON object a line, through logbook."""
+
+import sys
+from typing import Any, TextIO
+
+import msgspec
+from logbook import Logger, StreamHandler, lookup_level
+
+_LINE = msgspec.json.Encoder(enc_hook=str)
+
+
+def _format_line(record: Any, handler: Any) -> str:
+    """Return a log record as one line of JSON."""
+    fields = {
+        "time": record.time.isoformat(timespec="milliseconds"),
+        "level": record.level_name.lower(),
+        "logger": record.channel,
+        "message": record.message,
+        **record.extra,
+    }
+    if record.exc_info:
+        fields["exception"] = record.formatted_exception
+    return _LINE.encode(fields).decode()
+
+
+def install_logs(level: str, stream: TextIO = sys.stderr) -> None:
+    """Send the logs of this process to a stream.
+
+    :param level: the name of the lowest level that is written.
+    """
+    handler = StreamHandler(stream, level=lookup_level(level.upper()))
+    handler.formatter = _format_line
+    handler.push_application()
+
+
+class Log:
+    """A logger whose lines carry fixed fields.
+
+    :param channel: the name of the part that logs.
+    :param fields: written with every line.
+    """
+
+    def __init__(self, channel: str, **fields: object) -> None:
+        self._logger = Logger(channel)
+        self._fields = fields
+
+    def debug(self, message: str, **fields: object) -> None:
+        """Log what only a developer needs."""
+        self._logger.debug(message, extra={**self._fields, **fields})
+
+    def info(self, message: str, **fields: object) -> None:
+        """Log an ordinary event."""
+        self._logger.info(message, extra={**self._fields, **fields})
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Log what an operator may have to look at."""
+        self._logger.warning(message, extra={**self._fields, **fields})
+
+    def error(self, message: str, **fields: object) -> None:
+        """Log a fault."""
+        self._logger.error(message, extra={**self._fields, **fields})
+
+    def exception(self, message: str, **fields: object) -> None:
+        """Log a fault with the exception that is being handled."""
+        self._logger.exception(message, extra={**self._fields, **fields})
--- /dev/null
+++ b/src/cyclamenyoke/adapters/service_files.py
@@ -0,0 +1,182 @@
+"""Collects the service files of a directory and checks them together."""
+
+import re
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from cyclamenyoke.adapters.yaml_files import (
+    Place,
+    YamlDocument,
+    load_document,
+    structure,
+)
+from cyclamenyoke.core.config import Endpoint, Service, ServiceKind
+from cyclamenyoke.exceptions import Finding
+
+SERVICE_FILE_NAME = "cyclamenyoke.yaml"
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+_ADDRESS = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):(\d{1,5})")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+
+Complaint = tuple[Place, str]
+
+
+def collect(directory: Path) -> Result[list[Service], list[Finding]]:
+    """Read every service file below a directory.
+
+    :param directory: searched for files named ``cyclamenyoke.yaml``.
+    :returns: the services in order of their names, or all findings of all files.
+    """
+    paths = sorted(directory.rglob(SERVICE_FILE_NAME))
+    if not paths:
+        message = f"directory holds no file named {SERVICE_FILE_NAME}"
+        return Failure([Finding(str(directory), 1, 1, message)])
+    findings: list[Finding] = []
+    loaded: list[tuple[YamlDocument, Service]] = []
+    for path in paths:
+        result = load_document(path).bind(_structure_service)
+        if is_successful(result):
+            loaded.append(result.unwrap())
+        else:
+            findings.extend(result.failure())
+    findings.extend(_check_together(loaded))
+    if findings:
+        return Failure(sorted(findings))
+    return Success(sorted((item[1] for item in loaded), key=lambda each: each.service))
+
+
+def _structure_service(
+    document: YamlDocument,
+) -> Result[tuple[YamlDocument, Service], list[Finding]]:
+    return structure(document, Service).bind(
+        lambda service: _check_alone(document, service)
+    )
+
+
+def _check_alone(
+    document: YamlDocument, service: Service
+) -> Result[tuple[YamlDocument, Service], list[Finding]]:
+    complaints = [
+        *_check_names(service),
+        *_check_kind(service),
+        *_check_endpoints(service),
+        *_check_customers(service),
+        *_check_times(service),
+        *_check_calls(service),
+    ]
+    if complaints:
+        return Failure([document.finding(*complaint) for complaint in complaints])
+    return Success((document, service))
+
+
+def _check_names(service: Service) -> Iterator[Complaint]:
+    named: list[tuple[Place, str]] = [(("service",), service.service)]
+    named += [
+        (("customers", index, "name"), customer.name)
+        for index, customer in enumerate(service.customers)
+    ]
+    named += [(place, endpoint.name) for place, endpoint in _placed(service)]
+    for place, name in named:
+        if not _NAME.fullmatch(name):
+            yield place, f"name {name!r} is not made of a-z, 0-9, '.' and '-'"
+
+
+def _placed(service: Service) -> Iterator[tuple[Place, Endpoint]]:
+    for number, group in enumerate(service.groups):
+        for index, engine in enumerate(group.engines):
+            yield ("groups", number, "engines", index), engine
+    for index, endpoint in enumerate(service.endpoints):
+        yield ("endpoints", index), endpoint
+
+
+def _check_kind(service: Service) -> Iterator[Complaint]:
+    required = {
+        ServiceKind.MODEL: ("models", "groups"),
+        ServiceKind.PLAIN: ("endpoints",),
+    }[service.kind]
+    for key in ("models", "groups", "endpoints"):
+        present = bool(getattr(service, key))
+        if key in required and not present:
+            yield (key,), f"{key} is needed for kind {service.kind.value!r}"
+        if key not in required and present:
+            yield (key,), f"{key} does not go with kind {service.kind.value!r}"
+
+
+def _check_endpoints(service: Service) -> Iterator[Complaint]:
+    names: set[str] = set()
+    for place, endpoint in _placed(service):
+        if not _ADDRESS.fullmatch(endpoint.agent):
+            yield (*place, "agent"), f"agent {endpoint.agent!r} is not IP:PORT"
+        if endpoint.slots < 1:
+            yield (*place, "slots"), f"slots {endpoint.slots!r} is less than 1"
+        if endpoint.name in names:
+            yield (*place, "name"), f"endpoint {endpoint.name!r} stands twice"
+        names.add(endpoint.name)
+
+
+def _check_customers(service: Service) -> Iterator[Complaint]:
+    names: set[str] = set()
+    if not service.customers:
+        yield ("customers",), "customers is empty"
+    for index, customer in enumerate(service.customers):
+        place: Place = ("customers", index)
+        if customer.share <= 0:
+            yield (*place, "share"), f"share {customer.share!r} is not above 0"
+        if not _SHA256.fullmatch(customer.api_key_sha256):
+            message = "api_key_sha256 is not a SHA-256 digest of 64 hexadecimal digits"
+            yield (*place, "api_key_sha256"), message
+        if customer.name in names:
+            yield (*place, "name"), f"customer {customer.name!r} stands twice"
+        names.add(customer.name)
+
+
+def _check_times(service: Service) -> Iterator[Complaint]:
+    deadlines = service.deadlines
+    if not 0 < deadlines.default <= deadlines.maximum:
+        yield ("deadlines",), "default must be above 0 and at most maximum"
+    if not 0 < service.service_levels.objective < 1:
+        yield ("service_levels", "objective"), "objective must lie between 0 and 1"
+    if service.retention < 2 * deadlines.maximum:
+        message = "retention must be at least twice deadlines.maximum"
+        yield ("retention",), message
+
+
+def _check_calls(service: Service) -> Iterator[Complaint]:
+    for index, call in enumerate(service.not_repeatable):
+        if call.method != call.method.upper():
+            place: Place = ("not_repeatable", index, "method")
+            yield place, f"method {call.method!r} is not in capital letters"
+        if not call.path.startswith("/"):
+            place = ("not_repeatable", index, "path")
+            yield place, f"path {call.path!r} does not begin with '/'"
+
+
+def _check_together(
+    loaded: Iterable[tuple[YamlDocument, Service]],
+) -> Iterator[Finding]:
+    services: set[str] = set()
+    models: dict[str, str] = {}
+    keys: dict[str, str] = {}
+    owners: dict[str, str] = {}
+    for document, service in loaded:
+        if service.service in services:
+            message = f"service {service.service!r} is defined by another file"
+            yield document.finding(("service",), message)
+        services.add(service.service)
+        for index, model in enumerate(service.models):
+            if models.setdefault(model, service.service) != service.service:
+                message = f"model {model!r} belongs to service {models[model]!r}"
+                yield document.finding(("models", index), message)
+        for index, customer in enumerate(service.customers):
+            place: Place = ("customers", index, "api_key_sha256")
+            digest = customer.api_key_sha256
+            if keys.setdefault(customer.name, digest) != digest:
+                message = f"customer {customer.name!r} has another key elsewhere"
+                yield document.finding(place, message)
+            if owners.setdefault(digest, customer.name) != customer.name:
+                message = f"key belongs to customer {owners[digest]!r} too"
+                yield document.finding(place, message)
--- /dev/null
+++ b/src/cyclamenyoke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client."""
--- /dev/null
+++ b/src/cyclamenyoke/cli/main.py
@@ -0,0 +1,216 @@
+"""The command ``cyclamenyoke``: the operators' client."""
+
+import getpass
+import sys
+import time
+import uuid
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter
+from returns.pipeline import is_successful
+
+from cyclamenyoke import __version__
+from cyclamenyoke.adapters.service_files import collect
+from cyclamenyoke.cli.client import OperatorsClient
+from cyclamenyoke.cli.lock import read_lock, write_lock
+from cyclamenyoke.cli.reports import burn_report, merge_burn, status_report, table
+from cyclamenyoke.core.config import Service
+from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.daemon.operators import Status
+from cyclamenyoke.daemon.publishing import (
+    PublishRequest,
+    ServiceEdit,
+    diff_services,
+)
+from cyclamenyoke.exceptions import (
+    EXIT_UNAVAILABLE,
+    CyclamenyokeError,
+    FindingsError,
+    PlatformUnavailable,
+)
+
+WAIT_POLL = 100 * MILLISECOND
+"""Seconds between two looks at who runs a publish."""
+
+app = App(
+    name="cyclamenyoke",
+    version=__version__,
+    help="Operates a cyclamenyoke deployment.",
+)
+config_app = App(name="config", help="Shows the configuration in force.")
+app.command(config_app)
+
+Entries = Annotated[
+    list[str],
+    Parameter(name="--entry", env_var="CYCLAMENYOKE_ENTRIES", consume_multiple=True),
+]
+Key = Annotated[str, Parameter(name="--key", env_var="CYCLAMENYOKE_KEY")]
+Flag = Annotated[bool, Parameter(negative="")]
+
+
+@app.command
+def check(directory: Path) -> int:
+    """Check the service files below a directory.
+
+    :param directory: searched for files named cyclamenyoke.yaml.
+    """
+    services = _collect(directory)
+    for service in services:
+        endpoints = len(service.all_endpoints)
+        customers = len(service.customers)
+        print(f"{service.service}: {endpoints} endpoints, {customers} customers")
+    return 0
+
+
+@app.command
+def publish(
+    directory: Path,
+    *,
+    entry: Entries,
+    key: Key,
+    wait: Flag = False,
+    wait_seconds: float = 10.0,
+    author: str = "",
+) -> int:
+    """Put the service files below a directory into force.
+
+    :param directory: searched for files named cyclamenyoke.yaml; the revisions
+        are kept there in cyclamenyoke.lock.
+    :param entry: IP:PORT of operators' APIs.
+    :param key: the operators' credential.
+    :param wait: return once every reachable node runs the publish.
+    :param wait_seconds: how long to wait at most.
+    :param author: who publishes, for the history.
+    """
+    services = _collect(directory)
+    client = OperatorsClient(entry, key)
+    lock = read_lock(directory)
+    in_force = client.config().index.services
+    edits = [
+        ServiceEdit(service, _base(service.service, lock, in_force))
+        for service in services
+    ]
+    request = PublishRequest(uuid.uuid4().hex, author or getpass.getuser(), edits)
+    index = client.publish(request)
+    names = {service.service for service in services}
+    write_lock(
+        directory,
+        {name: each.revision for name, each in index.services.items() if name in names},
+    )
+    print(f"accepted: generation {index.generation}")
+    return _wait(client, index.generation, wait_seconds) if wait else 0
+
+
+@app.command
+def diff(directory: Path, *, entry: Entries, key: Key) -> int:
+    """Show how the service files below a directory differ from what is in force."""
+    services = _collect(directory)
+    view = OperatorsClient(entry, key).config()
+    present = {service.service: service for service in view.services}
+    for service in services:
+        text = diff_services(present.get(service.service), service)
+        print(f"{service.service}: {'changed' if text else 'the same'}")
+        if text:
+            print(text)
+    return 0
+
+
+@app.command
+def status(*, entry: Entries, key: Key, json: Flag = False) -> int:
+    """Show nodes, agents and who runs which configuration."""
+    found = OperatorsClient(entry, key).status()
+    print(_json(found) if json else status_report(found))
+    return 0
+
+
+@app.command
+def slo(*, entry: Entries, key: Key, json: Flag = False) -> int:
+    """Show the service-level burn of all entries, by service and customer."""
+    client = OperatorsClient(entry, key)
+    nodes = client.status().nodes
+    rows = []
+    for address in sorted(node.operators for node in nodes if node.operators):
+        try:
+            rows += client.slo_of(address)
+        except PlatformUnavailable as error:
+            print(f"warning: left out: {error}", file=sys.stderr)
+    merged = merge_burn(rows)
+    print(_json(merged) if json else burn_report(merged))
+    return 0
+
+
+@config_app.command(name="show")
+def show_config(*, entry: Entries, key: Key) -> int:
+    """Show every service in force, as JSON."""
+    print(_json(OperatorsClient(entry, key).config()))
+    return 0
+
+
+@config_app.command(name="history")
+def show_history(*, entry: Entries, key: Key) -> int:
+    """Show the last publishes, newest first."""
+    history = OperatorsClient(entry, key).config().index.history
+    rows = [
+        [
+            record.generation,
+            time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(record.published_at)),
+            record.author,
+            ", ".join(record.services),
+        ]
+        for record in history
+    ]
+    print(table(["generation", "published", "author", "services"], rows))
+    return 0
+
+
+def _collect(directory: Path) -> list[Service]:
+    result = collect(directory)
+    if not is_successful(result):
+        raise FindingsError(result.failure())
+    return result.unwrap()
+
+
+def _base(name: str, lock: dict[str, int], in_force: object) -> int:
+    if name in lock:
+        return lock[name]
+    entry = in_force.get(name) if isinstance(in_force, dict) else None
+    return entry.revision if entry is not None else 0
+
+
+def _wait(client: OperatorsClient, generation: int, seconds: float) -> int:
+    """Wait until every reachable node runs a generation; say who does not."""
+    give_up_at = time.monotonic() + seconds
+    while True:
+        found = client.status()
+        behind = _behind(found, generation)
+        if not behind or time.monotonic() >= give_up_at:
+            break
+        time.sleep(WAIT_POLL)
+    running = len(found.nodes) - len(behind)
+    print(f"in force at {running} of {len(found.nodes)} nodes")
+    for name in behind:
+        print(f"not yet known to run it: {name}")
+    return EXIT_UNAVAILABLE if behind else 0
+
+
+def _behind(found: Status, generation: int) -> list[str]:
+    return [node.name for node in found.nodes if node.generation < generation]
+
+
+def _json(value: object) -> str:
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+
+
+def run() -> None:
+    """Run the command and exit with its code."""
+    try:
+        sys.exit(app())
+    except CyclamenyokeError as error:
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/cyclamenyoke/cli/reports.py
@@ -0,0 +1,119 @@
+"""What the operators' client prints."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+from cyclamenyoke.core.burn import WINDOWS, BurnRow
+from cyclamenyoke.daemon.operators import Status
+
+
+def table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return rows as text with aligned columns.
+
+    >>> print(table(["name", "n"], [["a", 10]]))
+    name  n
+    a     10
+    """
+    cells = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    lines = (
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def status_report(status: Status) -> str:
+    """Return the state of the system as text."""
+    running = sum(node.generation == status.generation for node in status.nodes)
+    head = (
+        f"entry {status.entry}: generation {status.generation} in force,"
+        f" run by {running} of {len(status.nodes)} nodes,"
+        f" {status.requests} requests in progress"
+    )
+    nodes = table(
+        ["node", "role", "data centre", "generation", "state"],
+        [
+            [
+                node.name,
+                node.role,
+                node.data_centre,
+                node.generation,
+                _node_state(node.leaving, node.reachable),
+            ]
+            for node in status.nodes
+        ],
+    )
+    agents = table(
+        ["agent", "service", "state", "circuit", "in flight", "latency"],
+        [
+            [
+                agent.name,
+                agent.service,
+                _agent_state(agent.connected, agent.leaving),
+                agent.circuit,
+                agent.in_flight,
+                f"{agent.latency * 1000:.1f}ms",
+            ]
+            for agent in status.agents
+        ],
+    )
+    return f"{head}\n\n{nodes}\n\n{agents}"
+
+
+def burn_report(rows: Sequence[BurnRow]) -> str:
+    """Return the service-level burn as text."""
+    windows = list(WINDOWS)
+    return table(
+        [
+            "service",
+            "customer",
+            "objective",
+            *windows,
+            *(f"calls {w}" for w in windows),
+        ],
+        [
+            [
+                row.service,
+                row.customer,
+                f"{row.objective:g}",
+                *(f"{row.burn[window]:.2f}" for window in windows),
+                *(row.calls[window] for window in windows),
+            ]
+            for row in rows
+        ],
+    )
+
+
+def merge_burn(rows: Iterable[BurnRow]) -> list[BurnRow]:
+    """Return one row a service and customer from the rows of several entries."""
+    grouped: dict[tuple[str, str], list[BurnRow]] = defaultdict(list)
+    for row in rows:
+        grouped[row.service, row.customer].append(row)
+    return [_merge_rows(group) for _, group in sorted(grouped.items())]
+
+
+def _merge_rows(group: Sequence[BurnRow]) -> BurnRow:
+    calls = {window: sum(row.calls[window] for row in group) for window in WINDOWS}
+    burn = {
+        window: round(
+            sum(row.burn[window] * row.calls[window] for row in group)
+            / max(1, calls[window]),
+            3,
+        )
+        for window in WINDOWS
+    }
+    first = group[0]
+    return BurnRow(first.service, first.customer, first.objective, burn, calls)
+
+
+def _node_state(leaving: bool, reachable: bool) -> str:
+    if leaving:
+        return "leaving"
+    return "ok" if reachable else "unreachable"
+
+
+def _agent_state(connected: bool, leaving: bool) -> str:
+    if leaving:
+        return "leaving"
+    return "connected" if connected else "no link"
--- /dev/null
+++ b/src/cyclamenyoke/core/agent.py
@@ -0,0 +1,650 @@
+"""The decisions of an agent: admission, order, at-most-once execution, leaving.
+
+An agent is the only way to its endpoint. It turns attempts of entries into runs.
+Attempts of the same key join one run. The states of a run::
+
+    QUEUED   --a slot is free-->        CLAIMING (at most once) or RUNNING
+    CLAIMING --claim granted-->         RUNNING
+    RUNNING  --answer whole-->          FINISHED
+    RUNNING  --endpoint failed-->       BROKEN
+    QUEUED, CLAIMING --refused, revoked, leaving--> DROPPED
+
+Only a DROPPED run is reported as not run, and a DROPPED run never begins.
+"""
+
+import enum
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from cyclamenyoke.core.attempts import AttemptLedger
+from cyclamenyoke.core.claims import (
+    ClaimBook,
+    Granted,
+    Occupied,
+    ReadSlot,
+    Refused,
+    Step,
+    WriteSlot,
+)
+from cyclamenyoke.core.fair_queue import FairQueue
+from cyclamenyoke.core.invariants import InvariantMonitor, Promise
+from cyclamenyoke.core.journal import (
+    RECORDED_BODY_LIMIT,
+    Claim,
+    ClaimState,
+    Outcome,
+    key_digest,
+)
+from cyclamenyoke.core.messages import (
+    Acknowledge,
+    AttemptId,
+    Begun,
+    Broken,
+    Call,
+    Chunk,
+    Execute,
+    Finished,
+    FromAgent,
+    Head,
+    HeldElsewhere,
+    Leaving,
+    Load,
+    NotRun,
+    Reason,
+    Resume,
+    Revoke,
+)
+from cyclamenyoke.core.units import SECOND
+
+RESUME_GRACE = 5 * SECOND
+"""Seconds for which a run without a connected entry goes on."""
+
+QUEUED_COST_LIMIT = 200_000.0
+"""Estimated tokens that one customer may have waiting at one agent."""
+
+RATE_SMOOTHING = 0.1
+"""Weight of the newest observation in the smoothed token rate."""
+
+MIN_RETRY_AFTER = 0.05
+"""The shortest advised wait in seconds."""
+
+
+class RunState(enum.Enum):
+    """Where a run is."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    FINISHED = "finished"
+    BROKEN = "broken"
+    DROPPED = "dropped"
+
+
+NOT_BEGUN = frozenset({RunState.QUEUED, RunState.CLAIMING})
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One execution of one call on the endpoint.
+
+    :param holds_slot: whether the run counts against the endpoint's slots.
+    :param subscribers: the request of each attempt that receives the answer.
+    """
+
+    run_id: int
+    call: Call
+    digest: str
+    state: RunState = RunState.QUEUED
+    claim_id: str = ""
+    head: Head | None = None
+    chunks: list[bytes] = field(default_factory=list)
+    begun_at: float = 0.0
+    holds_slot: bool = False
+    subscribers: dict[AttemptId, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Effect: send a message to the incarnation of an entry."""
+
+    entry: str
+    message: FromAgent
+
+
+@dataclass(frozen=True, slots=True)
+class Broadcast:
+    """Effect: send a message to every connected entry."""
+
+    message: FromAgent
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Effect: give a call to the endpoint."""
+
+    run_id: int
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Effect: stop the endpoint's work on a call."""
+
+    run_id: int
+
+
+Effect = Reply | Broadcast | StartCall | CancelCall | ReadSlot | WriteSlot
+
+
+class AgentCore:
+    """The state and the decisions of one incarnation of one agent.
+
+    Each public method takes an event and the present time in seconds of Unix
+    time, and returns effects in the order in which they must be carried out.
+
+    :param agent: the endpoint's name.
+    :param incarnation: unique to this start of the process.
+    :param slots: calls that the endpoint runs at the same time.
+    :param retention: seconds after its issue for which a key is remembered.
+    """
+
+    def __init__(
+        self,
+        agent: str,
+        incarnation: str,
+        slots: int,
+        retention: float,
+        monitor: InvariantMonitor,
+    ) -> None:
+        self._agent = agent
+        self._incarnation = incarnation
+        self._slots = slots
+        self._monitor = monitor
+        self._ledger: AttemptLedger[Run] = AttemptLedger()
+        self._queue: FairQueue[Run] = FairQueue()
+        self._book = ClaimBook(agent, incarnation, retention)
+        self._runs: dict[int, Run] = {}
+        self._by_digest: dict[str, Run] = {}
+        self._by_claim: dict[str, Run] = {}
+        self._busy = 0
+        self._next_run = 0
+        self._leaving = False
+        self._token_rate = 0.0
+
+    @property
+    def agent(self) -> str:
+        """The endpoint's name."""
+        return self._agent
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this start of the process."""
+        return self._incarnation
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new work is refused."""
+        return self._leaving
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether nothing runs and every outcome is recorded."""
+        return self._busy == 0 and self._book.is_settled
+
+    @property
+    def load(self) -> Load:
+        """The load as reported with each answer."""
+        return Load(self._busy, self._queue.cost, self._token_rate)
+
+    @property
+    def next_tick_at(self) -> float | None:
+        """When the journal needs a :meth:`tick`, or ``None``."""
+        return self._book.next_retry_at
+
+    def configure(self, slots: int, retention: float, now: float) -> list[Effect]:
+        """Take the endpoint's part of a new configuration."""
+        self._slots = slots
+        self._book.retention = retention
+        return self._dispatch(now)
+
+    def on_execute(self, message: Execute, now: float) -> list[Effect]:
+        """Take a call from an entry."""
+        attempt = message.attempt
+        if message.incarnation != self._incarnation:
+            return [self._refusal(attempt, Reason.STALE_INCARNATION)]
+        effects = self._settle(attempt.entry, message.floor, now)
+        if self._ledger.is_forgotten(attempt.entry, attempt.number):
+            return effects
+        if self._ledger.get(attempt.entry, attempt.number) is not None:
+            return effects
+        return effects + self._admit(attempt, message.call, now)
+
+    def on_revoke(self, message: Revoke, now: float) -> list[Effect]:
+        """Promise that an attempt never begins, or cancel its work."""
+        attempt = message.attempt
+        if message.incarnation != self._incarnation:
+            return []
+        effects = self._settle(attempt.entry, message.floor, now)
+        if self._ledger.is_forgotten(attempt.entry, attempt.number):
+            return effects
+        run = self._ledger.get(attempt.entry, attempt.number)
+        if run is None:
+            return effects + self._never_received(attempt)
+        if attempt not in run.subscribers:
+            return effects
+        if run.state in NOT_BEGUN and len(run.subscribers) == 1:
+            return effects + self._drop(run, Reason.REVOKED, now)
+        run.subscribers.pop(attempt, None)
+        effects.append(self._reply(attempt, Broken(attempt, Reason.REVOKED)))
+        return effects + self._cancel_unwanted(run, now)
+
+    def on_resume(self, message: Resume, now: float) -> list[Effect]:
+        """Send an attempt's answer again from a sequence number on."""
+        attempt = message.attempt
+        if message.incarnation != self._incarnation:
+            return []
+        effects = self._settle(attempt.entry, message.floor, now)
+        run = self._ledger.get(attempt.entry, attempt.number)
+        if run is not None:
+            return effects + list(self._replay(run, attempt, message.next_sequence))
+        if self._ledger.is_forgotten(attempt.entry, attempt.number):
+            return [*effects, self._reply(attempt, Broken(attempt, Reason.LINK_LOST))]
+        return effects + self._never_received(attempt)
+
+    def on_acknowledge(self, message: Acknowledge, now: float) -> list[Effect]:
+        """Forget the answer of an attempt that the entry has whole."""
+        attempt = message.attempt
+        run = self._ledger.get(attempt.entry, attempt.number)
+        if run is None or message.incarnation != self._incarnation:
+            return []
+        run.subscribers.pop(attempt, None)
+        self._ledger.put(attempt.entry, attempt.number, _ACKNOWLEDGED)
+        return self._cancel_unwanted(run, now)
+
+    def on_connected(self, entry: str) -> list[Effect]:
+        """Note that an entry is connected."""
+        self._ledger.connect(entry)
+        return []
+
+    def on_disconnected(self, entry: str, now: float) -> list[Effect]:
+        """Note that an entry's connection broke; its runs go on for a while."""
+        self._ledger.disconnect(entry, now + RESUME_GRACE)
+        return []
+
+    def on_head(self, run_id: int, status: int, content_type: str) -> list[Effect]:
+        """Take the status of the endpoint's answer."""
+        run = self._runs.get(run_id)
+        if run is None or run.state is not RunState.RUNNING:
+            return []
+        attempt = AttemptId("", 0)
+        run.head = Head(attempt, run.call.request_id, status, content_type)
+        return [self._reply(each, _head(run, each)) for each in run.subscribers]
+
+    def on_data(self, run_id: int, data: bytes) -> list[Effect]:
+        """Take a part of the endpoint's answer."""
+        run = self._runs.get(run_id)
+        if run is None or run.state is not RunState.RUNNING:
+            return []
+        run.chunks.append(data)
+        sequence = len(run.chunks)
+        return [
+            self._reply(each, Chunk(each, sequence, data)) for each in run.subscribers
+        ]
+
+    def on_finished(self, run_id: int, now: float) -> list[Effect]:
+        """Take the news that the endpoint's answer is whole."""
+        run = self._runs.get(run_id)
+        if run is None or run.state is not RunState.RUNNING:
+            return []
+        run.state = RunState.FINISHED
+        self._learn_rate(run, now)
+        finished = len(run.chunks)
+        effects: list[Effect] = [
+            self._reply(each, Finished(each, finished, self.load))
+            for each in run.subscribers
+        ]
+        effects += self._record(run, ClaimState.DONE, _outcome(run), now)
+        return effects + self._release(run, now)
+
+    def on_failed(
+        self, run_id: int, began: bool, reason: Reason, now: float
+    ) -> list[Effect]:
+        """Take the news that the endpoint gave no whole answer.
+
+        :param began: whether the endpoint may have begun the call.
+        """
+        run = self._runs.get(run_id)
+        if run is None or run.state is not RunState.RUNNING:
+            return []
+        if not began:
+            run.state = RunState.CLAIMING if run.claim_id else RunState.QUEUED
+            return self._drop(run, reason, now)
+        run.state = RunState.BROKEN
+        effects: list[Effect] = [
+            self._reply(each, Broken(each, reason)) for each in run.subscribers
+        ]
+        effects += self._record(run, ClaimState.BROKEN, None, now)
+        return effects + self._release(run, now)
+
+    def on_slot_read(
+        self, slot: str, revision: int, value: bytes | None, now: float
+    ) -> list[Effect]:
+        """Take the value of a journal slot."""
+        return self._follow(self._book.on_read(slot, revision, value, now), now)
+
+    def on_slot_written(self, slot: str, revision: int, now: float) -> list[Effect]:
+        """Take the news that a journal write was accepted."""
+        return self._follow(self._book.on_written(slot, revision, now), now)
+
+    def on_slot_conflict(self, slot: str, now: float) -> list[Effect]:
+        """Take the news that another agent wrote the slot first."""
+        return self._follow(self._book.on_conflict(slot, now), now)
+
+    def on_slot_lost(self, slot: str, now: float) -> list[Effect]:
+        """Take a journal call without an answer; it may have taken effect."""
+        return self._follow(self._book.on_lost(slot, now), now)
+
+    def drain(self, now: float) -> list[Effect]:
+        """Begin to leave: refuse what has not begun, finish what has."""
+        if self._leaving:
+            return []
+        self._leaving = True
+        effects: list[Effect] = [Broadcast(Leaving(self._agent, self._incarnation))]
+        waiting = [run for run in self._runs.values() if run.state in NOT_BEGUN]
+        for run in waiting:
+            effects += self._drop(run, Reason.LEAVING, now)
+        return effects
+
+    def tick(self, now: float) -> list[Effect]:
+        """Retry the journal, refuse overdue calls, forget lost entries."""
+        effects = self._follow(self._book.tick(now), now)
+        for run in self._ledger.expire(now):
+            effects += self._forget(run, now)
+        overdue = [
+            run
+            for run in self._runs.values()
+            if run.state is RunState.QUEUED and run.call.start_by <= now
+        ]
+        for run in overdue:
+            effects += self._drop(run, Reason.DEADLINE, now)
+        return effects
+
+    def _settle(self, entry: str, floor: int, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for run in self._ledger.raise_floor(entry, floor):
+            run.subscribers = {
+                each: request
+                for each, request in run.subscribers.items()
+                if each.entry != entry or each.number >= floor
+            }
+            effects += self._forget(run, now)
+        return effects
+
+    def _forget(self, run: Run, now: float) -> list[Effect]:
+        run.subscribers = {
+            each: request
+            for each, request in run.subscribers.items()
+            if self._ledger.get(each.entry, each.number) is run
+        }
+        if run.subscribers:
+            return []
+        if run.state in NOT_BEGUN:
+            return self._drop(run, Reason.CALLER_GONE, now)
+        return self._cancel_unwanted(run, now)
+
+    def _admit(self, attempt: AttemptId, call: Call, now: float) -> list[Effect]:
+        digest = key_digest(call.service, call.customer, call.key) if call.key else ""
+        active = self._by_digest.get(digest) if digest else None
+        if active is not None:
+            return self._join(active, attempt, call)
+        run = self._new_run(attempt, call, digest)
+        reason = self._refusal_reason(call, now)
+        if reason is not None:
+            return self._drop(run, reason, now)
+        self._queue.push(call.customer, call.weight, call.cost, run)
+        return self._dispatch(now)
+
+    def _new_run(self, attempt: AttemptId, call: Call, digest: str) -> Run:
+        self._next_run += 1
+        run = Run(self._next_run, call, digest)
+        run.subscribers[attempt] = call.request_id
+        self._runs[run.run_id] = run
+        self._ledger.put(attempt.entry, attempt.number, run)
+        if digest:
+            self._by_digest[digest] = run
+        return run
+
+    def _join(self, run: Run, attempt: AttemptId, call: Call) -> list[Effect]:
+        if run.call.fingerprint != call.fingerprint:
+            return self._never_received(attempt, Reason.KEY_REUSED)
+        self._ledger.put(attempt.entry, attempt.number, run)
+        run.subscribers[attempt] = call.request_id
+        return list(self._replay(run, attempt, 0))
+
+    def _refusal_reason(self, call: Call, now: float) -> Reason | None:
+        if self._leaving:
+            return Reason.LEAVING
+        waiting = self._queue.cost_of(call.customer)
+        if waiting + call.cost > QUEUED_COST_LIMIT:
+            return Reason.QUEUE_FULL
+        if now + self._expected_wait(call) >= call.start_by:
+            return Reason.DEADLINE
+        return None
+
+    def _expected_wait(self, call: Call) -> float:
+        if self._busy < self._slots or self._token_rate <= 0:
+            return 0.0
+        ahead = self._queue.cost_ahead(call.customer, call.weight, call.cost)
+        return ahead / self._token_rate
+
+    def _dispatch(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        while len(self._queue) and self._busy < self._slots:
+            run = self._queue.pop()
+            if run.call.start_by <= now:
+                effects += self._drop(run, Reason.DEADLINE, now)
+                continue
+            self._busy += 1
+            run.holds_slot = True
+            effects += self._claim(run, now) if run.digest else self._begin(run, now)
+        return effects
+
+    def _claim(self, run: Run, now: float) -> list[Effect]:
+        run.state = RunState.CLAIMING
+        call = run.call
+        claim_id, steps = self._book.claim(
+            call.service, run.digest, call.key_issued_at, call.fingerprint, now
+        )
+        run.claim_id = claim_id
+        self._by_claim[claim_id] = run
+        return self._follow(steps, now)
+
+    def _follow(self, steps: Iterable[Step], now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for step in steps:
+            if isinstance(step, ReadSlot | WriteSlot):
+                effects.append(step)
+            else:
+                effects += self._on_decision(step, now)
+        return effects
+
+    def _on_decision(
+        self, step: Granted | Refused | Occupied, now: float
+    ) -> list[Effect]:
+        run = self._by_claim.get(step.claim_id)
+        if run is None or run.state is not RunState.CLAIMING:
+            return []
+        if isinstance(step, Granted):
+            return self._begin(run, now)
+        if isinstance(step, Refused):
+            return self._drop(run, step.reason, now)
+        return self._answer_from_journal(run, step.standing, now)
+
+    def _begin(self, run: Run, now: float) -> list[Effect]:
+        if run.call.deadline <= now:
+            return self._drop(run, Reason.DEADLINE, now)
+        self._monitor.check(
+            Promise.LEAVING_TAKES_NO_WORK,
+            not self._leaving,
+            f"run {run.run_id} begins while {self._agent} leaves",
+        )
+        self._monitor.check(
+            Promise.TRUTHFUL_REFUSAL,
+            run.state in NOT_BEGUN,
+            f"run {run.run_id} begins from state {run.state.value}",
+        )
+        run.state = RunState.RUNNING
+        run.begun_at = now
+        effects: list[Effect] = [
+            self._reply(each, Begun(each)) for each in run.subscribers
+        ]
+        return [*effects, StartCall(run.run_id, run.call)]
+
+    def _answer_from_journal(
+        self, run: Run, standing: Claim, now: float
+    ) -> list[Effect]:
+        if standing.fingerprint != run.call.fingerprint:
+            return self._drop(run, Reason.KEY_REUSED, now)
+        effects: list[Effect] = []
+        if standing.state is ClaimState.CLAIMED:
+            run.state = RunState.BROKEN
+            effects = [
+                self._reply(
+                    each, HeldElsewhere(each, standing.agent, standing.incarnation)
+                )
+                for each in run.subscribers
+            ]
+        elif standing.outcome is None:
+            run.state = RunState.BROKEN
+            effects = [
+                self._reply(each, Broken(each, Reason.ENDPOINT_FAILED))
+                for each in run.subscribers
+            ]
+        else:
+            run.state = RunState.FINISHED
+            _adopt_outcome(run, standing.outcome)
+            for each in run.subscribers:
+                effects += self._replay(run, each, 0)
+        return effects + self._release(run, now)
+
+    def _drop(self, run: Run, reason: Reason, now: float) -> list[Effect]:
+        self._monitor.check(
+            Promise.TRUTHFUL_REFUSAL,
+            run.state in NOT_BEGUN,
+            f"run {run.run_id} refused in state {run.state.value}",
+        )
+        self._queue.remove(run.call.customer, run)
+        run.state = RunState.DROPPED
+        retry_after = max(MIN_RETRY_AFTER, self._expected_wait(run.call))
+        effects: list[Effect] = [
+            self._reply(each, NotRun(each, reason, retry_after, self.load))
+            for each in run.subscribers
+        ]
+        if run.claim_id:
+            service = run.call.service
+            steps = self._book.abandon(service, run.digest, run.claim_id, now)
+            effects += self._follow(steps, now)
+        return effects + self._release(run, now)
+
+    def _release(self, run: Run, now: float) -> list[Effect]:
+        self._detach(run)
+        if not run.holds_slot:
+            return []
+        run.holds_slot = False
+        self._busy -= 1
+        return self._dispatch(now)
+
+    def _detach(self, run: Run) -> None:
+        self._runs.pop(run.run_id, None)
+        self._by_claim.pop(run.claim_id, None)
+        if self._by_digest.get(run.digest) is run:
+            del self._by_digest[run.digest]
+
+    def _cancel_unwanted(self, run: Run, now: float) -> list[Effect]:
+        wanted = run.subscribers or run.call.at_most_once
+        if run.state is not RunState.RUNNING or wanted:
+            return []
+        run.state = RunState.BROKEN
+        return [CancelCall(run.run_id), *self._release(run, now)]
+
+    def _record(
+        self, run: Run, state: ClaimState, outcome: Outcome | None, now: float
+    ) -> list[Effect]:
+        if not run.claim_id:
+            return []
+        service = run.call.service
+        steps = self._book.record(
+            service, run.digest, run.claim_id, state, outcome, now
+        )
+        return self._follow(steps, now)
+
+    def _learn_rate(self, run: Run, now: float) -> None:
+        tokens = max(len(run.chunks), 1)
+        elapsed = max(now - run.begun_at, 1e-3)
+        observed = tokens / elapsed * max(self._busy, 1)
+        if self._token_rate == 0.0:
+            self._token_rate = observed
+        else:
+            self._token_rate += RATE_SMOOTHING * (observed - self._token_rate)
+        self._queue.charge(run.call.customer, tokens - run.call.cost)
+
+    def _replay(
+        self, run: Run, attempt: AttemptId, next_sequence: int
+    ) -> Iterator[Reply]:
+        if run.state is RunState.DROPPED:
+            yield self._refusal(attempt, Reason.REVOKED)
+            return
+        if run.state is RunState.BROKEN or attempt not in run.subscribers:
+            yield self._reply(attempt, Broken(attempt, Reason.ENDPOINT_FAILED))
+            return
+        if run.state is RunState.RUNNING:
+            yield self._reply(attempt, Begun(attempt))
+        if run.head is not None and next_sequence == 0:
+            yield self._reply(attempt, _head(run, attempt))
+        first = max(next_sequence, 1)
+        for sequence, data in enumerate(run.chunks[first - 1 :], first):
+            yield self._reply(attempt, Chunk(attempt, sequence, data))
+        if run.state is RunState.FINISHED:
+            finished = Finished(attempt, len(run.chunks), self.load)
+            yield self._reply(attempt, finished)
+
+    def _never_received(
+        self, attempt: AttemptId, reason: Reason = Reason.NEVER_RECEIVED
+    ) -> list[Effect]:
+        run = Run(0, _NO_CALL, "", RunState.DROPPED)
+        run.subscribers[attempt] = ""
+        self._ledger.put(attempt.entry, attempt.number, run)
+        return [self._refusal(attempt, reason)]
+
+    def _refusal(self, attempt: AttemptId, reason: Reason) -> Reply:
+        return self._reply(attempt, NotRun(attempt, reason, MIN_RETRY_AFTER, self.load))
+
+    def _reply(self, attempt: AttemptId, message: FromAgent) -> Reply:
+        return Reply(attempt.entry, message)
+
+
+_NO_CALL = Call("", "", "", "", "", "", b"", 0.0, 0.0)
+_ACKNOWLEDGED = Run(0, _NO_CALL, "", RunState.BROKEN)
+
+
+def _head(run: Run, attempt: AttemptId) -> Head:
+    assert run.head is not None
+    head = run.head
+    return Head(attempt, head.request_id, head.status, head.content_type, head.replayed)
+
+
+def _outcome(run: Run) -> Outcome | None:
+    if run.head is None:
+        return None
+    body: bytes | None = b"".join(run.chunks)
+    if body is not None and len(body) > RECORDED_BODY_LIMIT:
+        body = None
+    return Outcome(run.head.status, run.head.content_type, body)
+
+
+def _adopt_outcome(run: Run, outcome: Outcome) -> None:
+    attempt = AttemptId("", 0)
+    run.head = Head(
+        attempt, run.call.request_id, outcome.status, outcome.content_type, True
+    )
+    run.chunks = [outcome.body] if outcome.body else []
--- /dev/null
+++ b/src/cyclamenyoke/core/fair_queue.py
@@ -0,0 +1,171 @@
+"""Weighted fair queueing of calls by estimated tokens.
+
+Start-time fair queueing: each call gets a start tag, and the queue serves the
+smallest one. A customer's next start tag moves on by cost divided by weight, so
+backlogged customers receive work in proportion to their weights, whatever the
+number or size of their calls. The tags are local to one endpoint, where the
+contended resource is; shares need no exchange between nodes.
+"""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class Entry(Generic[T]):
+    """One queued item.
+
+    :param start_tag: virtual time at which a fair fluid server would begin it.
+    """
+
+    item: T
+    cost: float
+    start_tag: float
+
+
+@dataclass(slots=True)
+class Backlog(Generic[T]):
+    """One customer's queue.
+
+    :param next_tag: the start tag of the customer's next item.
+    """
+
+    weight: float
+    next_tag: float
+    cost: float = 0.0
+    entries: deque[Entry[T]] = field(default_factory=deque)
+
+
+class FairQueue(Generic[T]):
+    """A queue that serves customers by weight.
+
+    >>> queue = FairQueue()
+    >>> for item in ("a1", "a2", "a3"):
+    ...     queue.push("a", 1.0, 10.0, item)
+    >>> queue.push("b", 1.0, 10.0, "b1")
+    >>> [queue.pop() for _ in range(4)]
+    ['a1', 'b1', 'a2', 'a3']
+    """
+
+    def __init__(self) -> None:
+        self._virtual_time = 0.0
+        self._backlogs: dict[str, Backlog[T]] = {}
+        self._heads: list[tuple[float, str]] = []
+        self._length = 0
+        self._cost = 0.0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def cost(self) -> float:
+        """Estimated tokens that wait."""
+        return self._cost
+
+    def cost_of(self, customer: str) -> float:
+        """Return the estimated tokens that a customer has waiting."""
+        backlog = self._backlogs.get(customer)
+        return backlog.cost if backlog else 0.0
+
+    def cost_ahead(self, customer: str, weight: float, cost: float) -> float:
+        """Return the tokens that would be served before a new item.
+
+        Counts the customer's own queue, and of every other customer what its
+        weight allows it to take meanwhile.
+        """
+        own = self.cost_of(customer)
+        others = sum(
+            min(backlog.cost, (own + cost) * backlog.weight / weight)
+            for name, backlog in self._backlogs.items()
+            if name != customer
+        )
+        return own + others
+
+    def push(self, customer: str, weight: float, cost: float, item: T) -> None:
+        """Add an item at the end of its customer's queue."""
+        backlog = self._backlogs.get(customer)
+        if backlog is None:
+            backlog = Backlog(weight, self._virtual_time)
+            self._backlogs[customer] = backlog
+        backlog.weight = weight
+        start_tag = max(self._virtual_time, backlog.next_tag)
+        backlog.next_tag = start_tag + cost / weight
+        backlog.entries.append(Entry(item, cost, start_tag))
+        backlog.cost += cost
+        self._cost += cost
+        self._length += 1
+        if len(backlog.entries) == 1:
+            heapq.heappush(self._heads, (start_tag, customer))
+
+    def pop(self) -> T:
+        """Remove and return the next item in fair order.
+
+        :raises IndexError: when the queue is empty.
+        """
+        while True:
+            start_tag, customer = heapq.heappop(self._heads)
+            backlog = self._backlogs.get(customer)
+            if backlog is None or not backlog.entries:
+                continue
+            if backlog.entries[0].start_tag == start_tag:
+                break
+        entry = backlog.entries[0]
+        self._virtual_time = max(self._virtual_time, start_tag)
+        self._take(customer, backlog, entry)
+        self._forget_idle()
+        return entry.item
+
+    def remove(self, customer: str, item: T) -> bool:
+        """Remove an item that is no longer wanted; tell whether it waited."""
+        backlog = self._backlogs.get(customer)
+        if backlog is None:
+            return False
+        for entry in backlog.entries:
+            if entry.item is item:
+                self._take(customer, backlog, entry)
+                return True
+        return False
+
+    def charge(self, customer: str, extra: float) -> None:
+        """Correct a customer's account once the real cost is known.
+
+        :param extra: real minus estimated tokens; may be negative.
+        """
+        backlog = self._backlogs.get(customer)
+        if backlog is not None:
+            backlog.next_tag += extra / backlog.weight
+
+    def clear(self) -> list[T]:
+        """Remove and return all items."""
+        items = [
+            entry.item
+            for backlog in self._backlogs.values()
+            for entry in backlog.entries
+        ]
+        self._backlogs.clear()
+        self._heads.clear()
+        self._length = 0
+        self._cost = 0.0
+        return items
+
+    def _take(self, customer: str, backlog: Backlog[T], entry: Entry[T]) -> None:
+        was_head = backlog.entries[0] is entry
+        backlog.entries.remove(entry)
+        backlog.cost -= entry.cost
+        self._cost -= entry.cost
+        self._length -= 1
+        if was_head and backlog.entries:
+            heapq.heappush(self._heads, (backlog.entries[0].start_tag, customer))
+
+    def _forget_idle(self) -> None:
+        idle = [
+            name
+            for name, backlog in self._backlogs.items()
+            if not backlog.entries and backlog.next_tag <= self._virtual_time
+        ]
+        for name in idle:
+            del self._backlogs[name]
--- /dev/null
+++ b/src/cyclamenyoke/core/gossip.py
@@ -0,0 +1,418 @@
+"""Epidemic exchange of small versioned records between the daemons.
+
+Every node holds every record. A record's version only rises, so any order and
+any number of deliveries gives the same result. An exchange begins with a digest
+for each bucket of records; equal digests end it after one small message each
+way. Records that a node has just learned are pushed at once to a few peers.
+
+One exchange::
+
+    initiator                         responder
+    Offer(digests, fresh records) ->
+                                  <-  Answer(versions of differing buckets, fresh)
+    Transfer(newer records, wanted) ->
+                                  <-  Records(records that were wanted)
+"""
+
+import enum
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from cyclamenyoke.core.units import MINUTE, SECOND
+
+BUCKETS = 64
+"""Groups of records that share one digest."""
+
+PUSHES = 3
+"""How often a node pushes a record that it has just learned."""
+
+RECORD_LIFETIME = 30 * MINUTE
+"""Seconds after which a node's record that was not refreshed is dropped."""
+
+REFRESH_AFTER = 10 * MINUTE
+"""Seconds after which a node refreshes its own record."""
+
+WATCH_LIFETIME = 15 * SECOND
+"""Seconds for which a claim to watch the platform stands."""
+
+WATCHERS = 2
+"""Nodes in each data centre that watch the platform."""
+
+LOCAL_SHARE = 0.8
+"""Share of exchanges that stay in the node's own data centre."""
+
+SUSPECT_FOR = 5 * SECOND
+"""Seconds for which a peer that did not answer is not chosen."""
+
+MAX_RECORDS = 200
+"""Records in one message at most; the next exchange carries the rest."""
+
+
+class Kind(enum.Enum):
+    """What a record is about."""
+
+    NODE = "node"
+    WATCH = "watch"
+    CONFIG = "config"
+
+
+class Version(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Orders the versions of one record.
+
+    :param incarnation: start of the writer in microseconds of Unix time, or the
+        generation of the configuration.
+    :param counter: rises with each change of one incarnation.
+    """
+
+    incarnation: int
+    counter: int
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One versioned fact.
+
+    :param expires_at: when it is dropped, in seconds of Unix time; 0 for never.
+    """
+
+    kind: Kind
+    name: str
+    version: Version
+    expires_at: float
+    payload: bytes
+
+    @property
+    def key(self) -> str:
+        """The name of the record among all records."""
+        return f"{self.kind.value}/{self.name}"
+
+
+class NodeInfo(msgspec.Struct, frozen=True, array_like=True):
+    """The payload of a node's record.
+
+    :param control: ``IP:PORT`` of its exchange socket.
+    :param callers: ``IP:PORT`` of its callers' API; empty for an agent.
+    :param operators: ``IP:PORT`` of its operators' API; empty for an agent.
+    :param generation: the configuration that it runs.
+    """
+
+    role: str
+    data_centre: str
+    control: str
+    callers: str
+    operators: str
+    leaving: bool
+    generation: int
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Begins an exchange."""
+
+    sender: str
+    digests: bytes
+    fresh: list[Record]
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers an offer with the versions in the buckets that differ."""
+
+    buckets: list[int]
+    versions: dict[str, Version]
+    fresh: list[Record]
+
+
+class Transfer(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Brings records that the responder lacks and names those wanted of it."""
+
+    records: list[Record]
+    wanted: list[str]
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Ends an exchange."""
+
+    records: list[Record]
+
+
+class FetchBlobs(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Asks for configuration blobs by digest."""
+
+    digests: list[str]
+
+
+class Blobs(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Configuration blobs; those that the peer lacks are left out."""
+
+    blobs: list[bytes]
+
+
+GossipMessage = Offer | Answer | Transfer | Records | FetchBlobs | Blobs
+
+
+@dataclass(slots=True)
+class Held:
+    """A record with the pushes that it still gets."""
+
+    record: Record
+    pushes_left: int
+
+
+class GossipCore:
+    """The records of one node and its part in exchanges.
+
+    :param name: the node's name.
+    :param incarnation: its start in microseconds of Unix time.
+    :param info: its own record's payload.
+    :param random: the source of peer choices.
+    """
+
+    def __init__(
+        self, name: str, incarnation: int, info: NodeInfo, random: Random, now: float
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._info = info
+        self._random = random
+        self._counter = 0
+        self._held: dict[str, Held] = {}
+        self._hot: dict[str, Held] = {}
+        self._digests = [0] * BUCKETS
+        self._nodes: dict[str, NodeInfo] = {}
+        self._suspected: dict[str, float] = {}
+        self._learned: list[Record] = []
+        self._refresh_at = 0.0
+        self.announce(info, now)
+
+    @property
+    def name(self) -> str:
+        """The node's name."""
+        return self._name
+
+    @property
+    def info(self) -> NodeInfo:
+        """The node's own record."""
+        return self._info
+
+    @property
+    def nodes(self) -> dict[str, NodeInfo]:
+        """Every node known, itself included."""
+        return self._nodes
+
+    @property
+    def has_fresh(self) -> bool:
+        """Whether a record should be pushed now."""
+        return bool(self._hot)
+
+    def record(self, kind: Kind, name: str) -> Record | None:
+        """Return a record, or ``None``."""
+        held = self._held.get(f"{kind.value}/{name}")
+        return held.record if held else None
+
+    def records(self, kind: Kind) -> list[Record]:
+        """Return all records of a kind."""
+        return [held.record for held in self._held.values() if held.record.kind is kind]
+
+    def take_learned(self) -> list[Record]:
+        """Return the records that came from peers since the last call."""
+        learned, self._learned = self._learned, []
+        return learned
+
+    def announce(self, info: NodeInfo, now: float) -> None:
+        """Publish a change of the node's own record."""
+        self._info = info
+        self._refresh_at = now + REFRESH_AFTER
+        payload = msgspec.msgpack.encode(info)
+        self._write(Kind.NODE, self._name, now + RECORD_LIFETIME, payload)
+
+    def put_config(self, generation: int, payload: bytes) -> None:
+        """Publish the configuration's index."""
+        record = Record(Kind.CONFIG, "index", Version(generation, 0), 0.0, payload)
+        self._store(record)
+
+    def volunteer(self, now: float) -> bool:
+        """Tell whether this node watches the platform, and announce it if so.
+
+        The first names of each data centre whose claims stand keep watching; a
+        node steps in when there are fewer.
+        """
+        data_centre = self._info.data_centre
+        prefix = f"{data_centre}/"
+        standing = sorted(
+            record.name.removeprefix(prefix)
+            for record in self.records(Kind.WATCH)
+            if record.name.startswith(prefix) and record.expires_at > now
+        )
+        if self._name not in standing and len(standing) >= WATCHERS:
+            return False
+        if self._name in standing and standing.index(self._name) >= WATCHERS:
+            return False
+        own = self.record(Kind.WATCH, prefix + self._name)
+        if own is None or own.expires_at - now < WATCH_LIFETIME / 2:
+            self._write(Kind.WATCH, prefix + self._name, now + WATCH_LIFETIME, b"")
+        return True
+
+    def tick(self, now: float) -> None:
+        """Refresh the node's own record and drop expired ones."""
+        if now >= self._refresh_at:
+            self.announce(self._info, now)
+        expired = [
+            key
+            for key, held in self._held.items()
+            if held.record.expires_at and held.record.expires_at <= now
+        ]
+        for key in expired:
+            self._drop(key)
+
+    def choose_peer(self, now: float) -> NodeInfo | None:
+        """Return a peer for the next exchange, mostly a near one."""
+        peers = [
+            node
+            for name, node in self._nodes.items()
+            if name != self._name and self._suspected.get(name, 0.0) <= now
+        ]
+        near = [node for node in peers if node.data_centre == self._info.data_centre]
+        far = [node for node in peers if node.data_centre != self._info.data_centre]
+        pool = near if self._random.random() < LOCAL_SHARE else far
+        pool = pool or near or far
+        return self._random.choice(pool) if pool else None
+
+    def on_unreachable(self, control: str, now: float) -> None:
+        """Note that a peer did not answer."""
+        for name, node in self._nodes.items():
+            if node.control == control:
+                self._suspected[name] = now + SUSPECT_FOR
+
+    def is_suspected(self, name: str, now: float) -> bool:
+        """Tell whether a node lately did not answer this one."""
+        return self._suspected.get(name, 0.0) > now
+
+    def offer(self) -> Offer:
+        """Begin an exchange."""
+        return Offer(self._name, self._packed_digests(), self._take_hot())
+
+    def on_offer(self, message: Offer, now: float) -> Answer:
+        """Answer an offer."""
+        self._accept(message.fresh, now)
+        own = self._packed_digests()
+        buckets = [
+            bucket
+            for bucket in range(BUCKETS)
+            if own[4 * bucket : 4 * bucket + 4]
+            != message.digests[4 * bucket : 4 * bucket + 4]
+        ]
+        return Answer(buckets, self._versions(buckets), self._take_hot())
+
+    def on_answer(self, message: Answer, now: float) -> Transfer | None:
+        """Go on with an exchange, or end it when nothing differs."""
+        self._accept(message.fresh, now)
+        if not message.buckets:
+            return None
+        own = self._versions(message.buckets)
+        lacking = Version(-1, -1)
+        newer = [
+            self._held[key].record
+            for key, version in own.items()
+            if version > message.versions.get(key, lacking)
+        ]
+        wanted = [
+            key
+            for key, version in message.versions.items()
+            if version > own.get(key, lacking)
+        ]
+        return Transfer(newer[:MAX_RECORDS], wanted[:MAX_RECORDS])
+
+    def on_transfer(self, message: Transfer, now: float) -> Records:
+        """Take records and give those that are wanted."""
+        self._accept(message.records, now)
+        return Records(
+            [self._held[key].record for key in message.wanted if key in self._held]
+        )
+
+    def on_records(self, message: Records, now: float) -> None:
+        """Take the records that were wanted."""
+        self._accept(message.records, now)
+
+    def _write(self, kind: Kind, name: str, expires_at: float, payload: bytes) -> None:
+        self._counter += 1
+        version = Version(self._incarnation, self._counter)
+        self._store(Record(kind, name, version, expires_at, payload))
+
+    def _accept(self, records: Iterable[Record], now: float) -> None:
+        for record in records:
+            if record.expires_at and record.expires_at <= now:
+                continue
+            if self._is_own_ghost(record):
+                self._outbid(record, now)
+            elif self._store(record):
+                self._learned.append(record)
+
+    def _is_own_ghost(self, record: Record) -> bool:
+        """Tell whether a record of this node comes from an earlier incarnation.
+
+        Its clock may have been ahead, so that its version exceeds the present
+        one.
+        """
+        if record.kind is not Kind.NODE or record.name != self._name:
+            return False
+        held = self._held[record.key].record
+        return record.version > held.version
+
+    def _outbid(self, record: Record, now: float) -> None:
+        self._incarnation = record.version.incarnation
+        self._counter = record.version.counter
+        self.announce(self._info, now)
+
+    def _store(self, record: Record) -> bool:
+        key = record.key
+        held = self._held.get(key)
+        if held is not None and held.record.version >= record.version:
+            return False
+        if held is not None:
+            self._digests[_bucket(key)] ^= _digest(held.record)
+        self._digests[_bucket(key)] ^= _digest(record)
+        self._held[key] = self._hot[key] = Held(record, PUSHES)
+        if record.kind is Kind.NODE:
+            self._nodes[record.name] = msgspec.msgpack.decode(
+                record.payload, type=NodeInfo
+            )
+            self._suspected.pop(record.name, None)
+        return True
+
+    def _drop(self, key: str) -> None:
+        held = self._held.pop(key)
+        self._hot.pop(key, None)
+        self._digests[_bucket(key)] ^= _digest(held.record)
+        if held.record.kind is Kind.NODE:
+            self._nodes.pop(held.record.name, None)
+            self._suspected.pop(held.record.name, None)
+
+    def _take_hot(self) -> list[Record]:
+        taken = list(self._hot.items())[:MAX_RECORDS]
+        for key, held in taken:
+            held.pushes_left -= 1
+            if held.pushes_left <= 0:
+                del self._hot[key]
+        return [held.record for _, held in taken]
+
+    def _versions(self, buckets: list[int]) -> dict[str, Version]:
+        chosen = set(buckets)
+        return {
+            key: held.record.version
+            for key, held in self._held.items()
+            if _bucket(key) in chosen
+        }
+
+    def _packed_digests(self) -> bytes:
+        return b"".join(value.to_bytes(4, "big") for value in self._digests)
+
+
+def _bucket(key: str) -> int:
+    return hashlib.blake2b(key.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _digest(record: Record) -> int:
+    text = f"{record.key}\0{record.version.incarnation}\0{record.version.counter}"
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest(), "big")
--- /dev/null
+++ b/src/cyclamenyoke/core/request.py
@@ -0,0 +1,561 @@
+"""The course of one request at an entry, from receipt to its final answer.
+
+States of a request::
+
+    OPEN     --whole answer-->                      ANSWERED
+    OPEN     --nothing left to try-->               SETTLING, NOT_RUN or UNKNOWN
+    OPEN     --answer begun, then cut-->            UNKNOWN (a marked failure)
+    SETTLING --every agent promised not to run-->   NOT_RUN
+    SETTLING --no promise in time-->                UNKNOWN
+
+Who may have begun, by the state of an attempt::
+
+    SENT, BEGUN, LOST, UNKNOWN, ELSEWHERE   may have begun
+    NOT_RUN                                 has not begun and never will
+    FINISHED                                has run
+
+A request ends as NOT_RUN only when every attempt is NOT_RUN.
+"""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cyclamenyoke.core.invariants import InvariantMonitor, Promise
+from cyclamenyoke.core.messages import (
+    Acknowledge,
+    AttemptId,
+    Begun,
+    Broken,
+    Call,
+    Chunk,
+    Execute,
+    Finished,
+    FromAgent,
+    Head,
+    HeldElsewhere,
+    NotRun,
+    Reason,
+    Resume,
+    Revoke,
+    ToAgent,
+)
+from cyclamenyoke.core.retry import RetryBudget
+from cyclamenyoke.core.routing import Router
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+
+MAX_ATTEMPTS = 4
+"""Hand-overs of one request, the first included."""
+
+RECONNECT_GRACE = 250 * MILLISECOND
+"""Seconds to wait for a broken link before another agent is tried."""
+
+RESUME_WAIT = 4 * SECOND
+"""Seconds to wait for a broken link once a part of the answer was delivered."""
+
+SETTLE_WAIT = 200 * MILLISECOND
+"""Seconds to wait for promises before a refusal says ``unknown``."""
+
+HOLDER_WAIT = 1 * SECOND
+"""Seconds to wait for the agent that holds a claim on the key."""
+
+DEFAULT_RETRY_AFTER = 1 * SECOND
+"""Advised wait in seconds where no agent gave one."""
+
+
+class Ran(enum.Enum):
+    """What a refusal says of the request."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class RequestState(enum.Enum):
+    """Where a request is."""
+
+    OPEN = "open"
+    SETTLING = "settling"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class AttemptState(enum.Enum):
+    """What an entry knows of an attempt."""
+
+    SENT = "sent"
+    BEGUN = "begun"
+    LOST = "lost"
+    ELSEWHERE = "elsewhere"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FINISHED = "finished"
+
+
+UNSETTLED = frozenset({AttemptState.SENT, AttemptState.BEGUN, AttemptState.LOST})
+FINAL = frozenset({RequestState.ANSWERED, RequestState.NOT_RUN, RequestState.UNKNOWN})
+FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.KEY_EXPIRED})
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One hand-over of the request."""
+
+    attempt_id: AttemptId
+    agent: str
+    incarnation: str
+    sent_at: float
+    state: AttemptState = AttemptState.SENT
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Effect: send a message to an agent."""
+
+    agent: str
+    message: ToAgent
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverHead:
+    """Effect: begin the answer to the caller."""
+
+    status: int
+    content_type: str
+    replayed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverPart:
+    """Effect: pass a part of the answer to the caller."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverEnd:
+    """Effect: tell the caller that the answer is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Effect: give the caller its final refusal.
+
+    :param retry_after: seconds after which the caller may come back.
+    :param delivered: whether a part of an answer has already gone out, so that
+        the refusal marks it as failed.
+    """
+
+    ran: Ran
+    reason: Reason
+    retry_after: float
+    delivered: bool
+
+
+Effect = Send | DeliverHead | DeliverPart | DeliverEnd | Refuse
+
+
+class AttemptNumbers:
+    """Numbers the attempts of one incarnation of an entry.
+
+    :param entry: the incarnation of the entry.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._next = 0
+        self._open: dict[int, None] = {}
+
+    @property
+    def floor(self) -> int:
+        """The lowest number that is not settled."""
+        return next(iter(self._open), self._next)
+
+    def open(self) -> AttemptId:
+        """Return the next attempt id."""
+        number = self._next
+        self._next += 1
+        self._open[number] = None
+        return AttemptId(self._entry, number)
+
+    def settle(self, attempt: AttemptId) -> None:
+        """Note that nothing more is expected of an attempt."""
+        self._open.pop(attempt.number, None)
+
+
+@dataclass(slots=True)
+class Answer:
+    """The answer of the current attempt as far as it has come.
+
+    :param next_sequence: the first part that is missing.
+    :param early: parts that came before their turn.
+    :param total: the number of parts, once known.
+    """
+
+    head: Head | None = None
+    next_sequence: int = 1
+    early: dict[int, bytes] = field(default_factory=dict)
+    ready: list[bytes] = field(default_factory=list)
+    total: int | None = None
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every part is here."""
+        return self.head is not None and self.total == self.next_sequence - 1
+
+    def add(self, sequence: int, data: bytes) -> None:
+        """Take a part, in any order, doubled or not."""
+        if sequence < self.next_sequence:
+            return
+        self.early[sequence] = data
+        while self.next_sequence in self.early:
+            self.ready.append(self.early.pop(self.next_sequence))
+            self.next_sequence += 1
+
+
+class RequestCore:
+    """The state and the decisions of one request.
+
+    Each public method takes an event and the present time in seconds of Unix
+    time, and returns effects in the order in which they must be carried out.
+
+    :param call: the request.
+    :param streaming: whether parts go to the caller as they come; otherwise the
+        answer is delivered when it is whole.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        streaming: bool,
+        router: Router,
+        numbers: AttemptNumbers,
+        budget: RetryBudget,
+        monitor: InvariantMonitor,
+    ) -> None:
+        self._call = call
+        self._streaming = streaming
+        self._router = router
+        self._numbers = numbers
+        self._budget = budget
+        self._monitor = monitor
+        self._state = RequestState.OPEN
+        self._attempts: dict[AttemptId, Attempt] = {}
+        self._current: Attempt | None = None
+        self._answer = Answer()
+        self._head_delivered = False
+        self._wake_at = call.deadline
+        self._holder: tuple[str, str] | None = None
+        self._holder_deadline = 0.0
+        self._refusal = (Reason.NO_ENDPOINT, DEFAULT_RETRY_AFTER)
+        self._handlers: dict[type, Callable[..., list[Effect]]] = {
+            Begun: self._on_begun,
+            Head: self._on_head,
+            Chunk: self._on_chunk,
+            Finished: self._on_finished,
+            Broken: self._on_broken,
+            NotRun: self._on_not_run,
+            HeldElsewhere: self._on_held_elsewhere,
+        }
+
+    @property
+    def call(self) -> Call:
+        """The request."""
+        return self._call
+
+    @property
+    def state(self) -> RequestState:
+        """Where the request is."""
+        return self._state
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the caller has its final answer."""
+        return self._state in FINAL
+
+    @property
+    def wake_at(self) -> float:
+        """When :meth:`on_time` must be called at the latest."""
+        return self._wake_at
+
+    @property
+    def attempts(self) -> dict[AttemptId, Attempt]:
+        """The attempts made so far."""
+        return self._attempts
+
+    def start(self, now: float) -> list[Effect]:
+        """Hand the request over for the first time."""
+        self._budget.on_first_try()
+        return self._try_next(now)
+
+    def on_message(self, message: FromAgent, now: float) -> list[Effect]:
+        """Take a message about one of the request's attempts."""
+        attempt = self._attempts.get(message.attempt)  # type: ignore[union-attr]
+        if attempt is None or self.is_final:
+            return []
+        return self._handlers[type(message)](attempt, message, now)
+
+    def on_link_down(self, agent: str, now: float) -> list[Effect]:
+        """Note that the link to an agent broke."""
+        for attempt in self._attempts.values():
+            if attempt.agent == agent and attempt.state in UNSETTLED:
+                attempt.state = AttemptState.LOST
+        is_open = self._state is RequestState.OPEN
+        if is_open and self._current_state() is AttemptState.LOST:
+            wait = RESUME_WAIT if self._head_delivered else RECONNECT_GRACE
+            self._wake_at = min(self._call.deadline, now + wait)
+        return []
+
+    def on_link_up(self, agent: str, incarnation: str, now: float) -> list[Effect]:
+        """Resume or write off the attempts at an agent that is back."""
+        if self.is_final:
+            return []
+        effects: list[Effect] = []
+        for attempt in list(self._attempts.values()):
+            if attempt.agent == agent and attempt.state is AttemptState.LOST:
+                effects += self._on_back(attempt, incarnation, now)
+        return effects
+
+    def on_time(self, now: float) -> list[Effect]:
+        """Act on a deadline that has passed."""
+        if self.is_final or now < self._wake_at:
+            return []
+        if self._state is RequestState.SETTLING:
+            return self._finish_refusal()
+        if now >= self._call.deadline:
+            return self._give_up(Reason.DEADLINE, DEFAULT_RETRY_AFTER, now)
+        self._wake_at = self._call.deadline
+        if self._holder is not None:
+            return self._try_holder(now)
+        if self._current_state() is AttemptState.LOST:
+            return self._replace(Reason.LINK_LOST, now)
+        return []
+
+    def on_caller_gone(self, now: float) -> list[Effect]:
+        """Cancel the work for a caller that has disconnected."""
+        if self.is_final:
+            return []
+        self._state = RequestState.UNKNOWN
+        return [*self._revoke_unsettled(), *self._close()]
+
+    def _current_state(self) -> AttemptState | None:
+        return self._current.state if self._current else None
+
+    def _try_next(self, now: float) -> list[Effect]:
+        if len(self._attempts) >= MAX_ATTEMPTS or now >= self._call.start_by:
+            return self._give_up(*self._refusal, now)
+        tried = {attempt.agent for attempt in self._attempts.values()}
+        agent = self._router.choose(self._call, tried, now)
+        if agent is None:
+            return self._give_up(*self._refusal, now)
+        if self._attempts and not self._budget.take(now):
+            return self._give_up(Reason.RETRY_BUDGET, self._refusal[1], now)
+        return self._hand_over(agent, now)
+
+    def _hand_over(self, agent: str, now: float) -> list[Effect]:
+        attempt_id = self._numbers.open()
+        incarnation = self._router.incarnation(agent)
+        attempt = Attempt(attempt_id, agent, incarnation, now)
+        self._attempts[attempt_id] = attempt
+        self._current = attempt
+        self._answer = Answer()
+        self._wake_at = self._call.deadline
+        self._router.on_sent(agent)
+        floor = self._numbers.floor
+        return [Send(agent, Execute(attempt_id, floor, incarnation, self._call))]
+
+    def _on_begun(self, attempt: Attempt, message: Begun, now: float) -> list[Effect]:
+        if attempt.state is AttemptState.SENT:
+            attempt.state = AttemptState.BEGUN
+        return []
+
+    def _on_head(self, attempt: Attempt, message: Head, now: float) -> list[Effect]:
+        if attempt is not self._current or self._state is not RequestState.OPEN:
+            return []
+        own = message.request_id == self._call.request_id
+        self._monitor.check(
+            Promise.OWN_WHOLE_ANSWER,
+            own,
+            f"request {self._call.request_id} got the answer of {message.request_id}",
+        )
+        if not own:
+            return self._give_up(Reason.WRONG_ANSWER, DEFAULT_RETRY_AFTER, now)
+        self._answer.head = message
+        self._router.on_latency(attempt.agent, now - attempt.sent_at, now)
+        return self._deliver(attempt)
+
+    def _on_chunk(self, attempt: Attempt, message: Chunk, now: float) -> list[Effect]:
+        if attempt is not self._current or self._state is not RequestState.OPEN:
+            return []
+        self._answer.add(message.sequence, message.data)
+        return self._deliver(attempt)
+
+    def _on_finished(
+        self, attempt: Attempt, message: Finished, now: float
+    ) -> list[Effect]:
+        self._router.on_load(attempt.agent, message.load)
+        if attempt is not self._current or self._state is not RequestState.OPEN:
+            self._settle(attempt, AttemptState.FINISHED)
+            return []
+        self._answer.total = message.chunks
+        return self._deliver(attempt)
+
+    def _deliver(self, attempt: Attempt) -> list[Effect]:
+        answer = self._answer
+        if answer.head is None or not (self._streaming or answer.is_whole):
+            return []
+        effects: list[Effect] = []
+        if not self._head_delivered and (answer.ready or answer.is_whole):
+            self._head_delivered = True
+            head = answer.head
+            effects.append(DeliverHead(head.status, head.content_type, head.replayed))
+        effects += [DeliverPart(data) for data in answer.ready]
+        answer.ready = []
+        if answer.is_whole:
+            effects.append(DeliverEnd())
+            effects += self._complete(attempt)
+        return effects
+
+    def _complete(self, attempt: Attempt) -> list[Effect]:
+        self._settle(attempt, AttemptState.FINISHED)
+        self._state = RequestState.ANSWERED
+        acknowledge = Acknowledge(attempt.attempt_id, attempt.incarnation)
+        revokes = self._revoke_unsettled()
+        return [Send(attempt.agent, acknowledge), *revokes, *self._close()]
+
+    def _on_broken(self, attempt: Attempt, message: Broken, now: float) -> list[Effect]:
+        self._settle(attempt, AttemptState.UNKNOWN)
+        if message.reason is not Reason.REVOKED:
+            self._router.on_failure(attempt.agent, now)
+        if self._state is RequestState.SETTLING:
+            return self._check_settled()
+        if attempt is not self._current:
+            return []
+        if self._call.at_most_once:
+            return self._give_up(message.reason, DEFAULT_RETRY_AFTER, now)
+        return self._replace(message.reason, now)
+
+    def _on_not_run(
+        self, attempt: Attempt, message: NotRun, now: float
+    ) -> list[Effect]:
+        self._router.on_load(attempt.agent, message.load)
+        self._settle(attempt, AttemptState.NOT_RUN)
+        if message.reason is Reason.LEAVING:
+            self._router.on_leaving(attempt.agent)
+        if message.reason is Reason.ENDPOINT_UNREACHABLE:
+            self._router.on_failure(attempt.agent, now)
+        if self._state is RequestState.SETTLING:
+            return self._check_settled()
+        if attempt is not self._current:
+            return []
+        self._refusal = (message.reason, message.retry_after)
+        if message.reason in FINAL_REASONS:
+            return self._give_up(*self._refusal, now)
+        return self._try_next(now)
+
+    def _on_held_elsewhere(
+        self, attempt: Attempt, message: HeldElsewhere, now: float
+    ) -> list[Effect]:
+        self._settle(attempt, AttemptState.ELSEWHERE)
+        if attempt is not self._current or self._state is not RequestState.OPEN:
+            return self._check_settled()
+        self._holder = (message.agent, message.incarnation)
+        self._holder_deadline = now + HOLDER_WAIT
+        return self._try_holder(now)
+
+    def _try_holder(self, now: float) -> list[Effect]:
+        assert self._holder is not None
+        agent, incarnation = self._holder
+        present = self._router.incarnation(agent)
+        if present == incarnation and len(self._attempts) < MAX_ATTEMPTS:
+            self._holder = None
+            return self._hand_over(agent, now)
+        is_gone = bool(present) and present != incarnation
+        if is_gone or now >= self._holder_deadline:
+            return self._give_up(Reason.HOLDER_LOST, DEFAULT_RETRY_AFTER, now)
+        self._wake_at = min(now + RECONNECT_GRACE, self._call.deadline)
+        return []
+
+    def _on_back(self, attempt: Attempt, incarnation: str, now: float) -> list[Effect]:
+        if incarnation != attempt.incarnation:
+            self._settle(attempt, AttemptState.UNKNOWN)
+            if self._state is RequestState.SETTLING:
+                return self._check_settled()
+            if attempt is not self._current:
+                return []
+            return self._replace(Reason.LINK_LOST, now)
+        attempt.state = AttemptState.SENT
+        floor = self._numbers.floor
+        if attempt is not self._current or self._state is RequestState.SETTLING:
+            revoke = Revoke(attempt.attempt_id, floor, attempt.incarnation)
+            return [Send(attempt.agent, revoke)]
+        self._wake_at = self._call.deadline
+        next_sequence = self._answer.next_sequence if self._answer.head else 0
+        resume = Resume(attempt.attempt_id, floor, attempt.incarnation, next_sequence)
+        return [Send(attempt.agent, resume)]
+
+    def _replace(self, reason: Reason, now: float) -> list[Effect]:
+        """Try another agent, if nothing of the answer has gone out."""
+        self._refusal = (reason, DEFAULT_RETRY_AFTER)
+        if self._head_delivered:
+            return self._give_up(*self._refusal, now)
+        return self._try_next(now)
+
+    def _give_up(self, reason: Reason, retry_after: float, now: float) -> list[Effect]:
+        self._refusal = (reason, retry_after)
+        if self._head_delivered or not self._can_still_settle():
+            revokes = self._revoke_unsettled()
+            return [*revokes, *self._finish_refusal()]
+        self._state = RequestState.SETTLING
+        self._wake_at = now + SETTLE_WAIT
+        return self._revoke_unsettled()
+
+    def _can_still_settle(self) -> bool:
+        states = {attempt.state for attempt in self._attempts.values()}
+        open_states = {AttemptState.SENT, AttemptState.LOST}
+        return bool(states & open_states) and states <= {
+            *open_states,
+            AttemptState.NOT_RUN,
+        }
+
+    def _check_settled(self) -> list[Effect]:
+        if self._state is not RequestState.SETTLING or self._can_still_settle():
+            return []
+        return self._finish_refusal()
+
+    def _finish_refusal(self) -> list[Effect]:
+        all_not_run = all(
+            attempt.state is AttemptState.NOT_RUN for attempt in self._attempts.values()
+        )
+        ran = Ran.NO if all_not_run else Ran.UNKNOWN
+        self._monitor.check(
+            Promise.TRUTHFUL_REFUSAL,
+            ran is Ran.UNKNOWN or not self._head_delivered,
+            f"request {self._call.request_id} refused as not run after a part",
+        )
+        self._state = RequestState.NOT_RUN if ran is Ran.NO else RequestState.UNKNOWN
+        refuse = Refuse(ran, *self._refusal, self._head_delivered)
+        return [refuse, *self._close()]
+
+    def _revoke_unsettled(self) -> list[Effect]:
+        floor = self._numbers.floor
+        return [
+            Send(
+                attempt.agent,
+                Revoke(attempt.attempt_id, floor, attempt.incarnation),
+            )
+            for attempt in self._attempts.values()
+            if attempt.state in {AttemptState.SENT, AttemptState.BEGUN}
+        ]
+
+    def _settle(self, attempt: Attempt, state: AttemptState) -> None:
+        if attempt.state in UNSETTLED:
+            self._router.on_settled(attempt.agent)
+            self._numbers.settle(attempt.attempt_id)
+        attempt.state = state
+
+    def _close(self) -> list[Effect]:
+        for attempt in self._attempts.values():
+            if attempt.state in UNSETTLED:
+                self._settle(attempt, AttemptState.UNKNOWN)
+        return []
--- /dev/null
+++ b/src/cyclamenyoke/core/routing.py
@@ -0,0 +1,249 @@
+"""Chooses the agent that a call goes to.
+
+Load reports lag, so they are hints. The score of an agent combines the calls
+that this entry itself has there, the load piggybacked on answers, the latency
+that was seen, and the distance. Calls with a common prompt prefix prefer the
+same engine while its load stays near the others'. Everything else takes the
+better of two random choices, so that entries do not all choose the same one.
+"""
+
+import enum
+import hashlib
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from cyclamenyoke.core.config import Endpoint
+from cyclamenyoke.core.journal import key_digest, slot_name
+from cyclamenyoke.core.messages import Call, Load
+from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
+
+PREFIX_BYTES = 1 * KIBIBYTE
+"""Bytes at the beginning of a body that stand for its prompt prefix."""
+
+PREFIX_LOAD_BOUND = 1.25
+"""Load relative to the mean up to which a prefix keeps its engine."""
+
+LATENCY_SMOOTHING = 0.2
+"""Weight of the newest observation in the smoothed latency."""
+
+INITIAL_LATENCY = 50 * MILLISECOND
+"""Seconds assumed for an agent that has not answered yet."""
+
+FAILURES_TO_OPEN = 3
+"""Failures in a row after which an agent's circuit opens."""
+
+OPEN_FOR = 5 * SECOND
+"""Seconds for which an open circuit admits no call."""
+
+REMOTE_PENALTY = 5 * MILLISECOND
+"""Seconds added to the score of an agent in another data centre."""
+
+
+class CircuitState(enum.Enum):
+    """Whether calls go to an agent."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class CircuitEvent(enum.Enum):
+    """What changes the state of a circuit."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    RETRY_TIME = "retry_time"
+
+
+CIRCUIT_TABLE: dict[tuple[CircuitState, CircuitEvent], CircuitState] = {
+    (CircuitState.CLOSED, CircuitEvent.FAILURE): CircuitState.OPEN,
+    (CircuitState.OPEN, CircuitEvent.RETRY_TIME): CircuitState.HALF_OPEN,
+    (CircuitState.OPEN, CircuitEvent.SUCCESS): CircuitState.CLOSED,
+    (CircuitState.HALF_OPEN, CircuitEvent.SUCCESS): CircuitState.CLOSED,
+    (CircuitState.HALF_OPEN, CircuitEvent.FAILURE): CircuitState.OPEN,
+}
+"""The next state; a pair that is missing keeps the state."""
+
+
+@dataclass(slots=True)
+class AgentView:
+    """What an entry knows of one agent.
+
+    :param incarnation: of the connected agent; empty without a connection.
+    :param in_flight: calls of this entry at the agent.
+    :param retry_at: when an open circuit lets one call through.
+    """
+
+    endpoint: Endpoint
+    incarnation: str = ""
+    leaving: bool = False
+    in_flight: int = 0
+    load: Load = field(default_factory=Load)
+    latency: float = INITIAL_LATENCY
+    failures: int = 0
+    circuit: CircuitState = CircuitState.CLOSED
+    retry_at: float = 0.0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether calls can be sent."""
+        return bool(self.incarnation)
+
+    @property
+    def occupancy(self) -> float:
+        """Calls for each slot, from own count and report, whichever is more."""
+        known = max(self.in_flight, self.load.running)
+        return known / self.endpoint.slots
+
+    def on_circuit(self, event: CircuitEvent, now: float) -> None:
+        """Move the circuit by its table."""
+        self.circuit = CIRCUIT_TABLE.get((self.circuit, event), self.circuit)
+        if self.circuit is CircuitState.OPEN and event is CircuitEvent.FAILURE:
+            self.retry_at = now + OPEN_FOR
+
+
+class Router:
+    """The agents that one entry may use, and the choice between them.
+
+    :param data_centre: where this entry runs.
+    :param random: the source of random choices.
+    """
+
+    def __init__(self, data_centre: str, random: Random) -> None:
+        self._data_centre = data_centre
+        self._random = random
+        self._views: dict[str, AgentView] = {}
+        self._by_service: dict[str, list[str]] = {}
+
+    def configure(self, endpoints: dict[str, list[Endpoint]]) -> None:
+        """Take the endpoints of each service from a new configuration."""
+        for endpoint in (each for group in endpoints.values() for each in group):
+            if endpoint.name in self._views:
+                self._views[endpoint.name].endpoint = endpoint
+            else:
+                self._views[endpoint.name] = AgentView(endpoint)
+        self._by_service = {
+            service: [endpoint.name for endpoint in group]
+            for service, group in endpoints.items()
+        }
+
+    def view(self, agent: str) -> AgentView:
+        """Return what is known of an agent.
+
+        :raises KeyError: for an agent that no configuration has named.
+        """
+        return self._views[agent]
+
+    def incarnation(self, agent: str) -> str:
+        """Return the incarnation of a connected agent, or an empty string."""
+        view = self._views.get(agent)
+        return view.incarnation if view else ""
+
+    def on_up(self, agent: str, incarnation: str, leaving: bool, load: Load) -> None:
+        """Note a connection to an agent."""
+        view = self._views[agent]
+        if view.incarnation != incarnation:
+            view.in_flight = 0
+        view.incarnation = incarnation
+        view.leaving = leaving
+        view.load = load
+
+    def on_down(self, agent: str) -> None:
+        """Note that the connection to an agent is gone."""
+        self._views[agent].incarnation = ""
+
+    def on_leaving(self, agent: str) -> None:
+        """Note that an agent takes no new work."""
+        self._views[agent].leaving = True
+
+    def on_sent(self, agent: str) -> None:
+        """Count a call that was sent."""
+        self._views[agent].in_flight += 1
+
+    def on_settled(self, agent: str) -> None:
+        """Stop counting a call."""
+        view = self._views[agent]
+        view.in_flight = max(0, view.in_flight - 1)
+
+    def on_load(self, agent: str, load: Load) -> None:
+        """Take a load report that came with an answer."""
+        self._views[agent].load = load
+
+    def on_latency(self, agent: str, seconds: float, now: float) -> None:
+        """Take the time to the first part of an answer."""
+        view = self._views[agent]
+        view.latency += LATENCY_SMOOTHING * (seconds - view.latency)
+        view.failures = 0
+        view.on_circuit(CircuitEvent.SUCCESS, now)
+
+    def on_failure(self, agent: str, now: float) -> None:
+        """Take a failure of an agent or its endpoint."""
+        view = self._views[agent]
+        view.failures += 1
+        if view.failures >= FAILURES_TO_OPEN:
+            view.on_circuit(CircuitEvent.FAILURE, now)
+
+    def choose(self, call: Call, excluded: Collection[str], now: float) -> str | None:
+        """Return the agent for a call, or ``None`` if none can take it.
+
+        :param excluded: agents that this call has already tried.
+        """
+        usable = [
+            view
+            for view in self._views_of(call.service)
+            if view.endpoint.name not in excluded and _is_usable(view, now)
+        ]
+        if not usable:
+            return None
+        if call.at_most_once:
+            return _rendezvous(_slot_of(call), usable)[0].endpoint.name
+        return self._choose_by_load(call, usable).endpoint.name
+
+    def _views_of(self, service: str) -> Iterable[AgentView]:
+        return (self._views[name] for name in self._by_service.get(service, []))
+
+    def _choose_by_load(self, call: Call, usable: list[AgentView]) -> AgentView:
+        preferred = _rendezvous(_prefix_of(call), usable)[0]
+        mean = sum(view.occupancy for view in usable) / len(usable)
+        if preferred.occupancy <= PREFIX_LOAD_BOUND * mean and self._is_fast(
+            preferred, usable
+        ):
+            return preferred
+        pair = self._random.sample(usable, min(2, len(usable)))
+        return min(pair, key=self._score)
+
+    def _is_fast(self, preferred: AgentView, usable: list[AgentView]) -> bool:
+        latencies = sorted(view.latency for view in usable)
+        median = latencies[len(latencies) // 2]
+        return preferred.latency <= 2 * median
+
+    def _score(self, view: AgentView) -> float:
+        near = view.endpoint.data_centre == self._data_centre
+        distance = 0.0 if near else REMOTE_PENALTY
+        return (1 + view.occupancy) * view.latency + distance
+
+
+def _is_usable(view: AgentView, now: float) -> bool:
+    if not view.is_connected or view.leaving:
+        return False
+    if view.circuit is CircuitState.OPEN and now >= view.retry_at:
+        view.on_circuit(CircuitEvent.RETRY_TIME, now)
+    return view.circuit is not CircuitState.OPEN
+
+
+def _slot_of(call: Call) -> str:
+    return slot_name(call.service, key_digest(call.service, call.customer, call.key))
+
+
+def _prefix_of(call: Call) -> str:
+    prefix = call.customer.encode() + call.body[:PREFIX_BYTES]
+    return hashlib.blake2b(prefix, digest_size=8).hexdigest()
+
+
+def _rendezvous(name: str, views: list[AgentView]) -> list[AgentView]:
+    def rank(view: AgentView) -> bytes:
+        text = f"{name}\0{view.endpoint.name}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(views, key=rank)
--- /dev/null
+++ b/src/cyclamenyoke/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: its settings, its roles and their wiring."""
--- /dev/null
+++ b/src/cyclamenyoke/daemon/agent.py
@@ -0,0 +1,397 @@
+"""The agent's daemon: tasks around :class:`AgentCore`.
+
+One task owns the core and takes events from one queue. A task for each
+connection, each run and each journal call sends its events there.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.adapters.wire import AgentHandshake, MessageStream
+from cyclamenyoke.core.agent import (
+    AgentCore,
+    Broadcast,
+    CancelCall,
+    Effect,
+    Reply,
+    StartCall,
+)
+from cyclamenyoke.core.claims import ReadSlot, WriteSlot
+from cyclamenyoke.core.messages import (
+    Acknowledge,
+    Call,
+    Execute,
+    Reason,
+    Resume,
+    Revoke,
+    ToAgent,
+    Welcome,
+)
+from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.exceptions import (
+    AuthenticationError,
+    PlatformUnavailable,
+    ProtocolError,
+)
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.endpoint import (
+    EndpointClient,
+    EndpointError,
+    EndpointEvent,
+    EndpointHead,
+)
+from cyclamenyoke.ports.platform import CasConflict, KeyValueStore
+
+TICK_INTERVAL = 100 * MILLISECOND
+"""Seconds between two looks at deadlines."""
+
+DRAIN_POLL = 50 * MILLISECOND
+"""Seconds between two looks at whether a leaving agent is done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Connected:
+    """An entry has connected."""
+
+    entry: str
+    stream: MessageStream[ToAgent]
+    transcript: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Disconnected:
+    """An entry's connection is gone."""
+
+    entry: str
+    stream: MessageStream[ToAgent]
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Messages came from an entry."""
+
+    messages: list[ToAgent]
+
+
+@dataclass(frozen=True, slots=True)
+class RunEvent:
+    """The endpoint gave a part of an answer."""
+
+    run_id: int
+    event: EndpointEvent
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    """The endpoint's answer is whole, or will not become so.
+
+    :param error: ``None`` for a whole answer.
+    """
+
+    run_id: int
+    error: EndpointError | None
+
+
+@dataclass(frozen=True, slots=True)
+class SlotRead:
+    """The platform gave a journal slot."""
+
+    slot: str
+    revision: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class SlotWritten:
+    """The platform took a journal slot."""
+
+    slot: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotConflict:
+    """Another agent wrote a journal slot first."""
+
+    slot: str
+
+
+@dataclass(frozen=True, slots=True)
+class SlotLost:
+    """A journal call had no answer."""
+
+    slot: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Deadlines may have passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """The agent shall leave."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configure:
+    """A newer configuration is in force.
+
+    :param retention: seconds after its issue for which a key is remembered.
+    """
+
+    slots: int
+    retention: float
+
+
+class AgentDaemon:
+    """Runs one agent.
+
+    :param address: ``IP:PORT`` on which entries connect.
+    """
+
+    def __init__(
+        self,
+        core: AgentCore,
+        address: str,
+        shared_key: bytes,
+        endpoint: EndpointClient,
+        store: KeyValueStore,
+        clock: Clock,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        self._core = core
+        self._address = address
+        self._handshake = AgentHandshake(core.agent, core.incarnation, shared_key)
+        self._endpoint = endpoint
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._inbox: asyncio.Queue[object] = asyncio.Queue()
+        self._streams: dict[str, MessageStream[ToAgent]] = {}
+        self._runs: dict[int, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._handlers: dict[type, Callable[..., list[Effect]]] = {
+            Connected: self._on_connected,
+            Disconnected: self._on_disconnected,
+            Received: self._on_received,
+            RunEvent: self._on_run_event,
+            RunEnded: self._on_run_ended,
+            SlotRead: self._on_slot_read,
+            SlotWritten: self._on_slot_written,
+            SlotConflict: self._on_slot_conflict,
+            SlotLost: self._on_slot_lost,
+            Tick: self._on_tick,
+            Drain: self._on_drain,
+            Configure: self._on_configure,
+        }
+        self._messages: dict[type, Callable[..., list[Effect]]] = {
+            Execute: core.on_execute,
+            Revoke: core.on_revoke,
+            Resume: core.on_resume,
+            Acknowledge: core.on_acknowledge,
+        }
+        self._performers: dict[type, Callable[..., None]] = {
+            Reply: self._reply,
+            Broadcast: self._broadcast,
+            StartCall: self._start_call,
+            CancelCall: self._cancel_call,
+            ReadSlot: self._read_slot,
+            WriteSlot: self._write_slot,
+        }
+
+    @property
+    def core(self) -> AgentCore:
+        """The agent's decisions."""
+        return self._core
+
+    def configure(self, slots: int, retention: float) -> None:
+        """Take the endpoint's part of a new configuration."""
+        self._inbox.put_nowait(Configure(slots, retention))
+
+    async def run(self) -> None:
+        """Serve entries until cancelled."""
+        host, port = self._address.rsplit(":", 1)
+        server = await asyncio.start_server(self._on_connection, host, int(port))
+        self._log.info("agent listens", address=self._address)
+        async with server, asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._tick_forever())
+            tasks.create_task(self._decide_forever())
+
+    async def drain(self) -> None:
+        """Take no new work and return once everything in progress is done."""
+        self._inbox.put_nowait(Drain())
+        await asyncio.sleep(0)
+        while not (self._core.is_leaving and self._core.is_drained):
+            await asyncio.sleep(DRAIN_POLL)
+        for stream in self._streams.values():
+            stream.flush()
+
+    async def _decide_forever(self) -> None:
+        while True:
+            event = await self._inbox.get()
+            for effect in self._handlers[type(event)](event):
+                self._performers[type(effect)](effect)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL)
+            self._inbox.put_nowait(Tick())
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            stream, entry, transcript = await self._handshake.accept(reader, writer)
+        except (OSError, TimeoutError, ProtocolError, AuthenticationError) as error:
+            self._metrics.count("connections_refused")
+            self._log.warning("connection refused", error=str(error))
+            writer.transport.abort()
+            return
+        self._inbox.put_nowait(Connected(entry, stream, transcript))
+        try:
+            while True:
+                self._inbox.put_nowait(Received(await stream.receive()))
+        except (OSError, ProtocolError) as error:
+            self._log.info("entry disconnected", entry=entry, error=str(error))
+        finally:
+            stream.abort()
+            self._inbox.put_nowait(Disconnected(entry, stream))
+
+    def _on_connected(self, event: Connected) -> list[Effect]:
+        before = self._streams.get(event.entry)
+        if before is not None:
+            before.abort()
+        self._streams[event.entry] = event.stream
+        welcome = Welcome(b"", self._core.load, self._core.is_leaving)
+        self._handshake.welcome(event.stream, event.transcript, welcome)
+        return self._core.on_connected(event.entry)
+
+    def _on_disconnected(self, event: Disconnected) -> list[Effect]:
+        if self._streams.get(event.entry) is not event.stream:
+            return []
+        del self._streams[event.entry]
+        return self._core.on_disconnected(event.entry, self._clock.now())
+
+    def _on_received(self, event: Received) -> list[Effect]:
+        now = self._clock.now()
+        effects: list[Effect] = []
+        for message in event.messages:
+            handler = self._messages.get(type(message))
+            if handler is not None:
+                effects += handler(message, now)
+        return effects
+
+    def _on_run_event(self, event: RunEvent) -> list[Effect]:
+        part = event.event
+        if isinstance(part, EndpointHead):
+            return self._core.on_head(event.run_id, part.status, part.content_type)
+        return self._core.on_data(event.run_id, part.data)
+
+    def _on_run_ended(self, event: RunEnded) -> list[Effect]:
+        self._runs.pop(event.run_id, None)
+        now = self._clock.now()
+        if event.error is None:
+            self._metrics.count("runs", outcome="finished")
+            return self._core.on_finished(event.run_id, now)
+        self._metrics.count("runs", outcome="failed")
+        self._log.warning("endpoint failed", error=str(event.error))
+        began = event.error.began
+        reason = Reason.ENDPOINT_FAILED if began else Reason.ENDPOINT_UNREACHABLE
+        return self._core.on_failed(event.run_id, began, reason, now)
+
+    def _on_slot_read(self, event: SlotRead) -> list[Effect]:
+        now = self._clock.now()
+        return self._core.on_slot_read(event.slot, event.revision, event.value, now)
+
+    def _on_slot_written(self, event: SlotWritten) -> list[Effect]:
+        now = self._clock.now()
+        return self._core.on_slot_written(event.slot, event.revision, now)
+
+    def _on_slot_conflict(self, event: SlotConflict) -> list[Effect]:
+        return self._core.on_slot_conflict(event.slot, self._clock.now())
+
+    def _on_slot_lost(self, event: SlotLost) -> list[Effect]:
+        return self._core.on_slot_lost(event.slot, self._clock.now())
+
+    def _on_tick(self, event: Tick) -> list[Effect]:
+        return self._core.tick(self._clock.now())
+
+    def _on_drain(self, event: Drain) -> list[Effect]:
+        self._log.info("agent leaves")
+        return self._core.drain(self._clock.now())
+
+    def _on_configure(self, event: Configure) -> list[Effect]:
+        return self._core.configure(event.slots, event.retention, self._clock.now())
+
+    def _reply(self, effect: Reply) -> None:
+        stream = self._streams.get(effect.entry)
+        if stream is not None:
+            stream.send(effect.message)
+
+    def _broadcast(self, effect: Broadcast) -> None:
+        for stream in self._streams.values():
+            stream.send(effect.message)
+
+    def _start_call(self, effect: StartCall) -> None:
+        task = asyncio.create_task(self._run_call(effect.run_id, effect.call))
+        self._runs[effect.run_id] = task
+        self._keep(task)
+
+    def _cancel_call(self, effect: CancelCall) -> None:
+        task = self._runs.pop(effect.run_id, None)
+        if task is not None:
+            self._metrics.count("runs", outcome="cancelled")
+            task.cancel()
+
+    def _read_slot(self, effect: ReadSlot) -> None:
+        self._metrics.count("platform_calls", purpose="journal_read")
+        self._keep(asyncio.create_task(self._read(effect)))
+
+    def _write_slot(self, effect: WriteSlot) -> None:
+        self._metrics.count("platform_calls", purpose="journal_write")
+        self._keep(asyncio.create_task(self._write(effect)))
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_call(self, run_id: int, call: Call) -> None:
+        error: EndpointError | None = None
+        try:
+            async for event in self._endpoint.run(call):
+                self._inbox.put_nowait(RunEvent(run_id, event))
+        except EndpointError as caught:
+            error = caught
+        except Exception as caught:
+            self._log.exception("run failed", request=call.request_id)
+            error = EndpointError(str(caught), began=True)
+        self._inbox.put_nowait(RunEnded(run_id, error))
+
+    async def _read(self, effect: ReadSlot) -> None:
+        try:
+            found = await self._store.get(effect.slot)
+            self._inbox.put_nowait(SlotRead(effect.slot, found.revision, found.value))
+        except PlatformUnavailable as error:
+            self._on_platform_failure(effect.slot, error)
+
+    async def _write(self, effect: WriteSlot) -> None:
+        try:
+            revision = await self._store.compare_and_swap(
+                effect.slot, effect.expected_revision, effect.value
+            )
+            self._inbox.put_nowait(SlotWritten(effect.slot, revision))
+        except CasConflict:
+            self._inbox.put_nowait(SlotConflict(effect.slot))
+        except PlatformUnavailable as error:
+            self._on_platform_failure(effect.slot, error)
+
+    def _on_platform_failure(self, slot: str, error: PlatformUnavailable) -> None:
+        self._metrics.count("platform_failures", purpose="journal")
+        self._log.warning("journal call failed", slot=slot, error=str(error))
+        self._inbox.put_nowait(SlotLost(slot))
--- /dev/null
+++ b/src/cyclamenyoke/daemon/configuration.py
@@ -0,0 +1,252 @@
+"""The task that keeps a node's configuration and its part in exchanges.
+
+It owns the exchange sockets, the gossip records and the configuration. A few
+nodes of each data centre watch the platform; all others learn from their peers.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from cyclamenyoke.adapters.exchange import ExchangeClient, ExchangeServer
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.core.config import ConfigIndex, ConfigStore
+from cyclamenyoke.core.gossip import (
+    Answer,
+    Blobs,
+    FetchBlobs,
+    GossipCore,
+    GossipMessage,
+    Kind,
+    NodeInfo,
+    Offer,
+    Records,
+    Transfer,
+)
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.platform import KeyValueStore
+
+INDEX_KEY = "config/index"
+"""The platform's key of the configuration index."""
+
+BLOB_PREFIX = "config/blob/"
+"""The prefix of the platform's keys of configuration blobs."""
+
+EXCHANGE_INTERVAL = 1 * SECOND
+"""Mean seconds between a node's exchanges when nothing is new."""
+
+PUSH_DELAY = 20 * MILLISECOND
+"""Mean seconds before a node pushes what it has just learned."""
+
+WATCH_TIME = 20 * SECOND
+"""Seconds that one watch waits for a change."""
+
+VOLUNTEER_INTERVAL = 5 * SECOND
+"""Seconds between two looks at who watches the platform."""
+
+FETCH_TRIES = 3
+"""Peers that are asked for missing blobs before the next exchange."""
+
+BACKOFF_START = 200 * MILLISECOND
+"""Seconds of the first delay after the platform failed."""
+
+BACKOFF_LIMIT = 10 * SECOND
+"""Longest delay in seconds while the platform fails."""
+
+
+class ConfigurationTask:
+    """One node's configuration, kept in step with everyone's.
+
+    :param on_change: called after a newer configuration came into force.
+    """
+
+    def __init__(
+        self,
+        core: GossipCore,
+        config: ConfigStore,
+        store: KeyValueStore,
+        client: ExchangeClient,
+        server: ExchangeServer,
+        seeds: list[str],
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+        log: Log,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._core = core
+        self._config = config
+        self._store = store
+        self._client = client
+        self._server = server
+        self._seeds = seeds
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._log = log
+        self._on_change = on_change
+        self._push = asyncio.Event()
+        self._revision = 0
+        self._handlers: dict[type, Callable[..., GossipMessage]] = {
+            Offer: self._core.on_offer,
+            Transfer: self._core.on_transfer,
+            FetchBlobs: self._on_fetch_blobs,
+        }
+
+    @property
+    def nodes(self) -> dict[str, NodeInfo]:
+        """Every node known, by name."""
+        return self._core.nodes
+
+    @property
+    def config(self) -> ConfigStore:
+        """The configuration that this node runs."""
+        return self._config
+
+    def is_suspected(self, name: str) -> bool:
+        """Tell whether a node lately did not answer this one."""
+        return self._core.is_suspected(name, self._clock.now())
+
+    def announce_leaving(self) -> None:
+        """Tell the peers that this node takes no new work."""
+        leaving = msgspec.structs.replace(self._core.info, leaving=True)
+        self._core.announce(leaving, self._clock.now())
+        self._push.set()
+
+    def accept_published(self, index: ConfigIndex, blobs: list[bytes]) -> None:
+        """Put into force what this node has itself published."""
+        in_force = self._config.offer_blobs(blobs)
+        if self._config.offer_index(index) or in_force:
+            self._on_new_configuration()
+
+    async def run(self) -> None:
+        """Exchange and watch until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._server.serve(self._answer))
+            tasks.create_task(self._exchange_forever())
+            tasks.create_task(self._watch_forever())
+
+    async def _answer(self, message: GossipMessage) -> GossipMessage | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        if isinstance(message, FetchBlobs):
+            return handler(message)
+        answer = handler(message, self._clock.now())
+        self._take_learned()
+        return answer
+
+    def _on_fetch_blobs(self, message: FetchBlobs) -> Blobs:
+        found = (self._config.blob(digest) for digest in message.digests)
+        return Blobs([blob for blob in found if blob is not None])
+
+    async def _exchange_forever(self) -> None:
+        for seed in self._seeds:
+            await self._exchange(seed)
+        while True:
+            await self._pause()
+            now = self._clock.now()
+            self._core.tick(now)
+            peer = self._core.choose_peer(now)
+            if peer is not None:
+                await self._exchange(peer.control)
+            elif self._seeds:
+                await self._exchange(self._random.choice(self._seeds))
+
+    async def _pause(self) -> None:
+        """Wait for the next exchange; a fresh record shortens the wait."""
+        delay = EXCHANGE_INTERVAL * self._random.uniform(0.5, 1.5)
+        try:
+            async with asyncio.timeout(delay):
+                await self._push.wait()
+            await asyncio.sleep(PUSH_DELAY * self._random.uniform(0.5, 1.5))
+        except TimeoutError:
+            pass
+        if not self._core.has_fresh:
+            self._push.clear()
+
+    async def _exchange(self, address: str) -> None:
+        """Hold one exchange with a peer."""
+        if address == self._core.info.control:
+            return
+        answer = await self._client.ask(address, self._core.offer())
+        if not isinstance(answer, Answer):
+            self._metrics.count("exchanges_failed")
+            self._core.on_unreachable(address, self._clock.now())
+            return
+        self._metrics.count("exchanges")
+        transfer = self._core.on_answer(answer, self._clock.now())
+        if transfer is not None:
+            records = await self._client.ask(address, transfer)
+            if isinstance(records, Records):
+                self._core.on_records(records, self._clock.now())
+        self._take_learned()
+        await self._fetch_missing(address)
+
+    def _take_learned(self) -> None:
+        learned = self._core.take_learned()
+        if self._core.has_fresh:
+            self._push.set()
+        for record in learned:
+            if record.kind is Kind.CONFIG:
+                index = msgspec.json.decode(record.payload, type=ConfigIndex)
+                if self._config.offer_index(index):
+                    self._on_new_configuration()
+
+    async def _fetch_missing(self, address: str) -> None:
+        """Get missing blobs from the last peer, or from any."""
+        if not self._config.missing:
+            return
+        others = [node.control for node in self._core.nodes.values()]
+        self._random.shuffle(others)
+        for candidate in [address, *others[:FETCH_TRIES]]:
+            if candidate == self._core.info.control or not self._config.missing:
+                continue
+            answer = await self._client.ask(candidate, FetchBlobs(self._config.missing))
+            if isinstance(answer, Blobs) and self._config.offer_blobs(answer.blobs):
+                self._on_new_configuration()
+
+    def _on_new_configuration(self) -> None:
+        index = self._config.index
+        self._core.put_config(index.generation, msgspec.json.encode(index))
+        running = msgspec.structs.replace(self._core.info, generation=index.generation)
+        self._core.announce(running, self._clock.now())
+        self._push.set()
+        self._metrics.gauge("config_generation", index.generation)
+        self._log.info("configuration in force", generation=index.generation)
+        self._on_change()
+
+    async def _watch_forever(self) -> None:
+        delay = BACKOFF_START
+        while True:
+            if not self._core.volunteer(self._clock.now()):
+                await asyncio.sleep(VOLUNTEER_INTERVAL * self._random.uniform(0.8, 1.2))
+                continue
+            try:
+                await self._watch_once()
+                delay = BACKOFF_START
+            except PlatformUnavailable as error:
+                self._log.warning("platform unavailable", error=str(error))
+                await asyncio.sleep(delay * self._random.uniform(0.5, 1.5))
+                delay = min(BACKOFF_LIMIT, delay * 2)
+
+    async def _watch_once(self) -> None:
+        deadline = self._clock.now() + min(WATCH_TIME, VOLUNTEER_INTERVAL)
+        found = await self._store.watch(INDEX_KEY, self._revision, deadline)
+        if found.value is None or found.revision <= self._revision:
+            return
+        index = msgspec.json.decode(found.value, type=ConfigIndex)
+        in_force = self._config.offer_index(index)
+        for digest in self._config.missing:
+            blob = await self._store.get(BLOB_PREFIX + digest)
+            if blob.value is not None:
+                in_force = self._config.offer_blobs([blob.value]) or in_force
+        if in_force:
+            self._on_new_configuration()
+        if not self._config.missing:
+            self._revision = found.revision
--- /dev/null
+++ b/src/cyclamenyoke/daemon/demo.py
@@ -0,0 +1,236 @@
+"""The demo: one whole session on loopback, in one process.
+
+The daemons are the same code as separate processes; the platform and the
+endpoints are stand-ins.
+"""
+
+import asyncio
+import tempfile
+import time
+import uuid
+from pathlib import Path
+from random import Random
+from urllib.parse import urlsplit
+
+import httpx
+import msgspec
+
+from cyclamenyoke.adapters.clock import SystemClock
+from cyclamenyoke.adapters.http_server import HttpServer
+from cyclamenyoke.adapters.logs import install_logs
+from cyclamenyoke.adapters.service_files import collect
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.callers import EntryAddresses
+from cyclamenyoke.daemon.node import Node
+from cyclamenyoke.daemon.operators import Status
+from cyclamenyoke.daemon.publishing import PublishRequest, ServiceEdit
+from cyclamenyoke.standins.deployment import (
+    LOOPBACK,
+    MODEL,
+    OPERATORS_KEY,
+    Deployment,
+    customer_key,
+)
+from cyclamenyoke.standins.endpoint import StandInEndpoint
+from cyclamenyoke.standins.platform import StandInPlatform
+
+READY_TIME = 10 * SECOND
+"""Seconds within which the deployment must be ready."""
+
+POLL = 50 * MILLISECOND
+"""Seconds between two looks."""
+
+TOKENS = 40
+"""Tokens of the demo's report."""
+
+SEED = 1
+
+
+async def run_demo() -> int:
+    """Run the session; return the exit code."""
+    install_logs("error")
+    with tempfile.TemporaryDirectory() as directory:
+        deployment = Deployment(Path(directory))
+        deployment.write_services()
+        session = DemoSession(deployment)
+        try:
+            await session.start()
+            await session.run()
+        finally:
+            await session.stop()
+    print("done: every step passed")
+    return 0
+
+
+class DemoSession:
+    """The running parts of the demo and its steps."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._client = httpx.AsyncClient(timeout=READY_TIME)
+        self._servers: list[HttpServer] = []
+        self._endpoints: dict[str, StandInEndpoint] = {}
+        self._nodes: dict[str, Node] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def start(self) -> None:
+        """Start stand-ins, agents and entries."""
+        platform = StandInPlatform(Random(SEED)).application()
+        await self._serve(platform, self._deployment.platform_port)
+        for settings in self._deployment.agent_settings:
+            assert settings.agent is not None
+            endpoint = StandInEndpoint()
+            self._endpoints[settings.agent.endpoint] = endpoint
+            await self._serve(endpoint, urlsplit(settings.agent.url).port or 0)
+        clock = SystemClock()
+        deployment = self._deployment
+        for settings in [*deployment.entry_settings, *deployment.agent_settings]:
+            node = Node(settings, clock)
+            self._nodes[settings.name] = node
+            self._tasks[settings.name] = asyncio.create_task(node.run())
+        count = len(self._nodes)
+        _say(f"started: a platform, {len(self._endpoints)} endpoints, {count} daemons")
+
+    async def run(self) -> None:
+        """Go through the steps."""
+        await self._publish()
+        entry = await self._ask_address()
+        await self._stream_report(entry)
+        await self._order_twice(entry)
+        await self._drain_during_stream(entry)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in self._nodes.values():
+            node.stop()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for server in self._servers:
+            await server.stop()
+        await self._client.aclose()
+
+    async def _serve(self, app: object, port: int) -> None:
+        server = HttpServer(app, LOOPBACK, port)
+        await server.start()
+        self._servers.append(server)
+
+    async def _publish(self) -> None:
+        services = collect(self._deployment.services).unwrap()
+        edits = [ServiceEdit(service, 0) for service in services]
+        request = PublishRequest(uuid.uuid4().hex, "demo", edits)
+        operators = self._deployment.entry_settings[0].operators
+        await self._until_serving(operators)
+        response = await self._client.post(
+            f"http://{operators}/operators/v1/publish",
+            content=msgspec.json.encode(request),
+            headers={"Authorization": f"Bearer {OPERATORS_KEY}"},
+        )
+        _require(response.status_code in (200, 201), response.text)
+        names = ", ".join(service.service for service in services)
+        _say(f"published: {names}")
+        seconds = await self._until_in_force(operators)
+        _say(f"in force at all {len(self._nodes)} daemons after {seconds:.2f} s")
+
+    async def _until_serving(self, operators: str) -> None:
+        give_up_at = time.monotonic() + READY_TIME
+        while time.monotonic() < give_up_at:
+            try:
+                await self._status(operators)
+                return
+            except httpx.TransportError:
+                await asyncio.sleep(POLL)
+        _require(False, "entry does not serve")
+
+    async def _until_in_force(self, operators: str) -> float:
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < READY_TIME:
+            status = await self._status(operators)
+            running = [node for node in status.nodes if node.generation == 1]
+            connected = [agent for agent in status.agents if agent.connected]
+            if len(running) == len(self._nodes) and len(connected) == len(
+                self._endpoints
+            ):
+                return time.monotonic() - started_at
+            await asyncio.sleep(POLL)
+        _require(False, "publish is not in force everywhere")
+        return 0.0
+
+    async def _status(self, operators: str) -> Status:
+        response = await self._client.get(
+            f"http://{operators}/operators/v1/status",
+            headers={"Authorization": f"Bearer {OPERATORS_KEY}"},
+        )
+        return msgspec.json.decode(response.content, type=Status)
+
+    async def _ask_address(self) -> str:
+        first = self._deployment.entry_settings[0].callers
+        response = await self._client.get(f"http://{first}/v1/entry-vms")
+        addresses = msgspec.json.decode(response.content, type=EntryAddresses)
+        chosen = addresses.entries[0].address
+        _say(f"asked for addresses: {len(addresses.entries)}, best {chosen}")
+        return chosen
+
+    async def _stream_report(self, entry: str) -> None:
+        events = await self._stream(entry)
+        _require(events == TOKENS + 1, f"{events} events")
+        _say(f"streamed a report: {events} events, whole")
+
+    async def _stream(self, entry: str) -> int:
+        events = 0
+        async with self._client.stream(
+            "POST",
+            f"http://{entry}/v1/chat/completions",
+            json={"model": MODEL, "stream": True, "max_tokens": TOKENS},
+            headers=_key_headers("siam-north"),
+        ) as response:
+            _require(response.status_code == 200, str(response.status_code))
+            async for line in response.aiter_lines():
+                events += line.startswith("data: ")
+        return events
+
+    async def _order_twice(self, entry: str) -> None:
+        key = str(uuid.uuid4())
+        answers = [await self._order(entry, key) for _ in range(2)]
+        orders = sum(len(each.state.orders) for each in self._endpoints.values())
+        replayed = answers[1].headers.get("idempotent-replayed")
+        _require(answers[0].content == answers[1].content, "answers differ")
+        _require(orders == 1, f"order ran {orders} times")
+        _require(replayed == "true", "second answer is not marked as replayed")
+        _say("sent a clearance order twice with one key: it ran once")
+
+    async def _order(self, entry: str, key: str) -> httpx.Response:
+        response = await self._client.post(
+            f"http://{entry}/services/orders/clearance-orders",
+            json={"duct": "BKK-17"},
+            headers={
+                **_key_headers("siam-north"),
+                "Idempotency-Key": key,
+                "Idempotency-Key-Issued-At": str(time.time()),
+            },
+        )
+        _require(response.status_code == 201, response.text)
+        return response
+
+    async def _drain_during_stream(self, entry: str) -> None:
+        settings = next(
+            each for each in self._deployment.entry_settings if each.callers == entry
+        )
+        stream = asyncio.create_task(self._stream(entry))
+        await asyncio.sleep(3 * POLL)
+        self._nodes[settings.name].stop()
+        events = await stream
+        await self._tasks[settings.name]
+        _require(events == TOKENS + 1, f"stream was cut after {events} events")
+        _say(f"stopped {settings.name} during a stream: {events} events, nothing cut")
+
+
+def _key_headers(customer: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {customer_key(customer)}"}
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+def _require(condition: bool, problem: str) -> None:
+    if not condition:
+        raise RuntimeError(problem)
--- /dev/null
+++ b/src/cyclamenyoke/daemon/links.py
@@ -0,0 +1,118 @@
+"""The entry's connections to agents, one task each.
+
+A link connects, proves the shared key, passes messages on and connects again
+after a jittered delay. It tells its listener when the agent comes and goes.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from random import Random
+
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.wire import MessageStream, connect_to_agent
+from cyclamenyoke.core.config import Endpoint
+from cyclamenyoke.core.messages import FromAgent, Load, ToAgent
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.exceptions import AuthenticationError, ProtocolError
+
+RECONNECT_START = 50 * MILLISECOND
+"""Seconds of the first delay before a link connects again."""
+
+RECONNECT_LIMIT = 2 * SECOND
+"""Longest delay in seconds."""
+
+
+class LinkListener(ABC):
+    """Receives what happens on links."""
+
+    @abstractmethod
+    def on_up(self, agent: str, incarnation: str, leaving: bool, load: Load) -> None:
+        """An agent is connected."""
+
+    @abstractmethod
+    def on_down(self, agent: str) -> None:
+        """The connection to an agent is gone."""
+
+    @abstractmethod
+    def on_messages(self, agent: str, messages: list[FromAgent]) -> None:
+        """Messages came from an agent."""
+
+
+class Links:
+    """The links of one entry.
+
+    :param entry: the incarnation of this entry.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        shared_key: bytes,
+        listener: LinkListener,
+        random: Random,
+        log: Log,
+    ) -> None:
+        self._entry = entry
+        self._shared_key = shared_key
+        self._listener = listener
+        self._random = random
+        self._log = log
+        self._endpoints: dict[str, Endpoint] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._streams: dict[str, MessageStream[FromAgent]] = {}
+
+    def configure(self, endpoints: dict[str, Endpoint]) -> None:
+        """Connect to new endpoints and let go of those that are gone or moved."""
+        for name, endpoint in list(self._endpoints.items()):
+            if endpoints.get(name) is None or endpoints[name].agent != endpoint.agent:
+                self._tasks.pop(name).cancel()
+                del self._endpoints[name]
+        for name, endpoint in endpoints.items():
+            if name not in self._endpoints:
+                self._tasks[name] = asyncio.create_task(self._keep(endpoint))
+            self._endpoints[name] = endpoint
+
+    def send(self, agent: str, message: ToAgent) -> None:
+        """Send a message; without a connection it is dropped."""
+        stream = self._streams.get(agent)
+        if stream is not None:
+            stream.send(message)
+
+    def close(self) -> None:
+        """End all links."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _keep(self, endpoint: Endpoint) -> None:
+        delay = RECONNECT_START
+        while True:
+            try:
+                await self._use(endpoint)
+                delay = RECONNECT_START
+            except (OSError, TimeoutError, ProtocolError) as error:
+                self._log.debug("no link", agent=endpoint.name, error=str(error))
+            except AuthenticationError as error:
+                self._log.error("link refused", agent=endpoint.name, error=str(error))
+            await asyncio.sleep(delay * self._random.uniform(0.5, 1.5))
+            delay = min(RECONNECT_LIMIT, delay * 2)
+
+    async def _use(self, endpoint: Endpoint) -> None:
+        stream, challenge, welcome = await connect_to_agent(
+            endpoint.agent, self._entry, self._shared_key
+        )
+        name = endpoint.name
+        if challenge.agent != name:
+            stream.abort()
+            raise ProtocolError(f"agent {challenge.agent!r} answers for {name!r}")
+        self._streams[name] = stream
+        self._log.info("link up", agent=name, incarnation=challenge.incarnation)
+        self._listener.on_up(name, challenge.incarnation, welcome.leaving, welcome.load)
+        try:
+            while True:
+                self._listener.on_messages(name, await stream.receive())
+        except (OSError, ProtocolError) as error:
+            self._log.info("link down", agent=name, error=str(error))
+        finally:
+            stream.abort()
+            del self._streams[name]
+            self._listener.on_down(name)
--- /dev/null
+++ b/src/cyclamenyoke/daemon/operators.py
@@ -0,0 +1,208 @@
+"""The operators' HTTP API of an entry, on its own port with its own credential."""
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from litestar import Litestar, get, post
+from litestar.connection import ASGIConnection, Request
+from litestar.exceptions import NotAuthorizedException
+from litestar.handlers import BaseRouteHandler
+from litestar.response import Response
+
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.core.burn import BurnLedger, BurnRow
+from cyclamenyoke.core.config import ConfigIndex, Service
+from cyclamenyoke.core.routing import Router
+from cyclamenyoke.daemon.configuration import ConfigurationTask
+from cyclamenyoke.daemon.publishing import Publisher, PublishRequest
+from cyclamenyoke.exceptions import PlatformUnavailable, PublishConflict
+from cyclamenyoke.ports.clock import Clock
+
+JSON = "application/json"
+CONFLICT = 409
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """A daemon as this entry knows it.
+
+    :param reachable: whether it lately answered this entry.
+    """
+
+    name: str
+    role: str
+    data_centre: str
+    control: str
+    operators: str
+    leaving: bool
+    generation: int
+    reachable: bool
+
+
+class AgentStatus(msgspec.Struct, frozen=True):
+    """An agent as this entry uses it."""
+
+    name: str
+    service: str
+    connected: bool
+    leaving: bool
+    circuit: str
+    in_flight: int
+    latency: float
+
+
+class Status(msgspec.Struct, frozen=True):
+    """The state of the system as one entry sees it."""
+
+    entry: str
+    generation: int
+    requests: int
+    nodes: list[NodeStatus]
+    agents: list[AgentStatus]
+
+
+class ConfigView(msgspec.Struct, frozen=True):
+    """The configuration in force at one entry."""
+
+    index: ConfigIndex
+    services: list[Service]
+
+
+class ConflictBody(msgspec.Struct, frozen=True):
+    """The answer to a stale publish."""
+
+    service: str
+    diff: str
+
+
+class OperatorsApi:
+    """Serves operators.
+
+    :param key_sha256: hexadecimal digest of the operators' credential.
+    """
+
+    def __init__(
+        self,
+        key_sha256: str,
+        configuration: ConfigurationTask,
+        publisher: Publisher,
+        router: Router,
+        burn: BurnLedger,
+        active: Callable[[], int],
+        name: str,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._key_sha256 = key_sha256
+        self._configuration = configuration
+        self._publisher = publisher
+        self._router = router
+        self._burn = burn
+        self._active = active
+        self._name = name
+        self._clock = clock
+        self._metrics = metrics
+
+    def application(self) -> Litestar:
+        """Return the ASGI application."""
+
+        @get("/operators/v1/status", sync_to_thread=False)
+        def status() -> Response[bytes]:
+            return _json(self.status())
+
+        @get("/operators/v1/config", sync_to_thread=False)
+        def config() -> Response[bytes]:
+            return _json(self.config())
+
+        @get("/operators/v1/slo", sync_to_thread=False)
+        def slo() -> Response[bytes]:
+            return _json(self.slo())
+
+        @get("/metrics", sync_to_thread=False)
+        def metrics() -> Response[str]:
+            return Response(self._metrics.render(), media_type="text/plain")
+
+        @post("/operators/v1/publish")
+        async def publish(request: Request[Any, Any, Any]) -> Response[bytes]:
+            return await self._publish(await request.body())
+
+        return Litestar(
+            [status, config, slo, metrics, publish],
+            guards=[self._guard],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    def status(self) -> Status:
+        """Return what this entry knows of the system."""
+        config = self._configuration.config
+        nodes = [
+            NodeStatus(
+                name,
+                node.role,
+                node.data_centre,
+                node.control,
+                node.operators,
+                node.leaving,
+                node.generation,
+                not self._configuration.is_suspected(name),
+            )
+            for name, node in sorted(self._configuration.nodes.items())
+        ]
+        agents = [
+            self._agent_status(service.service, endpoint.name)
+            for service in config.services.values()
+            for endpoint in service.all_endpoints
+        ]
+        return Status(self._name, config.generation, self._active(), nodes, agents)
+
+    def config(self) -> ConfigView:
+        """Return the configuration in force."""
+        config = self._configuration.config
+        services = [config.services[name] for name in sorted(config.services)]
+        return ConfigView(config.index, services)
+
+    def slo(self) -> list[BurnRow]:
+        """Return the service-level burn of this entry's calls."""
+        return self._burn.report(self._clock.now())
+
+    async def _publish(self, body: bytes) -> Response[bytes]:
+        try:
+            request = msgspec.json.decode(body, type=PublishRequest)
+            index = await self._publisher.publish(request)
+        except msgspec.DecodeError as error:
+            return _json({"detail": str(error)}, BAD_REQUEST)
+        except PublishConflict as conflict:
+            return _json(ConflictBody(conflict.service, conflict.diff), CONFLICT)
+        except PlatformUnavailable as error:
+            return _json({"detail": str(error)}, UNAVAILABLE)
+        return _json(index)
+
+    def _agent_status(self, service: str, name: str) -> AgentStatus:
+        view = self._router.view(name)
+        return AgentStatus(
+            name,
+            service,
+            view.is_connected,
+            view.leaving,
+            view.circuit.value,
+            view.in_flight,
+            round(view.latency, 6),
+        )
+
+    def _guard(
+        self, connection: ASGIConnection[Any, Any, Any, Any], _: BaseRouteHandler
+    ) -> None:
+        given = connection.headers.get("authorization", "").removeprefix("Bearer ")
+        digest = hashlib.sha256(given.encode()).hexdigest()
+        if not hmac.compare_digest(digest, self._key_sha256):
+            raise NotAuthorizedException("operators' credential is missing or wrong")
+
+
+def _json(value: object, status_code: int = 200) -> Response[bytes]:
+    body = msgspec.json.encode(value)
+    return Response(body, status_code=status_code, media_type=JSON)
--- /dev/null
+++ b/src/cyclamenyoke/daemon/settings.py
@@ -0,0 +1,132 @@
+"""The settings of one daemon, from a YAML file."""
+
+import enum
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from returns.pipeline import is_successful
+
+from cyclamenyoke.adapters.yaml_files import load_document, structure
+from cyclamenyoke.exceptions import Finding, FindingsError
+
+MIN_KEY_LENGTH = 16
+"""Shortest shared key in bytes."""
+
+
+class Role(enum.Enum):
+    """What a daemon is."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """The sockets of an entry.
+
+    :param callers_port: the port of the callers' API.
+    :param operators_port: the port of the operators' API.
+    :param operators_key_sha256: hexadecimal digest of the operators' credential.
+    """
+
+    callers_port: int
+    operators_port: int
+    operators_key_sha256: str
+
+
+@dataclass(slots=True, frozen=True)
+class AgentSettings:
+    """The endpoint of an agent.
+
+    :param endpoint: the endpoint's name in the service file.
+    :param service: the service that the endpoint belongs to.
+    :param port: the port on which entries connect.
+    :param url: the endpoint's own address.
+    """
+
+    endpoint: str
+    service: str
+    port: int
+    url: str
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """The settings of one daemon.
+
+    :param name: unique among all daemons.
+    :param ip: the address that others reach this machine by.
+    :param control_port: the port of exchanges between daemons.
+    :param platform: the base URL of the platform's service.
+    :param peers: ``IP:PORT`` of some other daemons' control ports.
+    :param shared_key_file: file with the key that all daemons share.
+    :param shared_key_env: environment variable with that key, instead of a file.
+    """
+
+    role: Role
+    name: str
+    ip: str
+    data_centre: str
+    control_port: int
+    platform: str
+    peers: list[str] = field(default_factory=list)
+    shared_key_file: str = ""
+    shared_key_env: str = ""
+    log_level: str = "info"
+    entry: EntrySettings | None = None
+    agent: AgentSettings | None = None
+
+    @property
+    def control(self) -> str:
+        """``IP:PORT`` of this daemon's exchange socket."""
+        return f"{self.ip}:{self.control_port}"
+
+    @property
+    def callers(self) -> str:
+        """``IP:PORT`` of the callers' API, or an empty string."""
+        return f"{self.ip}:{self.entry.callers_port}" if self.entry else ""
+
+    @property
+    def operators(self) -> str:
+        """``IP:PORT`` of the operators' API, or an empty string."""
+        return f"{self.ip}:{self.entry.operators_port}" if self.entry else ""
+
+    def read_shared_key(self) -> bytes:
+        """Return the key that all daemons share.
+
+        :raises FindingsError: when it is missing or too short.
+        """
+        try:
+            key = (
+                Path(self.shared_key_file).read_bytes().strip()
+                if self.shared_key_file
+                else os.environ.get(self.shared_key_env, "").encode()
+            )
+        except OSError as error:
+            raise _one_finding(self.shared_key_file, str(error)) from error
+        if len(key) < MIN_KEY_LENGTH:
+            place = self.shared_key_file or f"${self.shared_key_env}"
+            message = f"shared key is shorter than {MIN_KEY_LENGTH} bytes"
+            raise _one_finding(place, message)
+        return key
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises FindingsError: with all findings of the file.
+    """
+    result = load_document(path).bind(lambda document: structure(document, Settings))
+    if not is_successful(result):
+        raise FindingsError(result.failure())
+    settings = result.unwrap()
+    section = {Role.ENTRY: settings.entry, Role.AGENT: settings.agent}[settings.role]
+    if section is None:
+        message = f"role {settings.role.value!r} needs a section of that name"
+        raise _one_finding(str(path), message)
+    return settings
+
+
+def _one_finding(place: str, message: str) -> FindingsError:
+    return FindingsError([Finding(place, 1, 1, message)])
--- /dev/null
+++ b/src/cyclamenyoke/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons need from outside, as abstract base classes."""
--- /dev/null
+++ b/src/cyclamenyoke/ports/clock.py
@@ -0,0 +1,11 @@
+"""The time as the daemons see it."""
+
+from abc import ABC, abstractmethod
+
+
+class Clock(ABC):
+    """Tells the time in seconds of Unix time."""
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return the present time."""
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,10 @@
+"""The demo is a whole session; it must end without a failed step."""
+
+import asyncio
+
+from cyclamenyoke.daemon.demo import run_demo
+
+
+def test_demo_passes_every_step(capsys):
+    assert asyncio.run(run_demo()) == 0
+    assert "it ran once" in capsys.readouterr().out
