--- a/src/cyclamenyoke/adapters/http_server.py
+++ b/src/cyclamenyoke/adapters/http_server.py
@@ -46,7 +46,7 @@
             timeout_keep_alive=30,
         )
         self._server = _Server(config)
-        self._socket = socket.create_server((ip, port), backlog=BACKLOG)
+        self._socket = _listen(ip, port)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -68,3 +68,18 @@
         if self._task is not None:
             await self._task
         self._socket.close()
+
+
+def _listen(ip: str, port: int) -> socket.socket:
+    """Return a listening socket.
+
+    asyncio switches Nagle's algorithm off only on sockets that name TCP as their
+    protocol; ``socket.create_server`` leaves it unnamed, and each answer of two
+    writes then waits 40 ms for the peer's delayed acknowledgement.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((ip, port))
+    listening.listen(BACKLOG)
+    return listening
--- a/src/cyclamenyoke/core/messages.py
+++ b/src/cyclamenyoke/core/messages.py
@@ -38,7 +38,6 @@
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     LINK_LOST = "link_lost"
     NO_ENDPOINT = "no_endpoint"
-    RETRY_BUDGET = "retry_budget_spent"
     CALLER_GONE = "caller_gone"
     WRONG_ANSWER = "answer_not_own"
 
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -349,7 +349,7 @@
         if agent is None:
             return self._give_up(*self._refusal, now)
         if self._attempts and not self._budget.take(now):
-            return self._give_up(Reason.RETRY_BUDGET, self._refusal[1], now)
+            return self._give_up(*self._refusal, now)
         return self._hand_over(agent, now)
 
     def _hand_over(self, agent: str, now: float) -> list[Effect]:
--- /dev/null
+++ b/src/cyclamenyoke/standins/__main__.py
@@ -0,0 +1,48 @@
+"""Runs one stand-in as a process: ``python -m cyclamenyoke.standins``."""
+
+import asyncio
+import signal
+from random import Random
+from typing import Any
+
+from cyclopts import App
+
+from cyclamenyoke.adapters.http_server import HttpServer
+from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.standins.deployment import LOOPBACK
+from cyclamenyoke.standins.endpoint import StandInEndpoint
+from cyclamenyoke.standins.platform import StandInPlatform
+
+app = App(name="python -m cyclamenyoke.standins", help="Runs one stand-in.")
+
+
+@app.command
+def platform(port: int, *, seed: int = 1) -> None:
+    """Run the platform's service.
+
+    :param seed: of its faults.
+    """
+    asyncio.run(_serve(StandInPlatform(Random(seed)).application(), port))
+
+
+@app.command
+def endpoint(port: int, *, token_time: float = 5 * MILLISECOND) -> None:
+    """Run an engine and plain service.
+
+    :param token_time: seconds between two tokens.
+    """
+    asyncio.run(_serve(StandInEndpoint(token_time), port))
+
+
+async def _serve(application: Any, port: int) -> None:
+    server = HttpServer(application, LOOPBACK, port)
+    await server.start()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    await stopping.wait()
+    await server.stop()
+
+
+if __name__ == "__main__":
+    app()
--- a/src/cyclamenyoke/standins/deployment.py
+++ b/src/cyclamenyoke/standins/deployment.py
@@ -55,6 +55,7 @@
     entries: int = 2
     engines: int = 2
     plain: int = 2
+    slots: int = 8
     platform_port: int = 0
     entry_settings: list[Settings] = field(default_factory=list)
     agent_settings: list[Settings] = field(default_factory=list)
@@ -94,7 +95,7 @@
                 "name": agent.endpoint,
                 "agent": f"{LOOPBACK}:{agent.port}",
                 "data_centre": settings.data_centre,
-                "slots": 8,
+                "slots": self.slots,
             }
             by_service.setdefault(agent.service, []).append(endpoint)
         customers = [
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,220 @@
+"""A deployment of real processes on loopback, for tests and benchmarks."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import httpx
+
+from cyclamenyoke.cli.client import OperatorsClient
+from cyclamenyoke.exceptions import CyclamenyokeError
+from cyclamenyoke.standins.deployment import (
+    LOOPBACK,
+    OPERATORS_KEY,
+    Deployment,
+    customer_key,
+)
+
+READY_TIME = 30.0
+"""Seconds within which a started deployment must be ready."""
+
+POLL = 0.02
+
+
+def wait_until(condition: Callable[[], bool], what: str, seconds: float = READY_TIME):
+    """Wait until a condition holds; fail the test when it does not in time."""
+    give_up_at = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < give_up_at, f"not in time: {what}"
+        time.sleep(POLL)
+
+
+class Fleet:
+    """The processes of one deployment, by name."""
+
+    def __init__(self, deployment: Deployment, token_time: float = 0.005) -> None:
+        self.deployment = deployment
+        self.client = httpx.Client(timeout=30.0)
+        self._token_time = token_time
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._logs = deployment.directory / "logs"
+        self._logs.mkdir(exist_ok=True)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+        self.client.close()
+
+    @property
+    def operators(self) -> OperatorsClient:
+        addresses = [entry.operators for entry in self.deployment.entry_settings]
+        return OperatorsClient(addresses, OPERATORS_KEY)
+
+    def start_all(self) -> None:
+        """Start everything and publish the service files."""
+        self.start_platform()
+        for settings in self.deployment.agent_settings:
+            self.start_endpoint(settings.agent.endpoint)
+        for settings in self._daemons():
+            self.start(settings.name)
+        wait_until(self.serves, "entries serve")
+        self.deployment.write_services()
+        self.publish()
+        wait_until(self.is_linked, "all nodes run the configuration")
+
+    def start_platform(self) -> None:
+        port = str(self.deployment.platform_port)
+        self._run("platform", "-m", "cyclamenyoke.standins", "platform", port)
+        wait_until(lambda: self._answers(self.deployment.platform + "/v1/vms"), "kv")
+
+    def start_endpoint(self, name: str) -> None:
+        url = self.endpoint_url(name)
+        self._run(
+            name,
+            *("-m", "cyclamenyoke.standins", "endpoint", str(urlsplit(url).port)),
+            *("--token-time", str(self._token_time)),
+        )
+        wait_until(lambda: self._answers(url + "/stand-in/begun"), name)
+
+    def start(self, name: str) -> None:
+        """Start a daemon."""
+        settings = next(each for each in self._daemons() if each.name == name)
+        path = self.deployment.write_settings(settings)
+        self._run(name, "-m", "cyclamenyoke.daemon.main", "run", str(path))
+
+    def send(self, name: str, number: int) -> None:
+        """Send a signal to a process of this fleet."""
+        self._processes[name].send_signal(number)
+
+    def wait(self, name: str, seconds: float = READY_TIME) -> int:
+        """Wait for a process to end and return its exit code."""
+        return self._processes[name].wait(seconds)
+
+    def pid(self, name: str) -> int:
+        return self._processes[name].pid
+
+    def log(self, name: str) -> str:
+        return (self._logs / f"{name}.log").read_text()
+
+    def publish(self, *options: str) -> subprocess.CompletedProcess[str]:
+        return self.cli("publish", str(self.deployment.services), *options)
+
+    def cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' client."""
+        entries = " ".join(each.operators for each in self.deployment.entry_settings)
+        environment = {
+            **os.environ,
+            "CYCLAMENYOKE_ENTRIES": entries,
+            "CYCLAMENYOKE_KEY": OPERATORS_KEY,
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "cyclamenyoke.cli.main", *arguments],
+            capture_output=True,
+            text=True,
+            env=environment,
+        )
+
+    def set_faults(self, **faults: Any) -> None:
+        """Switch faults of the platform."""
+        self.client.post(self.deployment.platform + "/v1/faults", json=faults)
+
+    def serves(self) -> bool:
+        try:
+            return self.operators.status().generation >= 0
+        except CyclamenyokeError:
+            return False
+
+    def is_linked(self) -> bool:
+        """Tell whether every node runs what entry 1 runs and has all links."""
+        count = len(self._daemons())
+        for entry in self.deployment.entry_settings:
+            status = OperatorsClient([entry.operators], OPERATORS_KEY).status()
+            current = [n for n in status.nodes if n.generation == status.generation]
+            linked = [agent for agent in status.agents if agent.connected]
+            if status.generation == 0 or len(current) != count:
+                return False
+            if len(linked) != self.deployment.endpoints:
+                return False
+        return True
+
+    def call(
+        self,
+        entry: int,
+        path: str,
+        body: object,
+        customer: str = "siam-north",
+        **headers,
+    ) -> httpx.Response:
+        """Send a caller's POST to an entry."""
+        address = self.deployment.entry_settings[entry].callers
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.client.post(
+            f"http://{address}{path}",
+            json=body,
+            headers={"Authorization": f"Bearer {customer_key(customer)}", **names},
+        )
+
+    def order(self, entry: int, key: str, **headers) -> httpx.Response:
+        """Send a clearance order, which may run only once."""
+        headers.setdefault("Idempotency_Key_Issued_At", str(time.time()))
+        return self.call(
+            entry,
+            "/services/orders/clearance-orders",
+            {"duct": key},
+            Idempotency_Key=key,
+            **headers,
+        )
+
+    def endpoint_url(self, name: str) -> str:
+        return next(
+            settings.agent.url
+            for settings in self.deployment.agent_settings
+            if settings.agent.endpoint == name
+        )
+
+    def begun(self) -> list[dict[str, str]]:
+        """Return every call that any endpoint has begun."""
+        return [
+            call
+            for settings in self.deployment.agent_settings
+            for call in self.client.get(settings.agent.url + "/stand-in/begun").json()
+        ]
+
+    def _daemons(self):
+        return [*self.deployment.entry_settings, *self.deployment.agent_settings]
+
+    def _run(self, name: str, *arguments: str) -> None:
+        log = (self._logs / f"{name}.log").open("ab")
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
+        log.close()
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self.client.get(url).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+
+def make_fleet(directory: Path, **sizes: Any) -> Fleet:
+    """Return a fleet in a directory, not started."""
+    return Fleet(Deployment(directory, **sizes))
+
+
+__all__ = ["LOOPBACK", "Fleet", "make_fleet", "wait_until"]
