--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -352,7 +352,7 @@
         effects: list[Effect] = [Broadcast(Leaving(self._agent, self._incarnation))]
         waiting = [run for run in self._runs.values() if run.state in NOT_BEGUN]
         for run in waiting:
-            effects += self._drop(run, Reason.LEAVING, now)
+            effects += self._drop_waiting(run, Reason.LEAVING, now)
         return effects
 
     def tick(self, now: float) -> list[Effect]:
@@ -366,7 +366,7 @@
             if run.state is RunState.QUEUED and run.call.start_by <= now
         ]
         for run in overdue:
-            effects += self._drop(run, Reason.DEADLINE, now)
+            effects += self._drop_waiting(run, Reason.DEADLINE, now)
         return effects
 
     def _settle(self, entry: str, floor: int, now: float) -> list[Effect]:
@@ -439,7 +439,7 @@
 
     def _dispatch(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        while len(self._queue) and self._busy < self._slots:
+        while len(self._queue) and self._busy < self._slots and not self._leaving:
             run = self._queue.pop()
             if run.call.start_by <= now:
                 effects += self._drop(run, Reason.DEADLINE, now)
@@ -527,6 +527,10 @@
                 effects += self._replay(run, each, 0)
         return effects + self._release(run, now)
 
+    def _drop_waiting(self, run: Run, reason: Reason, now: float) -> list[Effect]:
+        """Drop a run, unless a drop before it has already changed its state."""
+        return self._drop(run, reason, now) if run.state in NOT_BEGUN else []
+
     def _drop(self, run: Run, reason: Reason, now: float) -> list[Effect]:
         self._monitor.check(
             Promise.TRUTHFUL_REFUSAL,
@@ -630,7 +634,8 @@
 def _head(run: Run, attempt: AttemptId) -> Head:
     assert run.head is not None
     head = run.head
-    return Head(attempt, head.request_id, head.status, head.content_type, head.replayed)
+    request_id = run.subscribers[attempt]
+    return Head(attempt, request_id, head.status, head.content_type, head.replayed)
 
 
 def _outcome(run: Run) -> Outcome | None:
