Prove that the randomised run catches faults made on purpose

Cause: a run without breaches proves little if its net has holes. Outcomes are now dropped only below the horizon.

--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -15,6 +15,7 @@
 import enum
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from random import Random
 
 from cyclamenyoke.core.attempts import AttemptLedger
 from cyclamenyoke.core.claims import (
@@ -146,6 +147,7 @@
     :param incarnation: unique to this start of the process.
     :param slots: calls that the endpoint runs at the same time.
     :param retention: seconds after its issue for which a key is remembered.
+    :param random: the source of jitter.
     """
 
     def __init__(
@@ -155,6 +157,7 @@
         slots: int,
         retention: float,
         monitor: InvariantMonitor,
+        random: Random,
     ) -> None:
         self._agent = agent
         self._incarnation = incarnation
@@ -162,7 +165,7 @@
         self._monitor = monitor
         self._ledger: AttemptLedger[Run] = AttemptLedger()
         self._queue: FairQueue[Run] = FairQueue()
-        self._book = ClaimBook(agent, incarnation, retention)
+        self._book = ClaimBook(agent, incarnation, retention, random)
         self._runs: dict[int, Run] = {}
         self._by_digest: dict[str, Run] = {}
         self._by_claim: dict[str, Run] = {}
@@ -196,15 +199,10 @@
         """The load as reported with each answer."""
         return Load(self._busy, self._queue.cost, self._token_rate)
 
-    @property
-    def next_tick_at(self) -> float | None:
-        """When the journal needs a :meth:`tick`, or ``None``."""
-        return self._book.next_retry_at
-
     def configure(self, slots: int, retention: float, now: float) -> list[Effect]:
         """Take the endpoint's part of a new configuration."""
         self._slots = slots
-        self._book.retention = retention
+        self._book.configure(retention)
         return self._dispatch(now)
 
     def on_execute(self, message: Execute, now: float) -> list[Effect]:
@@ -357,7 +355,8 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Retry the journal, refuse overdue calls, forget lost entries."""
-        effects = self._follow(self._book.tick(now), now)
+        steps = self._book.flush(now) if self._leaving else self._book.tick(now)
+        effects = self._follow(steps, now)
         for run in self._ledger.expire(now):
             effects += self._forget(run, now)
         overdue = [
--- a/src/cyclamenyoke/core/claims.py
+++ b/src/cyclamenyoke/core/claims.py
@@ -16,6 +16,9 @@
 import enum
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
 
 from cyclamenyoke.core.journal import (
     JOURNAL_LIMIT,
@@ -31,12 +34,27 @@
 from cyclamenyoke.core.messages import Reason
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
-RETRY_DELAY = 100 * MILLISECOND
-"""Seconds between tries while the key-value service fails."""
+FIRST_RETRY = 50 * MILLISECOND
+"""Mean seconds of the first delay after the key-value service failed."""
+
+LAST_RETRY = 2 * SECOND
+"""Longest mean delay in seconds while it fails."""
 
 GIVE_UP_AFTER = 2 * SECOND
 """Seconds after which a claim that cannot be written is refused."""
 
+OUTAGE_AFTER = 1 * SECOND
+"""Seconds of failures after which the service counts as away."""
+
+GIVE_UP_IN_OUTAGE = 100 * MILLISECOND
+"""Seconds after which a claim is refused while the service is away."""
+
+LAZY_DELAY = 2 * SECOND
+"""Seconds for which an outcome waits to share the write of a claim."""
+
+CACHED_CLAIMS = 20_000
+"""Claims in cached slots, above which idle slots are forgotten."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReadSlot:
@@ -103,13 +121,17 @@
 
 @dataclass(slots=True)
 class Slot:
-    """The cached copy of a slot and what waits to be written to it."""
+    """The cached copy of a slot and what waits to be written to it.
+
+    :param lazy_due_at: when outcomes and abandoned claims are written without
+        waiting for a claim.
+    """
 
     name: str
     state: SlotState = SlotState.UNREAD
     revision: int = 0
     journal: Journal = field(default_factory=Journal)
-    retry_at: float = 0.0
+    lazy_due_at: float = 0.0
     wishes: dict[str, Wish] = field(default_factory=dict)
     outcomes: dict[str, Claim] = field(default_factory=dict)
     abandoned: dict[str, str] = field(default_factory=dict)
@@ -117,9 +139,62 @@
 
     @property
     def has_work(self) -> bool:
-        """Whether a write is needed."""
+        """Whether a write is needed, now or later."""
         return bool(self.wishes or self.outcomes or self.abandoned)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the cached copy may be forgotten."""
+        return not self.has_work and self.state in (SlotState.READY, SlotState.UNREAD)
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether a write is needed now."""
+        return bool(self.wishes) or (self.has_work and self.lazy_due_at <= now)
+
+
+class Outage:
+    """Tells a passing failure of the service from an outage, and paces retries.
+
+    While calls fail, the whole book makes one call a retry delay, so that all
+    agents together do not stampede when the service is back.
+
+    :param random: the source of jitter.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._failing_since: float | None = None
+        self._delay = FIRST_RETRY
+        self._retry_at = 0.0
+
+    def on_success(self) -> None:
+        """Note an answer of the service."""
+        self._failing_since = None
+        self._delay = FIRST_RETRY
+        self._retry_at = 0.0
+
+    def on_failure(self, now: float) -> None:
+        """Note a call without an answer."""
+        if self._failing_since is None:
+            self._failing_since = now
+        self._retry_at = now + self._delay * self._random.uniform(0.5, 1.5)
+        self._delay = min(LAST_RETRY, 2 * self._delay)
+
+    def give_up_at(self, now: float) -> float:
+        """Return when a claim made now is refused."""
+        since = self._failing_since
+        is_away = since is not None and now - since >= OUTAGE_AFTER
+        return now + (GIVE_UP_IN_OUTAGE if is_away else GIVE_UP_AFTER)
+
+    def may_call(self, now: float) -> bool:
+        """Tell whether a call may be made; a probe holds the others back."""
+        if self._failing_since is None:
+            return True
+        if now < self._retry_at:
+            return False
+        self._retry_at = now + self._delay
+        return True
+
 
 class ClaimBook:
     """The claims of one incarnation of one agent.
@@ -130,31 +205,35 @@
     :param agent: the agent's name.
     :param incarnation: the agent's incarnation.
     :param retention: seconds after its issue for which a key is remembered.
+    :param random: the source of jitter.
     """
 
-    def __init__(self, agent: str, incarnation: str, retention: float) -> None:
+    def __init__(
+        self, agent: str, incarnation: str, retention: float, random: Random
+    ) -> None:
         self._agent = agent
         self._incarnation = incarnation
-        self.retention = retention
+        self._retention = retention
+        self._outage = Outage(random)
         self._slots: dict[str, Slot] = {}
-        self._granted: set[str] = set()
+        self._granted: dict[str, Claim] = {}
         self._next_claim = 0
 
-    @property
-    def next_retry_at(self) -> float | None:
-        """When :meth:`tick` has work to do, or ``None``."""
-        times = [
-            min([slot.retry_at, *(wish.give_up_at for wish in slot.wishes.values())])
-            for slot in self._slots.values()
-            if slot.has_work
-        ]
-        return min(times) if times else None
-
     @property
     def is_settled(self) -> bool:
         """Whether nothing waits to be written."""
         return not any(slot.has_work for slot in self._slots.values())
 
+    def configure(self, retention: float) -> None:
+        """Take the retention of a new configuration."""
+        self._retention = retention
+
+    def flush(self, now: float) -> list[Step]:
+        """Write what waits for company, because the agent leaves."""
+        for slot in self._slots.values():
+            slot.lazy_due_at = min(slot.lazy_due_at, now)
+        return self.tick(now)
+
     def claim(
         self,
         service: str,
@@ -171,7 +250,7 @@
         claim_id = f"{self._agent}/{self._incarnation}/{self._next_claim}"
         claim = Claim(claim_id, self._agent, self._incarnation, issued_at, fingerprint)
         slot = self._slot(slot_name(service, digest))
-        slot.wishes[claim_id] = Wish(digest, claim, now + GIVE_UP_AFTER)
+        slot.wishes[claim_id] = Wish(digest, claim, self._outage.give_up_at(now))
         return claim_id, list(self._pump(slot, now))
 
     def abandon(
@@ -180,7 +259,8 @@
         """Give up a claim that was not used; its entry is dropped if it stands."""
         slot = self._slot(slot_name(service, digest))
         slot.wishes.pop(claim_id, None)
-        self._granted.discard(claim_id)
+        self._granted.pop(claim_id, None)
+        self._put_off(slot, now)
         slot.abandoned[claim_id] = digest
         return list(self._pump(slot, now))
 
@@ -195,17 +275,9 @@
     ) -> list[Step]:
         """Record the outcome of a call that was begun under a claim."""
         slot = self._slot(slot_name(service, digest))
-        standing = slot.journal.claims.get(digest)
-        if standing is None or standing.claim_id != claim_id:
-            return []
-        slot.outcomes[digest] = Claim(
-            standing.claim_id,
-            standing.agent,
-            standing.incarnation,
-            standing.issued_at,
-            standing.fingerprint,
-            state,
-            outcome,
+        self._put_off(slot, now)
+        slot.outcomes[digest] = msgspec.structs.replace(
+            self._granted[claim_id], state=state, outcome=outcome
         )
         return list(self._pump(slot, now))
 
@@ -216,6 +288,7 @@
         slot = self._slot(name)
         if slot.state is not SlotState.READING:
             return []
+        self._outage.on_success()
         self._adopt(slot, revision, decode_journal(value))
         return list(self._pump(slot, now))
 
@@ -224,11 +297,13 @@
         slot = self._slot(name)
         if slot.state is not SlotState.WRITING:
             return []
+        self._outage.on_success()
         self._adopt(slot, revision, slot.written)
         return list(self._pump(slot, now))
 
     def on_conflict(self, name: str, now: float) -> list[Step]:
         """Take the news that another writer was first."""
+        self._outage.on_success()
         slot = self._slot(name)
         slot.state = SlotState.UNREAD
         return list(self._pump(slot, now))
@@ -237,11 +312,12 @@
         """Take a failed read, or a write that may yet take effect."""
         slot = self._slot(name)
         slot.state = SlotState.UNREAD
-        slot.retry_at = now + RETRY_DELAY
+        self._outage.on_failure(now)
         return list(self._pump(slot, now))
 
     def tick(self, now: float) -> list[Step]:
         """Retry what has waited long enough and refuse what has waited too long."""
+        self._forget_idle()
         return [
             step
             for slot in list(self._slots.values())
@@ -250,17 +326,34 @@
         ]
 
     def _slot(self, name: str) -> Slot:
-        if name not in self._slots:
-            self._slots[name] = Slot(name)
-        return self._slots[name]
+        """Return a slot and note that it was the last one used."""
+        slot = self._slots.pop(name, None) or Slot(name)
+        self._slots[name] = slot
+        return slot
+
+    def _put_off(self, slot: Slot, now: float) -> None:
+        """Give the first outcome that waits in a slot its deadline."""
+        if not slot.outcomes and not slot.abandoned:
+            slot.lazy_due_at = now + LAZY_DELAY
+
+    def _forget_idle(self) -> None:
+        """Forget the least recently used idle slots when the cache is full."""
+        cached = sum(len(slot.journal.claims) for slot in self._slots.values())
+        for name, slot in list(self._slots.items()):
+            if cached <= CACHED_CLAIMS:
+                return
+            if slot.is_idle:
+                cached -= len(slot.journal.claims)
+                del self._slots[name]
 
     def _adopt(self, slot: Slot, revision: int, journal: Journal) -> None:
         slot.state = SlotState.READY
         slot.revision = revision
         slot.journal = journal
         for digest, claim in list(slot.outcomes.items()):
-            if journal.claims.get(digest) == claim or digest not in journal.claims:
-                self._granted.discard(claim.claim_id)
+            expired = claim.issued_at < journal.horizon
+            if expired or journal.claims.get(digest) == claim:
+                self._granted.pop(claim.claim_id, None)
                 del slot.outcomes[digest]
         standing = {claim.claim_id for claim in journal.claims.values()}
         for claim_id in list(slot.abandoned):
@@ -271,18 +364,20 @@
         yield from self._refuse_overdue(slot, now)
         if slot.state is SlotState.READY:
             yield from self._decide(slot)
-        if not slot.has_work or now < slot.retry_at:
+        is_waiting = slot.state in (SlotState.READING, SlotState.WRITING)
+        if is_waiting or not slot.is_due(now) or not self._outage.may_call(now):
             return
         if slot.state is SlotState.UNREAD:
             slot.state = SlotState.READING
             yield ReadSlot(slot.name)
-        elif slot.state is SlotState.READY:
+        else:
             yield from self._write(slot, now)
 
     def _refuse_overdue(self, slot: Slot, now: float) -> Iterator[Step]:
         for claim_id, wish in list(slot.wishes.items()):
             if wish.give_up_at <= now:
                 del slot.wishes[claim_id]
+                self._put_off(slot, now)
                 slot.abandoned[claim_id] = wish.digest
                 yield Refused(claim_id, Reason.JOURNAL_UNAVAILABLE)
 
@@ -291,7 +386,7 @@
             standing = self._standing(slot, wish.digest)
             if standing is not None and standing.claim_id == claim_id:
                 del slot.wishes[claim_id]
-                self._granted.add(claim_id)
+                self._granted[claim_id] = standing
                 yield Granted(claim_id)
             elif standing is not None and not self._is_void(standing, slot):
                 del slot.wishes[claim_id]
@@ -312,7 +407,7 @@
         if claim.claim_id in slot.abandoned:
             return True
         own = (claim.agent, claim.incarnation) == (self._agent, self._incarnation)
-        unused = claim.claim_id not in self._granted | slot.wishes.keys()
+        unused = claim.claim_id not in self._granted.keys() | slot.wishes.keys()
         return own and claim.state is ClaimState.CLAIMED and unused
 
     def _write(self, slot: Slot, now: float) -> Iterator[Step]:
@@ -328,7 +423,7 @@
         yield WriteSlot(slot.name, slot.revision, value)
 
     def _next_journal(self, slot: Slot, now: float) -> Journal:
-        horizon = max(slot.journal.horizon, now - self.retention)
+        horizon = max(slot.journal.horizon, now - self._retention)
         claims = {
             digest: claim
             for digest, claim in slot.journal.claims.items()
--- a/src/cyclamenyoke/core/journal.py
+++ b/src/cyclamenyoke/core/journal.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-JOURNAL_SLOTS = 32
+JOURNAL_SLOTS = 1024
 """Slots of each service. Fixed: another number would lose claims."""
 
 JOURNAL_LIMIT = 900 * 1024
--- a/src/cyclamenyoke/daemon/node.py
+++ b/src/cyclamenyoke/daemon/node.py
@@ -163,6 +163,7 @@
             DEFAULT_SLOTS,
             DEFAULT_RETENTION,
             self._monitor,
+            self._random,
         )
         endpoint = HttpEndpoint(settings.url, self._clock)
         agent = AgentDaemon(
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,205 @@
+"""Faults made on purpose, one small patch each, that the randomised run must catch.
+
+Run with ``python -m mutants`` for the table of seed, step and promise.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from cyclamenyoke.core import agent
+from cyclamenyoke.core.agent import AgentCore, Run
+from cyclamenyoke.core.attempts import AttemptLedger
+from cyclamenyoke.core.claims import ClaimBook, Granted, SlotState
+from cyclamenyoke.core.invariants import Promise
+from cyclamenyoke.core.journal import Journal
+from cyclamenyoke.core.messages import AttemptId
+from cyclamenyoke.core.request import Answer, AttemptState, RequestCore
+from cyclamenyoke.exceptions import InvariantBreach
+from soak import Faults, Soak
+
+STEPS = 150_000
+SEEDS = range(1, 6)
+
+
+DENSE = Faults(kill=0.003, break_link=0.01, late=0.05, drain=0.002)
+"""Faults that strike several times as often as in the ordinary run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One fault made on purpose.
+
+    :param promise: the promise that it breaks.
+    """
+
+    name: str
+    promise: Promise
+    target: object
+    attribute: str
+    value: object
+    faults: Faults = DENSE
+
+
+@dataclass(frozen=True, slots=True)
+class Catch:
+    """Where the run caught a mutant."""
+
+    seed: int
+    step: int
+    promise: str
+
+
+def _claim_without_journal(self: AgentCore, run: Run, now: float):
+    return self._begin(run, now)
+
+
+def _trust_lost_write(self: ClaimBook, name: str, now: float):
+    slot = self._slot(name)
+    if slot.state is SlotState.WRITING:
+        return self.on_written(name, slot.revision + 1, now)
+    slot.state = SlotState.UNREAD
+    return list(self._pump(slot, now))
+
+
+def _grant_before_write(self: ClaimBook, slot) -> Iterator:
+    for claim_id, wish in list(slot.wishes.items()):
+        if self._standing(slot, wish.digest) is None:
+            self._granted[claim_id] = wish.claim
+            yield Granted(claim_id)
+    yield from _DECIDE(self, slot)
+
+
+def _void_of_same_agent(self: ClaimBook, claim, slot) -> bool:
+    if claim.claim_id in slot.abandoned:
+        return True
+    unused = claim.claim_id not in self._granted.keys() | slot.wishes.keys()
+    return claim.agent == self._agent and claim.state.value == 0 and unused
+
+
+def _purge_without_horizon(self: ClaimBook, slot, now: float) -> Journal:
+    journal = _NEXT_JOURNAL(self, slot, now)
+    wishes = {wish.digest: wish.claim for wish in slot.wishes.values()}
+    return Journal(0.0, {**wishes, **journal.claims})
+
+
+def _forget_revoked(self: AgentCore, attempt: AttemptId, *reason):
+    return [self._refusal(attempt, *(reason or [agent.Reason.NEVER_RECEIVED]))]
+
+
+def _always_not_run(self: RequestCore):
+    for attempt in self._attempts.values():
+        attempt.state = AttemptState.NOT_RUN
+    return _FINISH_REFUSAL(self)
+
+
+def _no_promise_awaited(self: RequestCore) -> bool:
+    for attempt in self._attempts.values():
+        if attempt.state is AttemptState.SENT:
+            attempt.state = AttemptState.NOT_RUN
+    return False
+
+
+def _any_attempts_chunk(self: RequestCore, attempt, message, now):
+    self._answer.add(message.sequence, message.data)
+    return self._deliver(attempt)
+
+
+def _add_unordered(self: Answer, sequence: int, data: bytes) -> None:
+    self.ready.append(data)
+    self.next_sequence += 1
+
+
+def _keep_what_waits(self: AgentCore, now: float):
+    self._leaving = True
+    return []
+
+
+def _drop_running(self: AgentCore, message, now):
+    run = self._ledger.get(message.attempt.entry, message.attempt.number)
+    if run is not None and run.state is agent.RunState.RUNNING:
+        run.state = agent.RunState.QUEUED
+        return self._drop(run, agent.Reason.REVOKED, now)
+    return _ON_REVOKE(self, message, now)
+
+
+_DECIDE = ClaimBook._decide
+_NEXT_JOURNAL = ClaimBook._next_journal
+_FINISH_REFUSAL = RequestCore._finish_refusal
+_ON_REVOKE = AgentCore.on_revoke
+
+ONCE = Promise.AT_MOST_ONCE
+TRUTH = Promise.TRUTHFUL_REFUSAL
+WHOLE = Promise.OWN_WHOLE_ANSWER
+
+MUTANTS = [
+    Mutant("run without a claim", ONCE, AgentCore, "_claim", _claim_without_journal),
+    Mutant("trust a lost write", ONCE, ClaimBook, "on_lost", _trust_lost_write),
+    Mutant("begin before the write", ONCE, ClaimBook, "_decide", _grant_before_write),
+    Mutant(
+        "take over an earlier start's claim",
+        *(ONCE, ClaimBook, "_is_void", _void_of_same_agent),
+    ),
+    Mutant(
+        "purge without a horizon",
+        *(ONCE, ClaimBook, "_next_journal", _purge_without_horizon),
+    ),
+    Mutant("forget a promise", TRUTH, AgentCore, "_never_received", _forget_revoked),
+    Mutant(
+        "refuse after hand-over",
+        *(TRUTH, RequestCore, "_finish_refusal", _always_not_run),
+    ),
+    Mutant(
+        "await no promise", TRUTH, RequestCore, "_can_still_settle", _no_promise_awaited
+    ),
+    Mutant("revoke what runs", TRUTH, AgentCore, "on_revoke", _drop_running),
+    Mutant(
+        "forget attempts seen",
+        *(TRUTH, AttemptLedger, "get", lambda self, entry, number: None),
+    ),
+    Mutant("old attempt's chunk", WHOLE, RequestCore, "_on_chunk", _any_attempts_chunk),
+    Mutant("parts out of order", WHOLE, Answer, "add", _add_unordered),
+    Mutant(
+        "end before the last part",
+        *(WHOLE, Answer, "is_whole", property(lambda self: self.total is not None)),
+    ),
+    Mutant(
+        "begin while leaving",
+        *(Promise.LEAVING_TAKES_NO_WORK, AgentCore, "drain", _keep_what_waits),
+    ),
+]
+
+
+@contextmanager
+def applied(mutant: Mutant) -> Iterator[None]:
+    """Apply a mutant's patch."""
+    with patch.object(mutant.target, mutant.attribute, mutant.value):
+        yield
+
+
+def hunt(mutant: Mutant) -> Catch | None:
+    """Return where the run catches a mutant first, or ``None``."""
+    for seed in SEEDS:
+        with applied(mutant):
+            soak = Soak(seed, mutant.faults)
+            for step in range(STEPS):
+                try:
+                    soak.run(1)
+                except InvariantBreach as breach:
+                    return Catch(seed, step, breach.promise)
+                except (AssertionError, KeyError, AttributeError) as error:
+                    return Catch(seed, step, type(error).__name__)
+    return None
+
+
+def main() -> None:
+    for mutant in MUTANTS:
+        print(f"{mutant.name}: {hunt(mutant)}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
+
+
+__all__ = ["MUTANTS", "hunt"]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,7 +15,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from unittest.mock import patch
 
+from cyclamenyoke.core import journal
 from cyclamenyoke.core.agent import (
     AgentCore,
     Broadcast,
@@ -53,12 +55,16 @@
 
 SERVICES = {"reports": 3, "orders": 3}
 ENTRIES = 3
-RETENTION = 120.0
+RETENTION = 30.0
+SKEW = 2.0
+SLOTS = 2
+JOURNAL_SLOTS = 16
+ARRIVALS = 40.0
 TICK = 0.1
 START = 1_000_000.0
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Faults:
     """How often each fault strikes, as a share of the chances it has."""
 
@@ -72,10 +78,11 @@
     lost_before: float = 0.02
     lost_after: float = 0.02
     lost_late: float = 0.02
+    stale_read: float = 0.01
     endpoint_fails: float = 0.01
 
 
-NO_FAULTS = Faults(*([0.0] * 11))
+NO_FAULTS = Faults(*([0.0] * 12))
 
 
 @dataclass(slots=True)
@@ -105,6 +112,7 @@
         self.world = world
         self.faults = faults
         self.values: dict[str, tuple[int, bytes]] = {}
+        self.replaced: dict[str, tuple[int, bytes | None]] = {}
         self.down_until = 0.0
         self.calls: Counter = Counter()
 
@@ -115,7 +123,7 @@
             self.world.at(self.world.random.uniform(0.01, 1.0), lost)
             return
         # The value is read half-way, the answer arrives later.
-        self.world.at(delay, lambda: self._answer_later(self.get(key), delay, answer))
+        self.world.at(delay, lambda: self._answer_later(key, delay, answer))
 
     def write(
         self, key: str, expected: int, value: bytes, ok: Callable, conflict, lost
@@ -148,16 +156,24 @@
         else:
             self.world.at(delay, conflict)
 
-    def _answer_later(self, found, delay: float, answer: Callable) -> None:
+    def _answer_later(self, key: str, delay: float, answer: Callable) -> None:
+        found = self.read_value(key)
         self.world.at(delay, lambda: answer(*found))
 
     def get(self, key: str) -> tuple[int, bytes | None]:
         return self.values.get(key, (0, None))
 
+    def read_value(self, key: str) -> tuple[int, bytes | None]:
+        """Return a value, sometimes one that has been replaced already."""
+        if self.world.chance(self.faults.stale_read):
+            return self.replaced.get(key, (0, None))
+        return self.get(key)
+
     def swap(self, key: str, expected: int, value: bytes) -> int:
         revision = self.get(key)[0]
         if revision != expected:
             return 0
+        self.replaced[key] = self.get(key)
         self.values[key] = (revision + 1, value)
         return revision + 1
 
@@ -193,15 +209,26 @@
         self.paused_until = 0.0
         self.core: AgentCore
         self.links: set[str] = set()
+        self.skew = soak.world.random.uniform(-SKEW, SKEW)
         self.start()
 
+    @property
+    def now(self) -> float:
+        """The time on this VM's clock."""
+        return self.soak.world.now + self.skew
+
     def start(self) -> None:
         self.starts += 1
         self.alive = True
         self.incarnation = f"{self.name}@{self.starts}"
         self.drained_at = 0.0
         self.core = AgentCore(
-            self.name, self.incarnation, 4, RETENTION, self.soak.monitor
+            self.name,
+            self.incarnation,
+            SLOTS,
+            RETENTION,
+            self.soak.monitor,
+            self.soak.world.random,
         )
         self.soak.world.at(TICK, lambda i=self.incarnation: self.tick(i))
         self.links = set()
@@ -226,7 +253,7 @@
     def tick(self, incarnation: str) -> None:
         if not self.alive or self.incarnation != incarnation:
             return
-        self.when_awake(incarnation, lambda: self.core.tick(self.soak.world.now))
+        self.when_awake(incarnation, lambda: self.core.tick(self.now))
         if self.core.is_leaving and self.core.is_drained:
             self.kill()
             return
@@ -234,10 +261,10 @@
 
     def receive(self, entry: str, message: ToAgent) -> None:
         handlers = {
-            Execute: lambda: self.core.on_execute(message, self.soak.world.now),
-            Revoke: lambda: self.core.on_revoke(message, self.soak.world.now),
-            Resume: lambda: self.core.on_resume(message, self.soak.world.now),
-            Acknowledge: lambda: self.core.on_acknowledge(message, self.soak.world.now),
+            Execute: lambda: self.core.on_execute(message, self.now),
+            Revoke: lambda: self.core.on_revoke(message, self.now),
+            Resume: lambda: self.core.on_resume(message, self.now),
+            Acknowledge: lambda: self.core.on_acknowledge(message, self.now),
         }
         self.when_awake(self.incarnation, handlers[type(message)])
 
@@ -259,27 +286,27 @@
 
     def _read(self, effect: ReadSlot) -> None:
         core, slot, mine = self.core, effect.slot, self.incarnation
-        now = lambda: self.soak.world.now  # noqa: E731
         self.soak.platform.read(
             slot,
             lambda revision, value: self.when_awake(
-                mine, lambda: core.on_slot_read(slot, revision, value, now())
+                mine, lambda: core.on_slot_read(slot, revision, value, self.now)
             ),
-            lambda: self.when_awake(mine, lambda: core.on_slot_lost(slot, now())),
+            lambda: self.when_awake(mine, lambda: core.on_slot_lost(slot, self.now)),
         )
 
     def _write(self, effect: WriteSlot) -> None:
         core, slot, mine = self.core, effect.slot, self.incarnation
-        now = lambda: self.soak.world.now  # noqa: E731
         self.soak.platform.write(
             slot,
             effect.expected_revision,
             effect.value,
             lambda revision: self.when_awake(
-                mine, lambda: core.on_slot_written(slot, revision, now())
+                mine, lambda: core.on_slot_written(slot, revision, self.now)
             ),
-            lambda: self.when_awake(mine, lambda: core.on_slot_conflict(slot, now())),
-            lambda: self.when_awake(mine, lambda: core.on_slot_lost(slot, now())),
+            lambda: self.when_awake(
+                mine, lambda: core.on_slot_conflict(slot, self.now)
+            ),
+            lambda: self.when_awake(mine, lambda: core.on_slot_lost(slot, self.now)),
         )
 
 
@@ -291,15 +318,21 @@
         self.number = number
         self.starts = 0
         self.paused_until = 0.0
+        self.skew = soak.world.random.uniform(-SKEW, SKEW)
         self.start()
 
+    @property
+    def now(self) -> float:
+        """The time on this VM's clock."""
+        return self.soak.world.now + self.skew
+
     def start(self) -> None:
         self.starts += 1
         self.incarnation = f"entry-{self.number}@{self.starts}"
         self.router = Router("dc", self.soak.world.random)
         self.router.configure(self.soak.endpoints)
         self.numbers = AttemptNumbers(self.incarnation)
-        self.budget = RetryBudget(self.soak.world.now)
+        self.budget = RetryBudget(self.now)
         self.requests: dict[str, RequestCore] = {}
         for agent in self.soak.agents:
             self.soak.link_later(self.incarnation, agent)
@@ -317,7 +350,7 @@
             call, streaming, self.router, self.numbers, self.budget, self.soak.monitor
         )
         self.requests[call.request_id] = core
-        self.run(core, lambda: core.start(self.soak.world.now))
+        self.run(core, lambda: core.start(self.now))
 
     def run(self, core: RequestCore, action: Callable[[], list]) -> None:
         mine = self.incarnation
@@ -337,10 +370,10 @@
             self.requests.pop(core.call.request_id, None)
             return
         world.at(
-            max(0.0, core.wake_at - world.now),
+            max(0.0, core.wake_at - self.now),
             lambda: (
                 self.incarnation == mine
-                and self.run(core, lambda: core.on_time(world.now))
+                and self.run(core, lambda: core.on_time(self.now))
             ),
         )
 
@@ -350,19 +383,17 @@
             return
         for core in list(self.requests.values()):
             if message.attempt in core.attempts:
-                self.run(
-                    core, lambda c=core: c.on_message(message, self.soak.world.now)
-                )
+                self.run(core, lambda c=core: c.on_message(message, self.now))
 
     def on_up(self, agent: str, incarnation: str, leaving: bool) -> None:
         self.router.on_up(agent, incarnation, leaving, Load())
-        now = self.soak.world.now
+        now = self.now
         for core in list(self.requests.values()):
             self.run(core, lambda c=core: c.on_link_up(agent, incarnation, now))
 
     def on_down(self, agent: str) -> None:
         self.router.on_down(agent)
-        now = self.soak.world.now
+        now = self.now
         for core in list(self.requests.values()):
             self.run(core, lambda c=core: c.on_link_down(agent, now))
 
@@ -381,7 +412,7 @@
         self.keys: list[tuple[str, str, float, str]] = []
         self.endpoints = {
             service: [
-                Endpoint(f"{service}-{n}", "", f"dc-{n}", 4) for n in range(count)
+                Endpoint(f"{service}-{n}", "", f"dc-{n}", SLOTS) for n in range(count)
             ]
             for service, count in SERVICES.items()
         }
@@ -395,14 +426,15 @@
         self.world.at(0.5, self.strike)
 
     def run(self, steps: int) -> None:
-        for _ in range(steps):
-            self.world.step()
+        with patch.object(journal, "JOURNAL_SLOTS", JOURNAL_SLOTS):
+            for _ in range(steps):
+                self.world.step()
 
     # Callers.
 
     def arrive(self) -> None:
         world = self.world
-        world.at(world.random.expovariate(20.0), self.arrive)
+        world.at(world.random.expovariate(ARRIVALS), self.arrive)
         request_id = f"r{next(self.numbers)}"
         customer = world.random.choice(["a", "b", "c"])
         if world.chance(0.5):
@@ -412,30 +444,33 @@
 
     def _submit_report(self, request_id: str, customer: str) -> None:
         random = self.world.random
-        deadline = self.world.now + random.choice([0.3, 2.0, 10.0])
+        entry = random.choice(self.entries)
+        deadline = entry.now + random.choice([0.3, 2.0, 10.0])
         call = Call(
             request_id, "reports", customer, "POST", "/chat", "", b"p" * 10,
             deadline, deadline - 0.1, 1.0, 20.0,
         )  # fmt: skip
-        random.choice(self.entries).submit(call, random.random() < 0.7)
+        entry.submit(call, random.random() < 0.7)
 
     def _submit_order(self, request_id: str, customer: str) -> None:
         random = self.world.random
         now = self.world.now
         fresh = (f"k{request_id}", customer, now, f"print-{request_id}")
         if self.keys and random.random() < 0.4:
-            fresh = random.choice(self.keys[-30:])
+            recent = self.keys[-30:] if random.random() < 0.8 else self.keys
+            fresh = random.choice(recent)
             if random.random() < 0.05:
                 fresh = (*fresh[:3], "another call")
         else:
             self.keys.append(fresh)
         key, customer, issued_at, fingerprint = fresh
-        deadline = now + random.choice([0.5, 3.0, 10.0])
+        entry = random.choice(self.entries)
+        deadline = entry.now + random.choice([0.5, 3.0, 10.0])
         call = Call(
             request_id, "orders", customer, "POST", "/orders", "", b"",
             deadline, deadline - 0.1, 1.0, 1.0, key, issued_at, fingerprint.encode(),
         )  # fmt: skip
-        random.choice(self.entries).submit(call, False)
+        entry.submit(call, False)
 
     def deliver(self, entry: EntryNode, core: RequestCore, effect: object) -> None:
         request_id = core.call.request_id
@@ -456,11 +491,14 @@
     def _check_whole(self, core: RequestCore, parts: list[bytes]) -> None:
         call = core.call
         subject = call.key or call.request_id
-        expected = [f"{subject}:{n}".encode() for n in range(len(parts))]
+        source = parts[0].decode().rsplit(":", 1)[0] if parts else ""
+        expected = [f"{source}:{n}".encode() for n in range(len(parts))]
         total = 1 if call.key else 5
         self.monitor.check(
             Promise.OWN_WHOLE_ANSWER,
-            parts == expected and len(parts) == total,
+            source.startswith(f"{subject}:")
+            and parts == expected
+            and len(parts) == total,
             f"{call.request_id} got {parts}",
         )
 
@@ -507,7 +545,7 @@
         def next_part() -> None:
             if (incarnation, run_id) in self.cancelled:
                 return
-            now = self.world.now
+            now = agent.now
             wake = lambda action: agent.when_awake(incarnation, action)  # noqa: E731
             if number == fails_at < parts:
                 reason = Reason.ENDPOINT_FAILED
@@ -518,7 +556,8 @@
             if number == parts:
                 wake(lambda: core.on_finished(run_id, now))
                 return
-            data = f"{call.key or call.request_id}:{number}".encode()
+            subject = call.key or call.request_id
+            data = f"{subject}:{incarnation}/{run_id}:{number}".encode()
             wake(lambda: core.on_data(run_id, data))
             self._answer(agent, incarnation, effect, number + 1, parts, fails_at)
 
@@ -572,7 +611,7 @@
         node = self.agents[agent]
         node.links.discard(entry)
         if node.alive:
-            node.core.on_disconnected(entry, self.world.now)
+            node.core.on_disconnected(entry, node.now)
         owner = next((e for e in self.entries if e.incarnation == entry), None)
         if owner is not None:
             owner.on_down(agent)
@@ -598,7 +637,7 @@
             if node.alive and world.chance(faults.kill):
                 node.kill()
             elif node.alive and world.chance(faults.drain):
-                node.perform(node.core.drain(world.now))
+                node.perform(node.core.drain(node.now))
             elif world.chance(faults.pause):
                 node.paused_until = world.now + world.random.uniform(0.1, 20.0)
             for entry in list(node.links):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,27 @@
+"""The randomised run: a fixed short one, and the proof that it catches faults."""
+
+import pytest
+
+from mutants import MUTANTS, hunt
+from soak import NO_FAULTS, Soak
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_promises_hold_under_all_faults(seed):
+    soak = Soak(seed)
+    soak.run(100_000)
+    outcomes = soak.truth.outcomes
+    assert outcomes["orders", "answered"] > outcomes["orders", "unknown"]
+
+
+def test_no_order_is_left_unknown_without_faults():
+    soak = Soak(1, NO_FAULTS)
+    soak.run(50_000)
+    assert soak.truth.outcomes["orders", "answered"] > 500
+    assert soak.truth.outcomes["orders", "unknown"] == 0
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_run_catches_a_fault_made_on_purpose(mutant):
+    catch = hunt(mutant)
+    assert catch is not None
