--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,289 @@
+"""Routing under lagging reports: first token and prefix hits against baselines.
+
+Drives the core's :class:`Router` for several entries against model engines in one
+process. Load reports are late, one engine is slow, prompts share prefixes, each
+engine caches a bounded number of prefixes. Run with
+``python benchmarks/routing.py --seed 1``.
+"""
+
+import argparse
+import heapq
+import itertools
+from abc import ABC, abstractmethod
+from collections import OrderedDict, deque
+from random import Random
+
+from cyclamenyoke.core.config import Endpoint
+from cyclamenyoke.core.messages import Call, Load
+from cyclamenyoke.core.routing import Router
+
+ENGINES = 16
+ENTRIES = 13
+SLOTS = 8
+PREFIXES = 240
+CACHED_PREFIXES = 24
+REPORT_LAG = 2.0
+MAX_BUSY = 2
+PREFILL_MISS = 0.16
+PREFILL_HIT = 0.04
+DECODE_MEAN = 1.2
+SLOW_FACTOR = 3.0
+DURATION = 240.0
+WARM_UP = 40.0
+
+
+class Engine:
+    """A continuously batching engine with a bounded prefix cache."""
+
+    def __init__(self, factor: float) -> None:
+        self.factor = factor
+        self.running = 0
+        self.queue: deque = deque()
+        self.cache: OrderedDict[int, None] = OrderedDict()
+        self.reports: deque = deque([(-REPORT_LAG, 0)])
+
+    def hit(self, prefix: int) -> bool:
+        found = prefix in self.cache
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        while len(self.cache) > CACHED_PREFIXES:
+            self.cache.popitem(last=False)
+        return found
+
+    def report(self, now: float) -> int:
+        """Return the load as it was when the lag began."""
+        while len(self.reports) > 1 and self.reports[1][0] <= now - REPORT_LAG:
+            self.reports.popleft()
+        return self.reports[0][1]
+
+    def note(self, now: float) -> None:
+        self.reports.append((now, self.running + len(self.queue)))
+
+
+class Policy(ABC):
+    """Chooses an engine; one instance an entry."""
+
+    def __init__(self, engines: list[Engine], random: Random) -> None:
+        self.engines = engines
+        self.random = random
+
+    @abstractmethod
+    def choose(self, prefix: int, now: float) -> int:
+        """Return an engine's number."""
+
+    def first_token(self, engine: int, seconds: float, now: float) -> None:
+        return
+
+    def finished(self, engine: int, now: float) -> None:
+        return
+
+    def reported(self, now: float) -> None:
+        """Take the agents' reports, which come once a second."""
+        return
+
+
+class RandomChoice(Policy):
+    def choose(self, prefix: int, now: float) -> int:
+        return self.random.randrange(ENGINES)
+
+
+class RoundRobin(Policy):
+    def __init__(self, engines: list[Engine], random: Random) -> None:
+        super().__init__(engines, random)
+        self.next = random.randrange(ENGINES)
+
+    def choose(self, prefix: int, now: float) -> int:
+        self.next = (self.next + 1) % ENGINES
+        return self.next
+
+
+class LeastReported(Policy):
+    def choose(self, prefix: int, now: float) -> int:
+        return min(
+            range(ENGINES),
+            key=lambda n: (self.engines[n].report(now), self.random.random()),
+        )
+
+
+class TwoChoices(Policy):
+    def choose(self, prefix: int, now: float) -> int:
+        pair = self.random.sample(range(ENGINES), 2)
+        return min(pair, key=lambda n: self.engines[n].report(now))
+
+
+class PrefixOnly(Policy):
+    """Always the same engine for a prefix: the most hits that routing can give."""
+
+    def choose(self, prefix: int, now: float) -> int:
+        return prefix % ENGINES
+
+
+class Oracle(Policy):
+    """Knows every cache and every load at this moment."""
+
+    def choose(self, prefix: int, now: float) -> int:
+        def rank(number: int) -> tuple[bool, bool, float]:
+            engine = self.engines[number]
+            load = engine.running + len(engine.queue)
+            is_cold = prefix not in engine.cache
+            return load >= SLOTS or engine.factor > 1, is_cold, load
+
+        return min(range(ENGINES), key=rank)
+
+
+class CoreRouter(Policy):
+    """The product's router."""
+
+    def __init__(self, engines: list[Engine], random: Random) -> None:
+        super().__init__(engines, random)
+        self.router = Router("dc-0", random)
+        endpoints = [Endpoint(f"{n}", "", f"dc-{n % 3}", SLOTS) for n in range(ENGINES)]
+        self.router.configure({"s": endpoints})
+        for endpoint in endpoints:
+            self.router.on_up(endpoint.name, "x", False, Load())
+
+    def choose(self, prefix: int, now: float) -> int:
+        body = f"{prefix:08d}".encode() * 128
+        call = Call("r", "s", "c", "POST", "/", "", body, now + 30, now + 30)
+        agent = self.pick(call, now)
+        self.router.on_sent(agent)
+        return int(agent)
+
+    def pick(self, call: Call, now: float) -> str:
+        agent = self.router.choose(call, (), now)
+        assert agent is not None
+        return agent
+
+    def first_token(self, engine: int, seconds: float, now: float) -> None:
+        self.router.on_latency(str(engine), seconds, now)
+
+    def finished(self, engine: int, now: float) -> None:
+        self.router.on_settled(str(engine))
+
+    def reported(self, now: float) -> None:
+        for number, engine in enumerate(self.engines):
+            load = Load(engine.report(now))
+            self.router.on_load_report(str(number), load)
+
+
+class CoreRouterWithRefusals(CoreRouter):
+    """The product's router, whose agents send a call back while they are full."""
+
+    def pick(self, call: Call, now: float) -> str:
+        tried: dict[str, int] = {}
+        while len(tried) < MAX_BUSY + 1:
+            agent = self.router.choose(call, tried, now)
+            assert agent is not None
+            engine = self.engines[int(agent)]
+            if engine.running < SLOTS:
+                return agent
+            tried[agent] = len(engine.queue)
+        return min(tried, key=tried.__getitem__)
+
+
+POLICIES = [
+    RandomChoice,
+    RoundRobin,
+    LeastReported,
+    TwoChoices,
+    PrefixOnly,
+    Oracle,
+    CoreRouter,
+    CoreRouterWithRefusals,
+]
+
+
+def simulate(  # noqa: C901
+    kind: type[Policy], rate: float, seed: int
+) -> tuple[float, float, float]:
+    """Return p50 and p95 of the first token in seconds, and the share of hits."""
+    random = Random(seed)
+    arrivals = Random(seed + 1)
+    engines = [Engine(SLOW_FACTOR if n == 0 else 1.0) for n in range(ENGINES)]
+    entries = [kind(engines, Random(seed + 2 + n)) for n in range(ENTRIES)]
+    events: list = []
+    order = itertools.count()
+    firsts: list[float] = []
+    hits = calls = 0
+    weights = [1 / (n + 1) ** 0.7 for n in range(PREFIXES)]
+
+    def at(when: float, action) -> None:
+        heapq.heappush(events, (when, next(order), action))
+
+    def start(number: int, now: float) -> None:
+        nonlocal hits, calls
+        engine = engines[number]
+        while engine.queue and engine.running < SLOTS:
+            arrived, prefix, decode, entry = engine.queue.popleft()
+            engine.running += 1
+            hit = engine.hit(prefix)
+            if arrived >= WARM_UP:
+                hits += hit
+                calls += 1
+            busy = 1 + engine.running / SLOTS
+            prefill = (PREFILL_HIT if hit else PREFILL_MISS) * engine.factor * busy
+            first_at = now + prefill
+
+            def first(arrived=arrived, first_at=first_at, entry=entry) -> None:
+                if arrived >= WARM_UP:
+                    firsts.append(first_at - arrived)
+                entry.first_token(number, first_at - arrived, first_at)
+
+            def done(entry=entry, done_at=first_at + decode * engine.factor) -> None:
+                engine.running -= 1
+                engine.note(done_at)
+                entry.finished(number, done_at)
+                start(number, done_at)
+
+            at(first_at, first)
+            at(first_at + decode * engine.factor, done)
+        engine.note(now)
+
+    def arrive(now: float) -> None:
+        entry = arrivals.choice(entries)
+        prefix = arrivals.choices(range(PREFIXES), weights)[0]
+        decode = arrivals.expovariate(1 / DECODE_MEAN)
+        number = entry.choose(prefix, now)
+        engines[number].queue.append((now, prefix, decode, entry))
+        start(number, now)
+        following = now + arrivals.expovariate(rate)
+        if following < DURATION:
+            at(following, lambda: arrive(following))
+
+    def report(now: float) -> None:
+        for entry in entries:
+            entry.reported(now)
+        if now < DURATION:
+            at(now + 1.0, lambda: report(now + 1.0))
+
+    at(0.0, lambda: arrive(0.0))
+    at(0.0, lambda: report(0.0))
+    while events:
+        _, _, action = heapq.heappop(events)
+        action()
+    firsts.sort()
+    del random
+    p50, p95 = (firsts[int(share * len(firsts))] for share in (0.5, 0.95))
+    return p50, p95, hits / calls
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--load", type=float, default=0.65)
+    options = parser.parse_args()
+    capacity = (ENGINES - 1 + 1 / SLOW_FACTOR) * SLOTS / (DECODE_MEAN + 0.2)
+    rate = options.load * capacity
+    print(f"seed {options.seed}, {rate:.0f} requests/s, {options.load:.0%} of capacity")
+    results = {kind.__name__: simulate(kind, rate, options.seed) for kind in POLICIES}
+    ours = results["CoreRouterWithRefusals"]
+    for name, (p50, p95, hits) in results.items():
+        print(
+            f"{name:22} first token p50 {p50 * 1000:7.0f} ms  p95 {p95 * 1000:7.0f} ms"
+            f"  hits {hits:.1%}  ours/this p95 {ours[1] / p95:.2f}"
+        )
+    print(f"hits of ours against the oracle: {ours[2] / results['Oracle'][2]:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -50,6 +50,7 @@
     HeldElsewhere,
     Leaving,
     Load,
+    LoadReport,
     NotRun,
     Reason,
     Resume,
@@ -60,6 +61,9 @@
 RESUME_GRACE = 5 * SECOND
 """Seconds for which a run without a connected entry goes on."""
 
+REPORT_INTERVAL = 1 * SECOND
+"""Seconds between two load reports to the connected entries."""
+
 QUEUED_COST_LIMIT = 200_000.0
 """Estimated tokens that one customer may have waiting at one agent."""
 
@@ -173,6 +177,7 @@
         self._next_run = 0
         self._leaving = False
         self._token_rate = 0.0
+        self._report_at = 0.0
 
     @property
     def agent(self) -> str:
@@ -197,7 +202,8 @@
     @property
     def load(self) -> Load:
         """The load as reported with each answer."""
-        return Load(self._busy, self._queue.cost, self._token_rate)
+        running = self._busy + len(self._queue)
+        return Load(running, self._queue.cost, self._token_rate)
 
     def configure(self, slots: int, retention: float, now: float) -> list[Effect]:
         """Take the endpoint's part of a new configuration."""
@@ -215,7 +221,7 @@
             return effects
         if self._ledger.get(attempt.entry, attempt.number) is not None:
             return effects
-        return effects + self._admit(attempt, message.call, now)
+        return effects + self._admit(attempt, message, now)
 
     def on_revoke(self, message: Revoke, now: float) -> list[Effect]:
         """Promise that an attempt never begins, or cancel its work."""
@@ -355,8 +361,13 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Retry the journal, refuse overdue calls, forget lost entries."""
+        if now >= self._report_at:
+            self._report_at = now + REPORT_INTERVAL
+            report: list[Effect] = [Broadcast(LoadReport(self.load))]
+        else:
+            report = []
         steps = self._book.flush(now) if self._leaving else self._book.tick(now)
-        effects = self._follow(steps, now)
+        effects = report + self._follow(steps, now)
         for run in self._ledger.expire(now):
             effects += self._forget(run, now)
         overdue = [
@@ -391,13 +402,14 @@
             return self._drop(run, Reason.CALLER_GONE, now)
         return self._cancel_unwanted(run, now)
 
-    def _admit(self, attempt: AttemptId, call: Call, now: float) -> list[Effect]:
+    def _admit(self, attempt: AttemptId, message: Execute, now: float) -> list[Effect]:
+        call = message.call
         digest = key_digest(call.service, call.customer, call.key) if call.key else ""
         active = self._by_digest.get(digest) if digest else None
         if active is not None:
             return self._join(active, attempt, call)
         run = self._new_run(attempt, call, digest)
-        reason = self._refusal_reason(call, now)
+        reason = self._refusal_reason(call, message.patient, now)
         if reason is not None:
             return self._drop(run, reason, now)
         self._queue.push(call.customer, call.weight, call.cost, run)
@@ -420,9 +432,11 @@
         run.subscribers[attempt] = call.request_id
         return list(self._replay(run, attempt, 0))
 
-    def _refusal_reason(self, call: Call, now: float) -> Reason | None:
+    def _refusal_reason(self, call: Call, patient: bool, now: float) -> Reason | None:
         if self._leaving:
             return Reason.LEAVING
+        if not patient and (self._busy >= self._slots or len(self._queue)):
+            return Reason.BUSY
         waiting = self._queue.cost_of(call.customer)
         if waiting + call.cost > QUEUED_COST_LIMIT:
             return Reason.QUEUE_FULL
--- a/src/cyclamenyoke/core/messages.py
+++ b/src/cyclamenyoke/core/messages.py
@@ -27,6 +27,7 @@
     STALE_INCARNATION = "stale_incarnation"
     REVOKED = "revoked"
     NEVER_RECEIVED = "never_received"
+    BUSY = "busy"
     DEADLINE = "deadline_cannot_be_met"
     QUEUE_FULL = "customer_queue_full"
     JOURNAL_UNAVAILABLE = "journal_unavailable"
@@ -86,7 +87,7 @@
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """An agent's own view of its load.
 
-    :param running: calls that the endpoint runs.
+    :param running: calls that the endpoint runs or that wait for it.
     :param queued_cost: estimated tokens that wait.
     :param token_rate: tokens a second that the endpoint lately finished.
     """
@@ -101,12 +102,15 @@
 
     :param floor: the lowest attempt number that the entry has not settled.
     :param incarnation: the incarnation of the agent that the entry means.
+    :param patient: whether the call may wait in the agent's queue; otherwise an
+        agent without a free slot sends it back.
     """
 
     attempt: AttemptId
     floor: int
     incarnation: str
     call: Call
+    patient: bool = True
 
 
 class Revoke(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -199,6 +203,12 @@
     incarnation: str
 
 
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """The agent's load, sent now and then to every connected entry."""
+
+    load: Load
+
+
 class Leaving(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """The agent takes no new work."""
 
@@ -240,6 +250,7 @@
     | Begun
     | HeldElsewhere
     | Leaving
+    | LoadReport
     | Challenge
     | Welcome
 )
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -45,7 +45,10 @@
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
 MAX_ATTEMPTS = 4
-"""Hand-overs of one request, the first included."""
+"""Hand-overs of one request, the first included; not those sent back as busy."""
+
+MAX_BUSY = 2
+"""Agents that may send a request back as busy before it waits at one of them."""
 
 RECONNECT_GRACE = 250 * MILLISECOND
 """Seconds to wait for a broken link before another agent is tried."""
@@ -106,6 +109,7 @@
     incarnation: str
     sent_at: float
     state: AttemptState = AttemptState.SENT
+    was_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -342,17 +346,26 @@
         return self._current.state if self._current else None
 
     def _try_next(self, now: float) -> list[Effect]:
-        if len(self._attempts) >= MAX_ATTEMPTS or now >= self._call.start_by:
+        if self._tries() >= MAX_ATTEMPTS or now >= self._call.start_by:
             return self._give_up(*self._refusal, now)
+        busy = [each.agent for each in self._attempts.values() if each.was_busy]
         tried = {attempt.agent for attempt in self._attempts.values()}
-        agent = self._router.choose(self._call, tried, now)
+        agent = None
+        if len(busy) < MAX_BUSY:
+            agent = self._router.choose(self._call, tried, now)
+        if agent is not None:
+            if self._tries() and not self._budget.take(now):
+                return self._give_up(*self._refusal, now)
+            return self._hand_over(agent, self._call.at_most_once, now)
+        agent = self._router.least_queued(busy)
         if agent is None:
             return self._give_up(*self._refusal, now)
-        if self._attempts and not self._budget.take(now):
-            return self._give_up(*self._refusal, now)
-        return self._hand_over(agent, now)
+        return self._hand_over(agent, True, now)
+
+    def _tries(self) -> int:
+        return sum(not attempt.was_busy for attempt in self._attempts.values())
 
-    def _hand_over(self, agent: str, now: float) -> list[Effect]:
+    def _hand_over(self, agent: str, patient: bool, now: float) -> list[Effect]:
         attempt_id = self._numbers.open()
         incarnation = self._router.incarnation(agent)
         attempt = Attempt(attempt_id, agent, incarnation, now)
@@ -362,7 +375,8 @@
         self._wake_at = self._call.deadline
         self._router.on_sent(agent)
         floor = self._numbers.floor
-        return [Send(agent, Execute(attempt_id, floor, incarnation, self._call))]
+        execute = Execute(attempt_id, floor, incarnation, self._call, patient)
+        return [Send(agent, execute)]
 
     def _on_begun(self, attempt: Attempt, message: Begun, now: float) -> list[Effect]:
         if attempt.state is AttemptState.SENT:
@@ -440,6 +454,7 @@
     ) -> list[Effect]:
         self._router.on_load(attempt.agent, message.load)
         self._settle(attempt, AttemptState.NOT_RUN)
+        attempt.was_busy = message.reason is Reason.BUSY
         if message.reason is Reason.LEAVING:
             self._router.on_leaving(attempt.agent)
         if message.reason is Reason.ENDPOINT_UNREACHABLE:
@@ -467,9 +482,9 @@
         assert self._holder is not None
         agent, incarnation = self._holder
         present = self._router.incarnation(agent)
-        if present == incarnation and len(self._attempts) < MAX_ATTEMPTS:
+        if present == incarnation and self._tries() < MAX_ATTEMPTS:
             self._holder = None
-            return self._hand_over(agent, now)
+            return self._hand_over(agent, True, now)
         is_gone = bool(present) and present != incarnation
         if is_gone or now >= self._holder_deadline:
             return self._give_up(Reason.HOLDER_LOST, DEFAULT_RETRY_AFTER, now)
--- a/src/cyclamenyoke/core/routing.py
+++ b/src/cyclamenyoke/core/routing.py
@@ -3,8 +3,10 @@
 Load reports lag, so they are hints. The score of an agent combines the calls
 that this entry itself has there, the load piggybacked on answers, the latency
 that was seen, and the distance. Calls with a common prompt prefix prefer the
-same engine while its load stays near the others'. Everything else takes the
-better of two random choices, so that entries do not all choose the same one.
+same few engines; the share that each engine keeps follows its reported load
+slowly. Everything else takes the better of two random choices, so that entries
+do not all choose the same one. An agent that is full sends a call back, which is
+the only exact knowledge of load that there is.
 """
 
 import enum
@@ -21,8 +23,17 @@
 PREFIX_BYTES = 1 * KIBIBYTE
 """Bytes at the beginning of a body that stand for its prompt prefix."""
 
-PREFIX_LOAD_BOUND = 1.25
-"""Load relative to the mean up to which a prefix keeps its engine."""
+TARGET_OCCUPANCY = 0.8
+"""Calls for each slot that an engine is steered to."""
+
+MEAN_RATIO = 1.1
+"""Occupancy relative to the mean that an engine is steered to under high load."""
+
+SPILL_GAIN = 0.03
+"""Change of the spilled share for each report and unit of excess occupancy."""
+
+PREFIX_ENGINES = 3
+"""Engines that a prefix may go to, in a fixed order."""
 
 LATENCY_SMOOTHING = 0.2
 """Weight of the newest observation in the smoothed latency."""
@@ -72,6 +83,7 @@
 
     :param incarnation: of the connected agent; empty without a connection.
     :param in_flight: calls of this entry at the agent.
+    :param spill: share of the calls for its prefixes that go elsewhere.
     :param retry_at: when an open circuit lets one call through.
     """
 
@@ -81,6 +93,7 @@
     in_flight: int = 0
     load: Load = field(default_factory=Load)
     latency: float = INITIAL_LATENCY
+    spill: float = 0.0
     failures: int = 0
     circuit: CircuitState = CircuitState.CLOSED
     retry_at: float = 0.0
@@ -115,6 +128,7 @@
         self._random = random
         self._views: dict[str, AgentView] = {}
         self._by_service: dict[str, list[str]] = {}
+        self._service_of: dict[str, str] = {}
 
     def configure(self, endpoints: dict[str, list[Endpoint]]) -> None:
         """Take the endpoints of each service from a new configuration."""
@@ -127,6 +141,11 @@
             service: [endpoint.name for endpoint in group]
             for service, group in endpoints.items()
         }
+        self._service_of = {
+            endpoint.name: service
+            for service, group in endpoints.items()
+            for endpoint in group
+        }
 
     def view(self, agent: str) -> AgentView:
         """Return what is known of an agent.
@@ -170,6 +189,18 @@
         """Take a load report that came with an answer."""
         self._views[agent].load = load
 
+    def on_load_report(self, agent: str, load: Load) -> None:
+        """Take a load report that came by itself, at its regular time.
+
+        Reports lag, so the spilled share follows them slowly: an answer in full
+        to each report would make all entries leave and return together.
+        """
+        view = self._views[agent]
+        view.load = load
+        bound = max(TARGET_OCCUPANCY, MEAN_RATIO * self._mean_occupancy(agent))
+        excess = load.running / view.endpoint.slots - bound
+        view.spill = min(1.0, max(0.0, view.spill + SPILL_GAIN * excess))
+
     def on_latency(self, agent: str, seconds: float, now: float) -> None:
         """Take the time to the first part of an answer."""
         view = self._views[agent]
@@ -200,23 +231,32 @@
             return _rendezvous(_slot_of(call), usable)[0].endpoint.name
         return self._choose_by_load(call, usable).endpoint.name
 
+    def least_queued(self, agents: Collection[str]) -> str | None:
+        """Return the usable agent with the least work waiting, or ``None``."""
+        usable = [
+            self._views[agent]
+            for agent in agents
+            if self._views[agent].is_connected and not self._views[agent].leaving
+        ]
+        if not usable:
+            return None
+        return min(usable, key=lambda view: view.load.queued_cost).endpoint.name
+
     def _views_of(self, service: str) -> Iterable[AgentView]:
         return (self._views[name] for name in self._by_service.get(service, []))
 
     def _choose_by_load(self, call: Call, usable: list[AgentView]) -> AgentView:
-        preferred = _rendezvous(_prefix_of(call), usable)[0]
-        mean = sum(view.occupancy for view in usable) / len(usable)
-        if preferred.occupancy <= PREFIX_LOAD_BOUND * mean and self._is_fast(
-            preferred, usable
-        ):
-            return preferred
+        for view in _rendezvous(_prefix_of(call), usable)[:PREFIX_ENGINES]:
+            if self._random.random() >= view.spill:
+                return view
         pair = self._random.sample(usable, min(2, len(usable)))
         return min(pair, key=self._score)
 
-    def _is_fast(self, preferred: AgentView, usable: list[AgentView]) -> bool:
-        latencies = sorted(view.latency for view in usable)
-        median = latencies[len(latencies) // 2]
-        return preferred.latency <= 2 * median
+    def _mean_occupancy(self, agent: str) -> float:
+        views = list(self._views_of(self._service_of[agent]))
+        return sum(view.load.running / view.endpoint.slots for view in views) / len(
+            views
+        )
 
     def _score(self, view: AgentView) -> float:
         near = view.endpoint.data_centre == self._data_centre
--- a/src/cyclamenyoke/daemon/requests.py
+++ b/src/cyclamenyoke/daemon/requests.py
@@ -19,6 +19,7 @@
     FromAgent,
     Leaving,
     Load,
+    LoadReport,
     ToAgent,
 )
 from cyclamenyoke.core.request import (
@@ -132,6 +133,9 @@
             if isinstance(message, Leaving):
                 self._router.on_leaving(agent)
                 continue
+            if isinstance(message, LoadReport):
+                self._router.on_load_report(agent, message.load)
+                continue
             mailbox = self._mailboxes.get(message.attempt)  # type: ignore[union-attr]
             if mailbox is not None:
                 mailbox.put_nowait(message)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,7 @@
     FromAgent,
     Leaving,
     Load,
+    LoadReport,
     Reason,
     Resume,
     Revoke,
@@ -381,6 +382,9 @@
         if isinstance(message, Leaving):
             self.router.on_leaving(agent)
             return
+        if isinstance(message, LoadReport):
+            self.router.on_load_report(agent, message.load)
+            return
         for core in list(self.requests.values()):
             if message.attempt in core.attempts:
                 self.run(core, lambda c=core: c.on_message(message, self.now))
