Run calls at a priority by their customer's share of the slots

Change: a call's priority is how many times over its share its customer holds slots; while calls of lower priority run, a call begins without a free slot, at most two calls a slot; plain services, which honour no priorities, do without.

--- /dev/null
+++ b/benchmarks/surge.py
@@ -0,0 +1,323 @@
+"""One customer's surge: what the others see, under three queue disciplines.
+
+Drives the core's :class:`AgentCore` with several customers. The disciplines are
+first come first served, the product's weighted fair queue, and a two-stage one
+after the Coflex paper (Wang, Ma, Li, Li, "Coflex: Navigating the
+Fairness-Efficiency Tradeoff for Coflow Scheduling"): a share alpha of the fair
+rate is guaranteed, and the rest goes to the smallest call first. Run with
+``python benchmarks/surge.py --seed 1``.
+"""
+
+import argparse
+import heapq
+import itertools
+from collections import Counter, defaultdict
+from random import Random
+
+from cyclamenyoke.core.agent import AgentCore, Reply, StartCall
+from cyclamenyoke.core.fair_queue import FairQueue
+from cyclamenyoke.core.invariants import RaisingMonitor
+from cyclamenyoke.core.messages import AttemptId, Call, Chunk, Execute, NotRun
+
+CUSTOMERS = {f"small-{n}": 1.0 for n in range(8)} | {"large-0": 4.0, "large-1": 4.0}
+SURGING = ("small-0", "large-0")
+SLOTS = 8
+TOKEN_TIME = 0.01
+DURATION = 400.0
+LOAD = 0.6
+
+
+class FirstComeFirstServed(FairQueue):
+    """Serves calls in the order of their arrival."""
+
+    def push(self, customer, weight, cost, item) -> None:
+        super().push("all", 1.0, cost, item)
+
+    def pop(self, may_take=None):
+        return super().pop() if may_take is None or may_take(None) else None
+
+    def remove(self, customer, item) -> bool:
+        return super().remove("all", item)
+
+    def charge(self, customer, extra) -> None:
+        return
+
+
+class FairOrderOnly(FairQueue):
+    """The fair queue without a bound on the slots that a customer holds."""
+
+    def pop(self, may_take=None):
+        return super().pop() if may_take is None or may_take(None) else None
+
+
+class TwoStage(FairQueue):
+    """Guarantees a share of the fair rate; the rest goes to the smallest call."""
+
+    alpha = 0.5
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting: dict[str, list] = defaultdict(list)
+        self.weights: dict[str, float] = {}
+        self.served: dict[str, float] = defaultdict(float)
+        self.order = itertools.count()
+
+    def __len__(self) -> int:
+        return sum(len(items) for items in self.waiting.values())
+
+    @property
+    def cost(self) -> float:
+        return sum(entry[0] for items in self.waiting.values() for entry in items)
+
+    def cost_of(self, customer) -> float:
+        return sum(entry[0] for entry in self.waiting.get(customer, []))
+
+    def cost_ahead(self, customer, weight, cost) -> float:
+        return self.cost
+
+    def push(self, customer, weight, cost, item) -> None:
+        backlogged = [each for each in self.waiting if self.waiting[each]]
+        if not self.waiting[customer] and backlogged:
+            level = min(self.served[each] / self.weights[each] for each in backlogged)
+            self.served[customer] = max(self.served[customer], level * weight)
+        self.weights[customer] = weight
+        heapq.heappush(self.waiting[customer], (cost, next(self.order), item))
+
+    def pop(self, may_take=None):
+        backlogged = [each for each in self.waiting if self.waiting[each]]
+        if not backlogged or not may_take(None):
+            return None
+        levels = {each: self.served[each] / self.weights[each] for each in backlogged}
+        fair = sum(self.served[each] for each in backlogged) / sum(
+            self.weights[each] for each in backlogged
+        )
+        poorest = min(levels, key=levels.__getitem__)
+        if levels[poorest] < self.alpha * fair:
+            chosen = poorest
+        else:
+            chosen = min(backlogged, key=lambda each: self.waiting[each][0])
+        cost, _, item = heapq.heappop(self.waiting[chosen])
+        self.served[chosen] += cost
+        return item
+
+    def remove(self, customer, item) -> bool:
+        for entry in self.waiting[customer]:
+            if entry[2] is item:
+                self.waiting[customer].remove(entry)
+                heapq.heapify(self.waiting[customer])
+                return True
+        return False
+
+    def charge(self, customer, extra) -> None:
+        self.served[customer] += extra
+
+
+def discipline(name: str) -> FairQueue:
+    if name.startswith("two-stage"):
+        queue = TwoStage()
+        queue.alpha = float(name.split()[1])
+        return queue
+    if name == "first come":
+        return FirstComeFirstServed()
+    return FairQueue() if name.startswith("fair, pri") else FairOrderOnly()
+
+
+class Engine:
+    """Runs calls in slots; a call of a lower number in priority goes first.
+
+    A call that has to wait for others keeps its work and goes on later.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.now = 0.0
+        self.runs: dict[int, list] = {}
+
+    def start(self, now: float, run_id: int, tokens: int, priority: int) -> None:
+        self._work(now)
+        self.runs[run_id] = [priority, run_id, 0.0, tokens, False]
+
+    def next_event(self) -> float | None:
+        times = [
+            (0.2 * tokens if not first else tokens) * TOKEN_TIME - done
+            for _, _, done, tokens, first in self._active()
+        ]
+        return self.now + max(0.0, min(times)) if times else None
+
+    def advance(self, now: float) -> list[tuple[int, str, int]]:
+        """Return the calls that gave their first token or finished."""
+        self._work(now)
+        events = []
+        for run in self._active():
+            _, run_id, done, tokens, first = run
+            if not first and done >= 0.2 * tokens * TOKEN_TIME - 1e-9:
+                run[4] = True
+                events.append((run_id, "first", tokens))
+            elif first and done >= tokens * TOKEN_TIME - 1e-9:
+                del self.runs[run_id]
+                events.append((run_id, "last", tokens))
+        return events
+
+    def _work(self, now: float) -> None:
+        for run in self._active():
+            run[2] += now - self.now
+        self.now = now
+
+    def _active(self) -> list[list]:
+        return sorted(self.runs.values())[:SLOTS]
+
+
+class Result:
+    """First-token times and refusals by customer."""
+
+    def __init__(self, surging: str) -> None:
+        self.surging = surging
+        self.firsts: dict[str, list[float]] = defaultdict(list)
+        self.refused: Counter = Counter()
+
+    def p95_of_others(self) -> float:
+        times = sorted(
+            seconds
+            for customer, firsts in self.firsts.items()
+            if customer != self.surging
+            for seconds in firsts
+        )
+        return times[int(0.95 * len(times))]
+
+    def mean_of_others(self) -> float:
+        times = [
+            seconds
+            for customer, firsts in self.firsts.items()
+            if customer != self.surging
+            for seconds in firsts
+        ]
+        return sum(times) / len(times)
+
+    def refused_others(self) -> int:
+        return sum(
+            n for customer, n in self.refused.items() if customer != self.surging
+        )
+
+
+def simulate(  # noqa: C901
+    name: str, surge: float, seed: int, surging: str, large_prompts: bool
+) -> Result:
+    """Run one agent.
+
+    :param surge: work that the surging customer sends, in shares of the capacity
+        that its weight entitles it to; 0 for its ordinary load.
+    """
+    random = {each: Random(f"{seed}/{each}") for each in CUSTOMERS}
+    core = AgentCore("e", "e@1", SLOTS, 60.0, RaisingMonitor(), Random(seed))
+    core.configure(SLOTS, 60.0, True, 0.0)
+    core._queue = discipline(name)
+    if not name.startswith("fair, pri"):
+        core._may_take = lambda customer: core._shares.held < SLOTS
+    core._token_rate = SLOTS / TOKEN_TIME
+    result = Result(surging)
+    engine = Engine()
+    events: list = []
+    order = itertools.count()
+    numbers = itertools.count()
+    arrived: dict[int, tuple[str, float]] = {}
+    mean_tokens = 120.0
+    capacity = SLOTS / (mean_tokens * TOKEN_TIME)
+    total_weight = sum(CUSTOMERS.values())
+
+    def at(when: float, action) -> None:
+        heapq.heappush(events, (when, next(order), action))
+
+    def perform(effects, now: float) -> None:
+        for effect in effects:
+            if isinstance(effect, StartCall):
+                run(effect, now)
+            elif isinstance(effect, Reply):
+                take(effect.message, now)
+
+    def take(message, now: float) -> None:
+        if isinstance(message, Chunk) and message.sequence == 1:
+            customer, since = arrived[message.attempt.number]
+            result.firsts[customer].append(now - since)
+        elif isinstance(message, NotRun):
+            customer, _ = arrived[message.attempt.number]
+            result.refused[customer] += 1
+
+    def run(effect: StartCall, now: float) -> None:
+        run_id, tokens = effect.run_id, int(effect.call.cost)
+        preempts = name.startswith("fair, pri")
+        engine.start(now, run_id, tokens, effect.priority if preempts else 0)
+        plan(now)
+
+    def plan(now: float) -> None:
+        """Wake at the engine's next event; an older plan does nothing."""
+        engine.version += 1
+        due = engine.next_event()
+        if due is not None:
+            at(due, lambda version=engine.version: advance(version, due))
+
+    def advance(version: int, now: float) -> None:
+        if version != engine.version:
+            return
+        for run_id, what, tokens in engine.advance(now):
+            if what == "first":
+                perform(core.on_data(run_id, b"t"), now)
+            else:
+                core._runs[run_id].chunks = [b"t"] * tokens
+                perform(core.on_finished(run_id, now), now)
+        plan(now)
+
+    def arrive(customer: str, now: float) -> None:
+        own = random[customer]
+        is_surging = customer == surging and surge > 0
+        factor = surge if is_surging else LOAD
+        size = 10.0 if large_prompts and is_surging else 1.0
+        rate = capacity * CUSTOMERS[customer] / total_weight * factor / size
+        at_next = now + own.expovariate(rate)
+        tokens = max(5, int(own.lognormvariate(4.4, 0.9) * size))
+        number = next(numbers)
+        arrived[number] = (customer, now)
+        call = Call(
+            f"r{number}", "s", customer, "POST", "/", "", b"", now + 60, now + 30,
+            CUSTOMERS[customer], float(tokens),
+        )  # fmt: skip
+        execute = Execute(AttemptId("entry@1", number), 0, "e@1", call)
+        perform(core.on_execute(execute, now), now)
+        if at_next < DURATION:
+            at(at_next, lambda: arrive(customer, at_next))
+
+    for customer in CUSTOMERS:
+        at(random[customer].random(), lambda c=customer: arrive(c, 0.0))
+    while events:
+        now, _, action = heapq.heappop(events)
+        action()
+    return result
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    print(f"seed {options.seed}, load {LOAD:.0%} before the surge, surge 10x")
+    names = [
+        "first come",
+        "fair order",
+        "fair, priorities",
+        *(f"two-stage {a}" for a in (0.2, 0.5, 0.8, 1.0)),
+    ]
+    for surging, large in itertools.product(SURGING, (False, True)):
+        print(f"{surging} sends " + ("huge prompts" if large else "many calls"))
+        for name in names:
+            calm = simulate(name, 0.0, options.seed, surging, large)
+            surge = simulate(name, 10.0, options.seed, surging, large)
+            ratio = surge.p95_of_others() / calm.p95_of_others()
+            print(
+                f"  {name:16} others' first token p95 {calm.p95_of_others():.2f} s ->"
+                f" {surge.p95_of_others():.2f} s, ratio {ratio:.2f};"
+                f" mean {surge.mean_of_others():.2f} s;"
+                f" others refused {surge.refused_others()},"
+                f" surging customer refused {surge.refused[surging]}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cyclamenyoke/adapters/http_endpoint.py
+++ b/src/cyclamenyoke/adapters/http_endpoint.py
@@ -42,10 +42,11 @@
     async def close(self) -> None:
         await self._client.aclose()
 
-    async def run(self, call: Call) -> AsyncIterator[EndpointEvent]:
+    async def run(self, call: Call, priority: int) -> AsyncIterator[EndpointEvent]:
         remaining = max(0.001, call.deadline - self._clock.now())
         timeout = httpx.Timeout(remaining, connect=min(CONNECT_TIME, remaining))
         headers = {"X-Request-Id": call.request_id, "X-Customer": call.customer}
+        headers["X-Priority"] = str(priority)
         if call.content_type:
             headers["Content-Type"] = call.content_type
         if call.key:
--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -56,6 +56,7 @@
     Resume,
     Revoke,
 )
+from cyclamenyoke.core.slot_shares import ENGINE_OVERCOMMIT, SlotShares
 from cyclamenyoke.core.units import SECOND
 
 RESUME_GRACE = 5 * SECOND
@@ -105,6 +106,7 @@
     chunks: list[bytes] = field(default_factory=list)
     begun_at: float = 0.0
     holds_slot: bool = False
+    priority: int = 0
     subscribers: dict[AttemptId, str] = field(default_factory=dict)
 
 
@@ -129,6 +131,7 @@
 
     run_id: int
     call: Call
+    priority: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,11 +172,11 @@
         self._monitor = monitor
         self._ledger: AttemptLedger[Run] = AttemptLedger()
         self._queue: FairQueue[Run] = FairQueue()
+        self._shares = SlotShares()
         self._book = ClaimBook(agent, incarnation, retention, random)
         self._runs: dict[int, Run] = {}
         self._by_digest: dict[str, Run] = {}
         self._by_claim: dict[str, Run] = {}
-        self._busy = 0
         self._next_run = 0
         self._leaving = False
         self._token_rate = 0.0
@@ -197,17 +200,24 @@
     @property
     def is_drained(self) -> bool:
         """Whether nothing runs and every outcome is recorded."""
-        return self._busy == 0 and self._book.is_settled
+        return self._shares.held == 0 and self._book.is_settled
 
     @property
     def load(self) -> Load:
         """The load as reported with each answer."""
-        running = self._busy + len(self._queue)
+        running = self._shares.held + len(self._queue)
         return Load(running, self._queue.cost, self._token_rate)
 
-    def configure(self, slots: int, retention: float, now: float) -> list[Effect]:
-        """Take the endpoint's part of a new configuration."""
+    def configure(
+        self, slots: int, retention: float, honours_priorities: bool, now: float
+    ) -> list[Effect]:
+        """Take the endpoint's part of a new configuration.
+
+        :param honours_priorities: whether the endpoint lets a call of low priority
+            wait for one of high priority.
+        """
         self._slots = slots
+        self._shares.overcommit = ENGINE_OVERCOMMIT if honours_priorities else 1
         self._book.configure(retention)
         return self._dispatch(now)
 
@@ -368,6 +378,7 @@
             report = []
         steps = self._book.flush(now) if self._leaving else self._book.tick(now)
         effects = report + self._follow(steps, now)
+        self._shares.forget_idle(now)
         for run in self._ledger.expire(now):
             effects += self._forget(run, now)
         overdue = [
@@ -409,6 +420,7 @@
         if active is not None:
             return self._join(active, attempt, call)
         run = self._new_run(attempt, call, digest)
+        self._shares.note_call(call.customer, call.weight, now)
         reason = self._refusal_reason(call, message.patient, now)
         if reason is not None:
             return self._drop(run, reason, now)
@@ -435,7 +447,7 @@
     def _refusal_reason(self, call: Call, patient: bool, now: float) -> Reason | None:
         if self._leaving:
             return Reason.LEAVING
-        if not patient and (self._busy >= self._slots or len(self._queue)):
+        if not patient and not self._has_room_for(call):
             return Reason.BUSY
         waiting = self._queue.cost_of(call.customer)
         if waiting + call.cost > QUEUED_COST_LIMIT:
@@ -444,24 +456,34 @@
             return Reason.DEADLINE
         return None
 
+    def _has_room_for(self, call: Call) -> bool:
+        """Tell whether a call would begin at once."""
+        is_first = self._queue.cost_of(call.customer) == 0
+        return is_first and self._may_take(call.customer)
+
     def _expected_wait(self, call: Call) -> float:
-        if self._busy < self._slots or self._token_rate <= 0:
+        if self._shares.held < self._slots or self._token_rate <= 0:
             return 0.0
         ahead = self._queue.cost_ahead(call.customer, call.weight, call.cost)
         return ahead / self._token_rate
 
     def _dispatch(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        while len(self._queue) and self._busy < self._slots and not self._leaving:
-            run = self._queue.pop()
+        while not self._leaving:
+            run = self._queue.pop(self._may_take)
+            if run is None:
+                break
             if run.call.start_by <= now:
                 effects += self._drop(run, Reason.DEADLINE, now)
                 continue
-            self._busy += 1
+            run.priority = self._shares.take(run.call.customer, self._slots)
             run.holds_slot = True
             effects += self._claim(run, now) if run.digest else self._begin(run, now)
         return effects
 
+    def _may_take(self, customer: str) -> bool:
+        return self._shares.may_take(customer, self._slots)
+
     def _claim(self, run: Run, now: float) -> list[Effect]:
         run.state = RunState.CLAIMING
         call = run.call
@@ -511,7 +533,7 @@
         effects: list[Effect] = [
             self._reply(each, Begun(each)) for each in run.subscribers
         ]
-        return [*effects, StartCall(run.run_id, run.call)]
+        return [*effects, StartCall(run.run_id, run.call, run.priority)]
 
     def _answer_from_journal(
         self, run: Run, standing: Claim, now: float
@@ -568,7 +590,7 @@
         if not run.holds_slot:
             return []
         run.holds_slot = False
-        self._busy -= 1
+        self._shares.give_back(run.call.customer, run.priority)
         return self._dispatch(now)
 
     def _detach(self, run: Run) -> None:
@@ -598,7 +620,7 @@
     def _learn_rate(self, run: Run, now: float) -> None:
         tokens = max(len(run.chunks), 1)
         elapsed = max(now - run.begun_at, 1e-3)
-        observed = tokens / elapsed * max(self._busy, 1)
+        observed = tokens / elapsed * max(self._shares.held, 1)
         if self._token_rate == 0.0:
             self._token_rate = observed
         else:
--- a/src/cyclamenyoke/core/fair_queue.py
+++ b/src/cyclamenyoke/core/fair_queue.py
@@ -9,12 +9,17 @@
 
 import heapq
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
 
 
+def _anybody(customer: str) -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Entry(Generic[T]):
     """One queued item.
@@ -101,23 +106,32 @@
         if len(backlog.entries) == 1:
             heapq.heappush(self._heads, (start_tag, customer))
 
-    def pop(self) -> T:
-        """Remove and return the next item in fair order.
+    def pop(self, may_take: Callable[[str], bool] = _anybody) -> T | None:
+        """Remove and return the next item in fair order, or ``None``.
 
-        :raises IndexError: when the queue is empty.
+        :param may_take: tells whether an item of a customer may be taken now;
+            other customers are passed over.
         """
-        while True:
+        passed_over: list[tuple[float, str]] = []
+        item: T | None = None
+        while self._heads and item is None:
             start_tag, customer = heapq.heappop(self._heads)
             backlog = self._backlogs.get(customer)
             if backlog is None or not backlog.entries:
                 continue
-            if backlog.entries[0].start_tag == start_tag:
-                break
-        entry = backlog.entries[0]
-        self._virtual_time = max(self._virtual_time, start_tag)
-        self._take(customer, backlog, entry)
+            entry = backlog.entries[0]
+            if entry.start_tag != start_tag:
+                continue
+            if not may_take(customer):
+                passed_over.append((start_tag, customer))
+                continue
+            self._virtual_time = max(self._virtual_time, start_tag)
+            self._take(customer, backlog, entry)
+            item = entry.item
+        for head in passed_over:
+            heapq.heappush(self._heads, head)
         self._forget_idle()
-        return entry.item
+        return item
 
     def remove(self, customer: str, item: T) -> bool:
         """Remove an item that is no longer wanted; tell whether it waited."""
--- a/src/cyclamenyoke/daemon/agent.py
+++ b/src/cyclamenyoke/daemon/agent.py
@@ -22,7 +22,6 @@
 from cyclamenyoke.core.claims import ReadSlot, WriteSlot
 from cyclamenyoke.core.messages import (
     Acknowledge,
-    Call,
     Execute,
     Reason,
     Resume,
@@ -141,10 +140,12 @@
     """A newer configuration is in force.
 
     :param retention: seconds after its issue for which a key is remembered.
+    :param honours_priorities: whether the endpoint is a model engine.
     """
 
     slots: int
     retention: float
+    honours_priorities: bool
 
 
 class AgentDaemon:
@@ -210,9 +211,9 @@
         """The agent's decisions."""
         return self._core
 
-    def configure(self, slots: int, retention: float) -> None:
+    def configure(self, event: Configure) -> None:
         """Take the endpoint's part of a new configuration."""
-        self._inbox.put_nowait(Configure(slots, retention))
+        self._inbox.put_nowait(event)
 
     async def run(self) -> None:
         """Serve entries until cancelled."""
@@ -327,7 +328,9 @@
         return self._core.drain(self._clock.now())
 
     def _on_configure(self, event: Configure) -> list[Effect]:
-        return self._core.configure(event.slots, event.retention, self._clock.now())
+        return self._core.configure(
+            event.slots, event.retention, event.honours_priorities, self._clock.now()
+        )
 
     def _reply(self, effect: Reply) -> None:
         stream = self._streams.get(effect.entry)
@@ -339,7 +342,7 @@
             stream.send(effect.message)
 
     def _start_call(self, effect: StartCall) -> None:
-        task = asyncio.create_task(self._run_call(effect.run_id, effect.call))
+        task = asyncio.create_task(self._run_call(effect))
         self._runs[effect.run_id] = task
         self._keep(task)
 
@@ -361,10 +364,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _run_call(self, run_id: int, call: Call) -> None:
+    async def _run_call(self, effect: StartCall) -> None:
+        run_id, call = effect.run_id, effect.call
         error: EndpointError | None = None
         try:
-            async for event in self._endpoint.run(call):
+            async for event in self._endpoint.run(call, effect.priority):
                 self._inbox.put_nowait(RunEvent(run_id, event))
         except EndpointError as caught:
             error = caught
--- a/src/cyclamenyoke/daemon/node.py
+++ b/src/cyclamenyoke/daemon/node.py
@@ -11,7 +11,7 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.agent import AgentCore
-from cyclamenyoke.core.config import ConfigStore
+from cyclamenyoke.core.config import ConfigStore, ServiceKind
 from cyclamenyoke.core.gossip import GossipCore, NodeInfo
 from cyclamenyoke.core.invariants import CountingMonitor, Promise
 from cyclamenyoke.core.units import HOUR, SECOND
@@ -152,7 +152,7 @@
     async def _start_agent(
         self, configuration: ConfigurationTask
     ) -> list[asyncio.Task[None]]:
-        from cyclamenyoke.daemon.agent import AgentDaemon
+        from cyclamenyoke.daemon.agent import AgentDaemon, Configure
 
         settings = self._settings.agent
         assert settings is not None
@@ -180,7 +180,8 @@
             service = configuration.config.services.get(settings.service)
             for each in service.all_endpoints if service else []:
                 if each.name == settings.endpoint and service is not None:
-                    agent.configure(each.slots, service.retention)
+                    is_engine = service.kind is ServiceKind.MODEL
+                    agent.configure(Configure(each.slots, service.retention, is_engine))
 
         self._on_change = configure
         self._drain = agent.drain
--- a/src/cyclamenyoke/ports/endpoint.py
+++ b/src/cyclamenyoke/ports/endpoint.py
@@ -41,7 +41,7 @@
     """Runs calls on an endpoint."""
 
     @abstractmethod
-    def run(self, call: Call) -> AsyncIterator[EndpointEvent]:
+    def run(self, call: Call, priority: int) -> AsyncIterator[EndpointEvent]:
         """Run a call; the iterator ends when the answer is whole.
 
         Cancelling the iteration cancels the endpoint's work.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -231,6 +231,8 @@
             self.soak.monitor,
             self.soak.world.random,
         )
+        is_engine = self.service == "reports"
+        self.core.configure(SLOTS, RETENTION, is_engine, self.now)
         self.soak.world.at(TICK, lambda i=self.incarnation: self.tick(i))
         self.links = set()
 
