Ask around before a start, and give up callers that do not read

Cause: a daemon that starts anew could run an older configuration than others already run, and an entry without one answered 404; a caller that does not read held its whole answer in the entry's memory. Change: nothing comes into force before seeds and platform were asked once (3 s at most); an entry without a configuration refuses with 503; a request with 4,096 unread parts is given up and its engine's work cancelled. Library logs become JSON lines.

--- a/src/cyclamenyoke/adapters/logs.py
+++ b/src/cyclamenyoke/adapters/logs.py
@@ -1,10 +1,12 @@
 """Structured logs: one JSON object a line, through logbook."""
 
+import logging
 import sys
 from typing import Any, TextIO
 
 import msgspec
 from logbook import Logger, StreamHandler, lookup_level
+from logbook.compat import RedirectLoggingHandler
 
 _LINE = msgspec.json.Encoder(enc_hook=str)
 
@@ -24,13 +26,19 @@
 
 
 def install_logs(level: str, stream: TextIO = sys.stderr) -> None:
-    """Send the logs of this process to a stream.
+    """Send the logs of this process to a stream, those of its libraries, too.
+
+    uvicorn's own log is left out: it reports each answer that is cut on purpose.
 
     :param level: the name of the lowest level that is written.
     """
     handler = StreamHandler(stream, level=lookup_level(level.upper()))
     handler.formatter = _format_line
     handler.push_application()
+    root = logging.getLogger()
+    root.handlers = [RedirectLoggingHandler()]
+    root.setLevel(logging.WARNING)
+    logging.getLogger("uvicorn.error").disabled = True
 
 
 class Log:
--- a/src/cyclamenyoke/daemon/callers.py
+++ b/src/cyclamenyoke/daemon/callers.py
@@ -195,6 +195,9 @@
             if self._is_leaving():
                 await sink.refuse_leaving([each.address for each in self._entries()])
                 return
+            if not self._services():
+                detail = "this entry has no configuration yet"
+                raise RejectedCall(503, "starting", detail)
             body = await _read_body(receive)
             request = CallRequest(scope, body, request_id, received_at)
             prepared = prepare(request)
@@ -225,6 +228,8 @@
             state=core.state.value,
             seconds=round(self._clock.now() - sink.received_at, 6),
         )
+        if not sink.is_ended:
+            raise ConnectionAbortedError("caller is gone or reads too slowly")
 
     def _observe(
         self, prepared: "PreparedCall", state: RequestState, sink: "HttpSink"
@@ -405,6 +410,7 @@
         self._last_part_at = 0.0
         self._event_stream = False
         self.keyed = False
+        self.is_ended = False
         self.first_part_after = 0.0
         self.longest_gap = 0.0
 
@@ -432,6 +438,7 @@
         )
 
     async def end(self) -> None:
+        self.is_ended = True
         await self._send({"type": "http.response.body", "body": b""})
 
     async def refuse(self, effect: Refuse) -> None:
@@ -445,6 +452,7 @@
             earlier="unknown" if self.keyed else "",
             retry_after=round(effect.retry_after, 3),
         )
+        self.is_ended = True
         if effect.delivered:
             await self._mark_failed(problem)
         else:
--- a/src/cyclamenyoke/daemon/configuration.py
+++ b/src/cyclamenyoke/daemon/configuration.py
@@ -46,11 +46,11 @@
 PUSH_DELAY = 20 * MILLISECOND
 """Mean seconds before a node pushes what it has just learned."""
 
-WATCH_TIME = 20 * SECOND
-"""Seconds that one watch waits for a change."""
-
 VOLUNTEER_INTERVAL = 5 * SECOND
-"""Seconds between two looks at who watches the platform."""
+"""Seconds of one watch, and between two looks at who watches the platform."""
+
+START_TIME = 3 * SECOND
+"""Seconds for which a node asks around before it runs what it has heard."""
 
 FETCH_TRIES = 3
 """Peers that are asked for missing blobs before the next exchange."""
@@ -112,6 +112,7 @@
         self._on_change = on_change
         self._push = asyncio.Event()
         self._revision = 0
+        self._started = False
         self._handlers: dict[type, Callable[..., GossipMessage]] = {
             Offer: self._core.on_offer,
             Transfer: self._core.on_transfer,
@@ -149,12 +150,30 @@
             self._on_new_configuration()
 
     async def run(self) -> None:
-        """Exchange and watch until cancelled."""
+        """Exchange and watch until cancelled.
+
+        Nothing is put into force before the seeds and the platform were asked
+        once, so that a node that starts anew does not run what it heard first
+        and others have left behind.
+        """
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._server.serve(self._answer))
+            await self._ask_everyone_once()
             tasks.create_task(self._exchange_forever())
             tasks.create_task(self._watch_forever())
 
+    async def _ask_everyone_once(self) -> None:
+        try:
+            async with asyncio.timeout(START_TIME):
+                for seed in self._seeds:
+                    await self._exchange(seed)
+                await self._watch_once(self._clock.now())
+        except (TimeoutError, PlatformUnavailable) as error:
+            self._log.warning("started without the platform", error=str(error))
+        self._started = True
+        if self._config.generation:
+            self._on_new_configuration()
+
     async def _answer(self, message: GossipMessage) -> GossipMessage | None:
         question = self._questions.get(type(message))
         if question is not None:
@@ -202,8 +221,6 @@
         return {own: newest, **dict(zip(others, answers, strict=True))}
 
     async def _exchange_forever(self) -> None:
-        for seed in self._seeds:
-            await self._exchange(seed)
         while True:
             await self._pause()
             now = self._clock.now()
@@ -271,6 +288,8 @@
         index = self._config.index
         self._core.put_config(index.generation, msgspec.json.encode(index))
         self._push.set()
+        if not self._started:
+            return
         self._metrics.gauge("config_generation", index.generation)
         self._log.info("configuration in force", generation=index.generation)
         self._on_change()
@@ -282,15 +301,14 @@
                 await asyncio.sleep(VOLUNTEER_INTERVAL * self._random.uniform(0.8, 1.2))
                 continue
             try:
-                await self._watch_once()
+                await self._watch_once(self._clock.now() + VOLUNTEER_INTERVAL)
                 delay = BACKOFF_START
             except PlatformUnavailable as error:
                 self._log.warning("platform unavailable", error=str(error))
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.5))
                 delay = min(BACKOFF_LIMIT, delay * 2)
 
-    async def _watch_once(self) -> None:
-        deadline = self._clock.now() + min(WATCH_TIME, VOLUNTEER_INTERVAL)
+    async def _watch_once(self, deadline: float) -> None:
         found = await self._store.watch(INDEX_KEY, self._revision, deadline)
         if found.value is None or found.revision <= self._revision:
             return
--- a/src/cyclamenyoke/daemon/requests.py
+++ b/src/cyclamenyoke/daemon/requests.py
@@ -83,6 +83,9 @@
     """A deadline may have passed."""
 
 
+UNREAD_LIMIT = 4096
+"""Parts of an answer that may wait for a slow caller before it is given up."""
+
 Mailbox = asyncio.Queue[object]
 
 
@@ -108,7 +111,7 @@
         self._clock = clock
         self._metrics = metrics
         self._mailboxes: dict[AttemptId, Mailbox] = {}
-        self._requests: set[Mailbox] = set()
+        self._requests: dict[Mailbox, asyncio.Task[None]] = {}
         self._send: Callable[[str, ToAgent], None] = lambda agent, message: None
 
     @property
@@ -139,6 +142,8 @@
             mailbox = self._mailboxes.get(message.attempt)  # type: ignore[union-attr]
             if mailbox is not None:
                 mailbox.put_nowait(message)
+                if mailbox.qsize() > UNREAD_LIMIT:
+                    self._requests[mailbox].cancel()
 
     async def carry(
         self, call: Call, streaming: bool, sink: AnswerSink, mailbox: Mailbox
@@ -152,11 +157,17 @@
             call, streaming, self._router, self._numbers, self._budget, self._monitor
         )
         task = _RequestTask(core, mailbox, sink, self._clock, self._handle_send)
-        self._requests.add(mailbox)
+        running = asyncio.create_task(task.run())
+        self._requests[mailbox] = running
         try:
-            await task.run()
+            await running
+        except asyncio.CancelledError:
+            if not running.cancelled():
+                raise
+            self._metrics.count("callers_too_slow")
         finally:
-            self._requests.discard(mailbox)
+            running.cancel()
+            del self._requests[mailbox]
             for effect in core.on_caller_gone(self._clock.now()):
                 if isinstance(effect, Send):
                     self._send(effect.agent, effect.message)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -3,6 +3,7 @@
 import json
 import re
 import signal
+import socket
 import threading
 import time
 import uuid
@@ -308,3 +309,37 @@
     for caller in callers:
         caller.join()
     assert [answer.text.count("data: ") for answer in answers] == [4] * 4
+
+
+def test_vanished_caller_cancels_the_engines_work(fleet):
+    address = fleet.deployment.entry_settings[0].callers
+    body = {"model": MODEL, "stream": True, "max_tokens": 2000}
+    headers = {"Authorization": f"Bearer {customer_key('siam-north')}"}
+    url = f"http://{address}{CHAT}"
+    with httpx.stream("POST", url, json=body, headers=headers) as response:
+        next(response.iter_lines())
+    wait_until(
+        lambda: all(a.in_flight == 0 for a in agents(fleet)), "work is cancelled"
+    )
+
+
+def test_caller_that_does_not_read_is_given_up(fleet):
+    host, port = fleet.deployment.entry_settings[0].callers.split(":")
+    body = json.dumps({"model": MODEL, "stream": True, "max_tokens": 60_000})
+    with socket.create_connection((host, int(port))) as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.sendall(
+            f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+            f"Authorization: Bearer {customer_key('siam-north')}\r\n\r\n{body}".encode()
+        )
+        wait_until(lambda: any(a.in_flight for a in agents(fleet)), "call begins")
+        wait_until(lambda: not any(a.in_flight for a in agents(fleet)), "it ends", 60)
+
+
+def test_large_body_is_refused(fleet, snapshot):
+    body = {"model": MODEL, "prompt": "x" * 2_000_000}
+    assert transcript(fleet.call(0, CHAT, body)) == snapshot
+
+
+def agents(fleet: Fleet):
+    return fleet.operators.status().agents
