Link each entry to a subset of engines, and pace load reports

Change: an entry uses the 24 engines of each model that rank first for its name (plain services whole); an agent sends at most 30 reports a second in all; peers are drawn from kept lists; a void claim is told without building a set.

--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -63,7 +63,10 @@
 """Seconds for which a run without a connected entry goes on."""
 
 REPORT_INTERVAL = 1 * SECOND
-"""Seconds between two load reports to the connected entries."""
+"""Shortest time in seconds between two load reports to the connected entries."""
+
+REPORTS_A_SECOND = 30
+"""Load reports that an agent sends a second, to all entries together."""
 
 QUEUED_COST_LIMIT = 200_000.0
 """Estimated tokens that one customer may have waiting at one agent."""
@@ -181,6 +184,7 @@
         self._leaving = False
         self._token_rate = 0.0
         self._report_at = 0.0
+        self._connected: set[str] = set()
 
     @property
     def agent(self) -> str:
@@ -278,11 +282,13 @@
     def on_connected(self, entry: str) -> list[Effect]:
         """Note that an entry is connected."""
         self._ledger.connect(entry)
+        self._connected.add(entry)
         return []
 
     def on_disconnected(self, entry: str, now: float) -> list[Effect]:
         """Note that an entry's connection broke; its runs go on for a while."""
         self._ledger.disconnect(entry, now + RESUME_GRACE)
+        self._connected.discard(entry)
         return []
 
     def on_head(self, run_id: int, status: int, content_type: str) -> list[Effect]:
@@ -372,7 +378,8 @@
     def tick(self, now: float) -> list[Effect]:
         """Retry the journal, refuse overdue calls, forget lost entries."""
         if now >= self._report_at:
-            self._report_at = now + REPORT_INTERVAL
+            interval = len(self._connected) / REPORTS_A_SECOND
+            self._report_at = now + max(REPORT_INTERVAL, interval)
             report: list[Effect] = [Broadcast(LoadReport(self.load))]
         else:
             report = []
--- a/src/cyclamenyoke/core/claims.py
+++ b/src/cyclamenyoke/core/claims.py
@@ -407,8 +407,8 @@
         if claim.claim_id in slot.abandoned:
             return True
         own = (claim.agent, claim.incarnation) == (self._agent, self._incarnation)
-        unused = claim.claim_id not in self._granted.keys() | slot.wishes.keys()
-        return own and claim.state is ClaimState.CLAIMED and unused
+        is_used = claim.claim_id in self._granted or claim.claim_id in slot.wishes
+        return own and claim.state is ClaimState.CLAIMED and not is_used
 
     def _write(self, slot: Slot, now: float) -> Iterator[Step]:
         journal = self._next_journal(slot, now)
--- a/src/cyclamenyoke/core/gossip.py
+++ b/src/cyclamenyoke/core/gossip.py
@@ -55,6 +55,9 @@
 SUSPECT_LIMIT = 10 * MINUTE
 """Longest time in seconds for which a peer is not chosen."""
 
+PICKS = 8
+"""Peers that are looked at for one that answers."""
+
 MAX_RECORDS = 200
 """Records in one message at most; the next exchange carries the rest."""
 
@@ -208,6 +211,8 @@
         self._suspect_for: dict[str, float] = {}
         self._learned: list[Record] = []
         self._refresh_at = 0.0
+        self._near: list[str] | None = None
+        self._far: list[str] | None = None
         self._recent: deque[str] = deque(maxlen=PUSHES)
         self.announce(info, now)
 
@@ -295,26 +300,34 @@
         News goes to other peers than the last ones, so that its pushes are not
         spent on one neighbour; without news, near peers are preferred.
         """
-        peers = {
-            name: node
-            for name, node in self._nodes.items()
-            if name != self._name and self._suspected.get(name, 0.0) <= now
-        }
-        unused = {name: peers[name] for name in peers if name not in self._recent}
-        peers = unused or peers
-        if not peers:
-            return None
         share = LOCAL_SHARE_OF_PUSHES if self._hot else LOCAL_SHARE
-        wants_near = self._random.random() < share
-        here = self._info.data_centre
-        pool = [
-            name
-            for name, node in peers.items()
-            if (node.data_centre == here) is wants_near
-        ]
-        chosen = self._random.choice(pool or list(peers))
+        near, far = self._peer_names()
+        pools = [near, far] if self._random.random() < share else [far, near]
+        chosen = next(filter(None, (self._pick(pool, now) for pool in pools)), None)
+        if chosen is None:
+            return None
         self._recent.append(chosen)
-        return peers[chosen]
+        return self._nodes[chosen]
+
+    def _pick(self, pool: list[str], now: float) -> str | None:
+        """Return a random peer that answers, rather not one of the last ones."""
+        fallback = None
+        for name in self._random.sample(pool, min(PICKS, len(pool))):
+            if self._suspected.get(name, 0.0) > now:
+                continue
+            if name not in self._recent:
+                return name
+            fallback = name
+        return fallback
+
+    def _peer_names(self) -> tuple[list[str], list[str]]:
+        """Return the peers in this data centre and those elsewhere."""
+        if self._near is None or self._far is None:
+            here = self._info.data_centre
+            peers = {n: node for n, node in self._nodes.items() if n != self._name}
+            self._near = [n for n, node in peers.items() if node.data_centre == here]
+            self._far = [n for n, node in peers.items() if node.data_centre != here]
+        return self._near, self._far
 
     def on_unreachable(self, control: str, now: float) -> None:
         """Note that a peer did not answer."""
@@ -419,6 +432,7 @@
         if is_news:
             self._hot[key] = self._held[key]
         if record.kind is Kind.NODE:
+            self._near = self._far = None
             self._nodes[record.name] = msgspec.msgpack.decode(
                 record.payload, type=NodeInfo
             )
@@ -431,6 +445,7 @@
         self._hot.pop(key, None)
         self._digests[_bucket(key)] ^= _digest(held.record)
         if held.record.kind is Kind.NODE:
+            self._near = self._far = None
             self._nodes.pop(held.record.name, None)
             self._suspected.pop(held.record.name, None)
             self._suspect_for.pop(held.record.name, None)
--- a/src/cyclamenyoke/core/routing.py
+++ b/src/cyclamenyoke/core/routing.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from cyclamenyoke.core.config import Endpoint
+from cyclamenyoke.core.config import Endpoint, Service, ServiceKind
 from cyclamenyoke.core.journal import key_digest, slot_name
 from cyclamenyoke.core.messages import Call, Load
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -51,6 +51,23 @@
 """Seconds added to the score of an agent in another data centre."""
 
 
+SUBSET = 24
+"""Engines of one service that one entry is linked to at most."""
+
+
+def choose_subset(service: Service, entry: str) -> list[Endpoint]:
+    """Return the endpoints of a service that one entry uses.
+
+    Each entry takes the engines that rank first for its name, so that every engine
+    has about as many entries, and a change of the engines moves few links. A plain
+    service is used whole: any key may belong to any of its endpoints.
+    """
+    endpoints = service.all_endpoints
+    if service.kind is ServiceKind.PLAIN or len(endpoints) <= SUBSET:
+        return endpoints
+    return sorted(endpoints, key=lambda endpoint: _rank(entry, endpoint.name))[:SUBSET]
+
+
 class CircuitState(enum.Enum):
     """Whether calls go to an agent."""
 
@@ -147,6 +164,10 @@
             for endpoint in group
         }
 
+    def knows(self, agent: str) -> bool:
+        """Tell whether this entry uses an agent."""
+        return agent in self._service_of
+
     def view(self, agent: str) -> AgentView:
         """Return what is known of an agent.
 
@@ -282,8 +303,10 @@
 
 
 def _rendezvous(name: str, views: list[AgentView]) -> list[AgentView]:
-    def rank(view: AgentView) -> bytes:
-        text = f"{name}\0{view.endpoint.name}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
+    return sorted(views, key=lambda view: _rank(name, view.endpoint.name))
+
 
-    return sorted(views, key=rank)
+def _rank(name: str, endpoint: str) -> bytes:
+    """Return the place of an endpoint in the order that belongs to a name."""
+    text = f"{name}\0{endpoint}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/cyclamenyoke/daemon/entry.py
+++ b/src/cyclamenyoke/daemon/entry.py
@@ -11,7 +11,7 @@
 from cyclamenyoke.core.invariants import InvariantMonitor
 from cyclamenyoke.core.request import AttemptNumbers
 from cyclamenyoke.core.retry import RetryBudget
-from cyclamenyoke.core.routing import Router
+from cyclamenyoke.core.routing import Router, choose_subset
 from cyclamenyoke.core.units import MILLISECOND
 from cyclamenyoke.daemon.callers import CallersApi, EntryAddress
 from cyclamenyoke.daemon.configuration import ConfigurationTask
@@ -93,16 +93,13 @@
 
     def configure(self) -> None:
         """Take the configuration that is now in force."""
-        services = self._services()
-        self._router.configure(
-            {name: service.all_endpoints for name, service in services.items()}
-        )
+        used = {
+            name: choose_subset(service, self._settings.name)
+            for name, service in self._services().items()
+        }
+        self._router.configure(used)
         self._links.configure(
-            {
-                endpoint.name: endpoint
-                for service in services.values()
-                for endpoint in service.all_endpoints
-            }
+            {each.name: each for endpoints in used.values() for each in endpoints}
         )
 
     async def start(self) -> None:
--- a/src/cyclamenyoke/daemon/operators.py
+++ b/src/cyclamenyoke/daemon/operators.py
@@ -156,6 +156,7 @@
             self._agent_status(service.service, endpoint.name)
             for service in config.services.values()
             for endpoint in service.all_endpoints
+            if self._router.knows(endpoint.name)
         ]
         return Status(self._name, config.generation, self._active(), nodes, agents)
 
