Pass over agents that do not react

Cause: with VMs that pause as the only fault, 13% of the orders ended unknown: an entry waited for a paused agent until the deadline, and went on choosing it. Change: an agent acknowledges a call that waits; an entry that sees no reaction in 0.4 s tries another agent and revokes; an agent that misses 2.5 load reports is not chosen.

--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -52,6 +52,7 @@
     Load,
     LoadReport,
     NotRun,
+    Queued,
     Reason,
     Resume,
     Revoke,
@@ -379,8 +380,9 @@
         """Retry the journal, refuse overdue calls, forget lost entries."""
         if now >= self._report_at:
             interval = len(self._connected) / REPORTS_A_SECOND
-            self._report_at = now + max(REPORT_INTERVAL, interval)
-            report: list[Effect] = [Broadcast(LoadReport(self.load))]
+            interval = max(REPORT_INTERVAL, interval)
+            self._report_at = now + interval
+            report: list[Effect] = [Broadcast(LoadReport(self.load, interval))]
         else:
             report = []
         steps = self._book.flush(now) if self._leaving else self._book.tick(now)
@@ -432,7 +434,10 @@
         if reason is not None:
             return self._drop(run, reason, now)
         self._queue.push(call.customer, call.weight, call.cost, run)
-        return self._dispatch(now)
+        effects = self._dispatch(now)
+        if run.state in NOT_BEGUN:
+            effects.append(self._reply(attempt, Queued(attempt)))
+        return effects
 
     def _new_run(self, attempt: AttemptId, call: Call, digest: str) -> Run:
         self._next_run += 1
@@ -643,6 +648,8 @@
         if run.state is RunState.BROKEN or attempt not in run.subscribers:
             yield self._reply(attempt, Broken(attempt, Reason.ENDPOINT_FAILED))
             return
+        if run.state in NOT_BEGUN:
+            yield self._reply(attempt, Queued(attempt))
         if run.state is RunState.RUNNING:
             yield self._reply(attempt, Begun(attempt))
         if run.head is not None and next_sequence == 0:
--- a/src/cyclamenyoke/core/messages.py
+++ b/src/cyclamenyoke/core/messages.py
@@ -38,6 +38,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     LINK_LOST = "link_lost"
+    SILENT = "agent_silent"
     NO_ENDPOINT = "no_endpoint"
     CALLER_GONE = "caller_gone"
     WRONG_ANSWER = "answer_not_own"
@@ -191,6 +192,12 @@
     attempt: AttemptId
 
 
+class Queued(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """The agent has the call, which waits for a slot or for the journal."""
+
+    attempt: AttemptId
+
+
 class HeldElsewhere(msgspec.Struct, frozen=True, array_like=True, tag=16):
     """Another agent's claim on the key stands in the journal, without outcome.
 
@@ -204,9 +211,13 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=18):
-    """The agent's load, sent now and then to every connected entry."""
+    """The agent's load, sent now and then to every connected entry.
+
+    :param next_in: seconds until the next one.
+    """
 
     load: Load
+    next_in: float
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True, tag=17):
@@ -248,6 +259,7 @@
     | Broken
     | NotRun
     | Begun
+    | Queued
     | HeldElsewhere
     | Leaving
     | LoadReport
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -35,6 +35,7 @@
     Head,
     HeldElsewhere,
     NotRun,
+    Queued,
     Reason,
     Resume,
     Revoke,
@@ -50,6 +51,9 @@
 MAX_BUSY = 2
 """Agents that may send a request back as busy before it waits at one of them."""
 
+REACTION_WAIT = 400 * MILLISECOND
+"""Seconds within which an agent must show that it has a call."""
+
 RECONNECT_GRACE = 250 * MILLISECOND
 """Seconds to wait for a broken link before another agent is tried."""
 
@@ -110,6 +114,7 @@
     sent_at: float
     state: AttemptState = AttemptState.SENT
     was_busy: bool = False
+    has_reacted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +259,7 @@
         self._refusal = (Reason.NO_ENDPOINT, DEFAULT_RETRY_AFTER)
         self._handlers: dict[type, Callable[..., list[Effect]]] = {
             Begun: self._on_begun,
+            Queued: self._on_queued,
             Head: self._on_head,
             Chunk: self._on_chunk,
             Finished: self._on_finished,
@@ -297,6 +303,9 @@
         attempt = self._attempts.get(message.attempt)  # type: ignore[union-attr]
         if attempt is None or self.is_final:
             return []
+        if attempt is self._current and not attempt.has_reacted:
+            self._wake_at = max(self._wake_at, self._call.deadline)
+        attempt.has_reacted = True
         return self._handlers[type(message)](attempt, message, now)
 
     def on_link_down(self, agent: str, now: float) -> list[Effect]:
@@ -333,6 +342,8 @@
             return self._try_holder(now)
         if self._current_state() is AttemptState.LOST:
             return self._replace(Reason.LINK_LOST, now)
+        if self._current is not None and not self._current.has_reacted:
+            return self._pass_over_silent(self._current, now)
         return []
 
     def on_caller_gone(self, now: float) -> list[Effect]:
@@ -362,6 +373,18 @@
             return self._give_up(*self._refusal, now)
         return self._hand_over(agent, True, now)
 
+    def _pass_over_silent(self, silent: Attempt, now: float) -> list[Effect]:
+        """Try another agent when one does not react, if there is another."""
+        self._router.on_silent(silent.agent, now)
+        tried = {attempt.agent for attempt in self._attempts.values()}
+        if self._router.choose(self._call, tried, now) is None:
+            return []
+        self._refusal = (Reason.SILENT, DEFAULT_RETRY_AFTER)
+        effects = self._try_next(now)
+        floor = self._numbers.floor
+        revoke = Revoke(silent.attempt_id, floor, silent.incarnation)
+        return [*effects, Send(silent.agent, revoke)]
+
     def _tries(self) -> int:
         return sum(not attempt.was_busy for attempt in self._attempts.values())
 
@@ -372,7 +395,7 @@
         self._attempts[attempt_id] = attempt
         self._current = attempt
         self._answer = Answer()
-        self._wake_at = self._call.deadline
+        self._wake_at = min(self._call.deadline, now + REACTION_WAIT)
         self._router.on_sent(agent)
         floor = self._numbers.floor
         execute = Execute(attempt_id, floor, incarnation, self._call, patient)
@@ -383,6 +406,9 @@
             attempt.state = AttemptState.BEGUN
         return []
 
+    def _on_queued(self, attempt: Attempt, message: Queued, now: float) -> list[Effect]:
+        return []
+
     def _on_head(self, attempt: Attempt, message: Head, now: float) -> list[Effect]:
         if attempt is not self._current or self._state is not RequestState.OPEN:
             return []
@@ -500,6 +526,7 @@
                 return []
             return self._replace(Reason.LINK_LOST, now)
         attempt.state = AttemptState.SENT
+        attempt.has_reacted = True
         floor = self._numbers.floor
         if attempt is not self._current or self._state is RequestState.SETTLING:
             revoke = Revoke(attempt.attempt_id, floor, attempt.incarnation)
--- a/src/cyclamenyoke/core/routing.py
+++ b/src/cyclamenyoke/core/routing.py
@@ -11,6 +11,7 @@
 
 import enum
 import hashlib
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -51,6 +52,9 @@
 """Seconds added to the score of an agent in another data centre."""
 
 
+REPORTS_MISSED = 2.5
+"""Report intervals after which an agent without a report counts as silent."""
+
 SUBSET = 24
 """Engines of one service that one entry is linked to at most."""
 
@@ -102,6 +106,7 @@
     :param in_flight: calls of this entry at the agent.
     :param spill: share of the calls for its prefixes that go elsewhere.
     :param retry_at: when an open circuit lets one call through.
+    :param silent_from: when an agent that reports no more counts as silent.
     """
 
     endpoint: Endpoint
@@ -114,6 +119,7 @@
     failures: int = 0
     circuit: CircuitState = CircuitState.CLOSED
     retry_at: float = 0.0
+    silent_from: float = math.inf
 
     @property
     def is_connected(self) -> bool:
@@ -186,6 +192,7 @@
         if view.incarnation != incarnation:
             view.in_flight = 0
         view.incarnation = incarnation
+        view.silent_from = math.inf
         view.leaving = leaving
         view.load = load
 
@@ -210,6 +217,17 @@
         """Take a load report that came with an answer."""
         self._views[agent].load = load
 
+    def on_heard(self, agent: str, silent_from: float) -> None:
+        """Note that an agent gave a sign of life.
+
+        :param silent_from: when it counts as silent without another one.
+        """
+        self._views[agent].silent_from = silent_from
+
+    def on_silent(self, agent: str, now: float) -> None:
+        """Note that an agent did not react to a call."""
+        self._views[agent].silent_from = now
+
     def on_load_report(self, agent: str, load: Load) -> None:
         """Take a load report that came by itself, at its regular time.
 
@@ -286,7 +304,7 @@
 
 
 def _is_usable(view: AgentView, now: float) -> bool:
-    if not view.is_connected or view.leaving:
+    if not view.is_connected or view.leaving or view.silent_from <= now:
         return False
     if view.circuit is CircuitState.OPEN and now >= view.retry_at:
         view.on_circuit(CircuitEvent.RETRY_TIME, now)
--- a/src/cyclamenyoke/daemon/requests.py
+++ b/src/cyclamenyoke/daemon/requests.py
@@ -33,7 +33,7 @@
     Send,
 )
 from cyclamenyoke.core.retry import RetryBudget
-from cyclamenyoke.core.routing import Router
+from cyclamenyoke.core.routing import REPORTS_MISSED, Router
 from cyclamenyoke.daemon.links import LinkListener
 from cyclamenyoke.ports.clock import Clock
 
@@ -138,6 +138,8 @@
                 continue
             if isinstance(message, LoadReport):
                 self._router.on_load_report(agent, message.load)
+                silent_from = self._clock.now() + REPORTS_MISSED * message.next_in
+                self._router.on_heard(agent, silent_from)
                 continue
             mailbox = self._mailboxes.get(message.attempt)  # type: ignore[union-attr]
             if mailbox is not None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -52,7 +52,7 @@
     Send,
 )
 from cyclamenyoke.core.retry import RetryBudget
-from cyclamenyoke.core.routing import Router
+from cyclamenyoke.core.routing import REPORTS_MISSED, Router
 
 SERVICES = {"reports": 3, "orders": 3}
 ENTRIES = 3
@@ -386,6 +386,7 @@
             return
         if isinstance(message, LoadReport):
             self.router.on_load_report(agent, message.load)
+            self.router.on_heard(agent, self.now + REPORTS_MISSED * message.next_in)
             return
         for core in list(self.requests.values()):
             if message.attempt in core.attempts:
