--- /dev/null
+++ b/benchmarks/experts.py
@@ -0,0 +1,175 @@
+"""Expert plans under drift: skew and moves against the usual practices.
+
+Baselines: never move, a full greedy re-plan every interval, and one whenever the
+skew passes a threshold. Counts are samples, one interval old. Run with
+``python benchmarks/experts.py --seed 1``.
+"""
+
+import argparse
+import math
+import time
+from collections.abc import Callable, Iterator
+from random import Random
+
+from cyclamenyoke.core.experts import (
+    CONSORTIUM,
+    WYVERN_AND_LANTERN,
+    Layer,
+    LayerPlanner,
+    Placement,
+    Weights,
+    even_placement,
+    full_plan,
+    moves_between,
+)
+
+RANKS = 128
+EXPERTS = 64
+SLOTS = 2
+INTERVALS = 150
+TOKENS = 100_000
+THRESHOLD = 0.15
+USERS = {"consortium": CONSORTIUM, "Wyvern & Lantern": WYVERN_AND_LANTERN}
+
+
+def popularity(random: Random) -> list[float]:
+    weights = [random.lognormvariate(0.0, 0.8) for _ in range(EXPERTS)]
+    total = sum(weights)
+    return [weight / total for weight in weights]
+
+
+def rotation(random: Random) -> Iterator[list[float]]:
+    """Popularity moves slowly from one mixture to another and back."""
+    first, second = popularity(random), popularity(random)
+    for interval in range(INTERVALS):
+        share = 0.5 - 0.5 * math.cos(2 * math.pi * interval / 100)
+        yield [(1 - share) * a + share * b for a, b in zip(first, second, strict=True)]
+
+
+def weekend(random: Random) -> Iterator[list[float]]:
+    """A strong swing for a part of the time, reached within ten intervals."""
+    first, second = popularity(random), popularity(random)
+    for interval in range(INTERVALS):
+        share = min(1.0, max(0.0, (interval % 75 - 40) / 10))
+        yield [(1 - share) * a + share * b for a, b in zip(first, second, strict=True)]
+
+
+def flip(random: Random) -> Iterator[list[float]]:
+    """Sudden changes of every expert."""
+    current = popularity(random)
+    for interval in range(INTERVALS):
+        if interval and interval % 50 == 0:
+            current = popularity(random)
+        yield current
+
+
+def noise(random: Random) -> Iterator[list[float]]:
+    """No drift; the counts alone vary."""
+    current = popularity(random)
+    for _ in range(INTERVALS):
+        yield current
+
+
+DRIFTS = [rotation, weekend, flip, noise]
+
+
+class Never:
+    def __init__(self, weights: Weights) -> None:
+        self.placement = even_placement(RANKS, SLOTS, EXPERTS)
+
+    def update(self, counts: list[float]) -> int:
+        return 0
+
+
+class FullEachInterval(Never):
+    def update(self, counts: list[float]) -> int:
+        new = full_plan(RANKS, SLOTS, counts)
+        moves = moves_between(self.placement, new)
+        self.placement = new
+        return moves
+
+
+class Threshold(FullEachInterval):
+    def update(self, counts: list[float]) -> int:
+        skew = Layer(self.placement, counts, [1.0] * RANKS).skew
+        return super().update(counts) if skew > THRESHOLD else 0
+
+
+class Planner:
+    def __init__(self, weights: Weights) -> None:
+        self.planner = LayerPlanner(RANKS, SLOTS, EXPERTS, weights)
+
+    @property
+    def placement(self) -> Placement:
+        return self.planner.placement
+
+    def update(self, counts: list[float]) -> int:
+        self.planner.observe(counts)
+        return len(self.planner.plan().moves)
+
+
+POLICIES = [Never, FullEachInterval, Threshold, Planner]
+
+
+def sample(random: Random, shares: list[float]) -> list[float]:
+    """Return the counts of one interval: the expectation with sampling noise."""
+    return [
+        max(0.0, random.gauss(TOKENS * share, math.sqrt(TOKENS * share)))
+        for share in shares
+    ]
+
+
+def run(
+    kind: type, drift: Callable, weights: Weights, seed: int
+) -> tuple[float, float, int, float]:
+    """Return mean and p95 skew, moves after the start, and seconds an update."""
+    random = Random(seed)
+    noises = Random(seed + 1)
+    policy = kind(weights)
+    skews = []
+    moves = 0
+    spent = 0.0
+    for interval, shares in enumerate(drift(random)):
+        loads = [TOKENS * share for share in shares]
+        if interval >= 10:
+            skews.append(Layer(policy.placement, loads, [1.0] * RANKS).skew)
+        started_at = time.process_time()
+        made = policy.update(sample(noises, shares))
+        spent += time.process_time() - started_at
+        if interval >= 10:
+            moves += made
+    skews.sort()
+    mean = sum(skews) / len(skews)
+    return mean, skews[int(0.95 * len(skews))], moves, spent / INTERVALS
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    print(
+        f"seed {options.seed}; one layer, {RANKS} ranks, {EXPERTS} experts,"
+        f" {SLOTS} slots; lower bound of the skew 0"
+    )
+    for user, weights in USERS.items():
+        for drift in DRIFTS:
+            print(f"{user}, {drift.__name__}")
+            results = {
+                kind.__name__: run(kind, drift, weights, options.seed)
+                for kind in POLICIES
+            }
+            ours, full = results["Planner"], results["FullEachInterval"]
+            for name, (mean, p95, moves, seconds) in results.items():
+                price = weights.skew * mean * 140 + weights.cost * moves
+                print(
+                    f"  {name:17} skew mean {mean:.3f} p95 {p95:.3f}, moves {moves:6},"
+                    f" price {price:7.1f}, {seconds * 1000:.1f} ms"
+                )
+            print(
+                f"  against the full plan: skew {ours[0] / full[0]:.2f},"
+                f" moves {ours[2] / max(1, full[2]):.3f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/leaving.py
@@ -0,0 +1,82 @@
+"""A planned stop under load: the last new work, and what is cut.
+
+Callers keep the address of one entry. One agent, then the entry itself, gets the
+signal while streams run. Run with
+``PYTHONPATH=tests python benchmarks/leaving.py``.
+"""
+
+import argparse
+import signal
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+
+import httpx
+
+from cyclamenyoke.standins.deployment import MODEL, Deployment
+from fleet import Fleet
+
+CHAT = "/v1/chat/completions"
+
+
+def call(fleet: Fleet, outcomes: Counter, tokens: int) -> None:
+    body = {"model": MODEL, "stream": True, "max_tokens": tokens}
+    try:
+        response = fleet.call(0, CHAT, body)
+    except httpx.ConnectError:
+        outcomes["connection refused"] += 1
+        return
+    if response.status_code == 200:
+        whole = response.text.count("data: ") == tokens + 1
+        outcomes["whole" if whole else "cut"] += 1
+    else:
+        outcomes[f"refused, ran: {response.json()['ran']}"] += 1
+
+
+def run(fleet: Fleet, name: str, rate: float, seconds: float) -> None:
+    outcomes: Counter = Counter()
+    threads = []
+    started_at = time.time()
+    stopped_at = 0.0
+    for number in range(int(rate * seconds)):
+        time.sleep(max(0.0, started_at + number / rate - time.time()))
+        if not stopped_at and time.time() - started_at > seconds / 2:
+            fleet.send(name, signal.SIGTERM)
+            stopped_at = time.time()
+        thread = threading.Thread(target=call, args=(fleet, outcomes, 100))
+        thread.start()
+        threads.append(thread)
+    for thread in threads:
+        thread.join()
+    code = fleet.wait(name)
+    engine = name.removeprefix("agent-")
+    begun = [
+        entry["begun_at"] - stopped_at
+        for settings in fleet.deployment.agent_settings
+        if settings.agent.endpoint == engine or name.startswith("entry")
+        for entry in fleet.client.get(settings.agent.url + "/stand-in/begun").json()
+        if entry["begun_at"] > started_at
+    ]
+    print(
+        f"{name}: exit code {code}, {dict(outcomes)};"
+        f" last new work {max(begun) * 1000:.0f} ms after the signal"
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rate", type=float, default=15.0)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        deployment = Deployment(Path(directory), entries=2, engines=2, plain=1)
+        with Fleet(deployment) as fleet:
+            fleet.start_all()
+            run(fleet, "agent-engine-1", options.rate, options.seconds)
+            run(fleet, "entry-1", options.rate, options.seconds)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cyclamenyoke/standins/endpoint.py
+++ b/src/cyclamenyoke/standins/endpoint.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -40,13 +41,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BegunCall:
-    """One call that the endpoint began."""
+    """One call that the endpoint began.
+
+    :param begun_at: in seconds of Unix time.
+    """
 
     request_id: str
     customer: str
     key: str
     method: str
     path: str
+    begun_at: float
 
 
 @dataclass(slots=True)
@@ -105,6 +110,7 @@
                 headers.get("idempotency-key", ""),
                 scope["method"],
                 path,
+                time.time(),
             )
         )
 
--- /dev/null
+++ b/tests/test_experts.py
@@ -0,0 +1,90 @@
+"""The expert planner."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cyclamenyoke.core.experts import (
+    CONSORTIUM,
+    WYVERN_AND_LANTERN,
+    Layer,
+    LayerPlanner,
+    align,
+    even_placement,
+    full_plan,
+    moves_between,
+)
+
+RANKS = 16
+EXPERTS = 8
+SLOTS = 2
+
+loads = st.lists(st.floats(0.0, 1e6), min_size=EXPERTS, max_size=EXPERTS)
+
+
+def skewed(seed: int) -> list[float]:
+    random = Random(seed)
+    return [1000 * random.lognormvariate(0.0, 0.8) for _ in range(EXPERTS)]
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(loads)
+def test_every_expert_keeps_a_replica(counts):
+    planner = LayerPlanner(RANKS, SLOTS, EXPERTS, CONSORTIUM)
+    planner.observe(counts)
+    plan = planner.plan()
+    held = {expert for slots in planner.placement for expert in slots}
+    assert held == set(range(EXPERTS))
+    assert all(len(slots) == SLOTS for slots in planner.placement)
+    assert plan.skew_after <= plan.skew_before
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(loads, loads)
+def test_aligned_plan_is_the_same_plan_with_fewer_moves(first, second):
+    old = full_plan(RANKS, SLOTS, first)
+    new = full_plan(RANKS, SLOTS, second)
+    aligned = align(old, new)
+    sets = [Counter(map(frozenset, plan)) for plan in (new, aligned)]
+    assert sets[0] == sets[1]
+    assert moves_between(old, aligned) <= RANKS * SLOTS
+
+
+@pytest.mark.parametrize("weights", [CONSORTIUM, WYVERN_AND_LANTERN])
+def test_plan_cuts_the_skew_of_a_lasting_load(weights):
+    planner = LayerPlanner(RANKS, SLOTS, EXPERTS, weights)
+    counts = skewed(1)
+    before = Layer(planner.placement, counts, [1.0] * RANKS).skew
+    for _ in range(30):
+        planner.observe(counts)
+        planner.plan()
+    assert Layer(planner.placement, counts, [1.0] * RANKS).skew < before / 2
+
+
+def test_plan_stays_when_nothing_is_to_gain():
+    planner = LayerPlanner(RANKS, SLOTS, EXPERTS, CONSORTIUM)
+    planner.observe([100.0] * EXPERTS)
+    assert planner.plan().moves == []
+    assert planner.placement == even_placement(RANKS, SLOTS, EXPERTS)
+
+
+def test_unknown_counts_keep_the_forecast():
+    planner = LayerPlanner(RANKS, SLOTS, EXPERTS, CONSORTIUM)
+    planner.observe([100.0] * EXPERTS)
+    planner.observe([None] * EXPERTS)
+    assert planner.plan().moves == []
+
+
+def test_straggler_is_relieved():
+    planner = LayerPlanner(RANKS, SLOTS, EXPERTS, CONSORTIUM)
+    speeds = [0.5, *([1.0] * (RANKS - 1))]
+    planner.set_speeds(speeds)
+    counts = skewed(2)
+    before = Layer(planner.placement, counts, speeds).skew
+    for _ in range(30):
+        planner.observe(counts)
+        planner.plan()
+    assert Layer(planner.placement, counts, speeds).skew < before
