Split the agent, the request and the callers' API by their concepts

Change: core/runs.py and core/request_state.py hold states and effects, daemon/answers.py what goes to a caller, daemon/call_requests.py the check of a request. Conclusion: no behaviour changed.

--- a/benchmarks/surge.py
+++ b/benchmarks/surge.py
@@ -14,10 +14,11 @@
 from collections import Counter, defaultdict
 from random import Random
 
-from cyclamenyoke.core.agent import AgentCore, Reply, StartCall
+from cyclamenyoke.core.agent import AgentCore
 from cyclamenyoke.core.fair_queue import FairQueue
 from cyclamenyoke.core.invariants import RaisingMonitor
 from cyclamenyoke.core.messages import AttemptId, Call, Chunk, Execute, NotRun
+from cyclamenyoke.core.runs import Reply, StartCall
 
 CUSTOMERS = {f"small-{n}": 1.0 for n in range(8)} | {"large-0": 4.0, "large-1": 4.0}
 SURGING = ("small-0", "large-0")
--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -12,9 +12,7 @@
 Only a DROPPED run is reported as not run, and a DROPPED run never begins.
 """
 
-import enum
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from random import Random
 
 from cyclamenyoke.core.attempts import AttemptLedger
@@ -30,7 +28,6 @@
 from cyclamenyoke.core.fair_queue import FairQueue
 from cyclamenyoke.core.invariants import InvariantMonitor, Promise
 from cyclamenyoke.core.journal import (
-    RECORDED_BODY_LIMIT,
     Claim,
     ClaimState,
     Outcome,
@@ -57,6 +54,21 @@
     Resume,
     Revoke,
 )
+from cyclamenyoke.core.runs import (
+    ACKNOWLEDGED,
+    NO_CALL,
+    NOT_BEGUN,
+    Broadcast,
+    CancelCall,
+    Effect,
+    Reply,
+    Run,
+    RunState,
+    StartCall,
+    adopt_outcome,
+    head_for,
+    outcome_of,
+)
 from cyclamenyoke.core.slot_shares import ENGINE_OVERCOMMIT, SlotShares
 from cyclamenyoke.core.units import SECOND
 
@@ -79,75 +91,6 @@
 """The shortest advised wait in seconds."""
 
 
-class RunState(enum.Enum):
-    """Where a run is."""
-
-    QUEUED = "queued"
-    CLAIMING = "claiming"
-    RUNNING = "running"
-    FINISHED = "finished"
-    BROKEN = "broken"
-    DROPPED = "dropped"
-
-
-NOT_BEGUN = frozenset({RunState.QUEUED, RunState.CLAIMING})
-
-
-@dataclass(slots=True, eq=False)
-class Run:
-    """One execution of one call on the endpoint.
-
-    :param holds_slot: whether the run counts against the endpoint's slots.
-    :param subscribers: the request of each attempt that receives the answer.
-    """
-
-    run_id: int
-    call: Call
-    digest: str
-    state: RunState = RunState.QUEUED
-    claim_id: str = ""
-    head: Head | None = None
-    chunks: list[bytes] = field(default_factory=list)
-    begun_at: float = 0.0
-    holds_slot: bool = False
-    priority: int = 0
-    subscribers: dict[AttemptId, str] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Effect: send a message to the incarnation of an entry."""
-
-    entry: str
-    message: FromAgent
-
-
-@dataclass(frozen=True, slots=True)
-class Broadcast:
-    """Effect: send a message to every connected entry."""
-
-    message: FromAgent
-
-
-@dataclass(frozen=True, slots=True)
-class StartCall:
-    """Effect: give a call to the endpoint."""
-
-    run_id: int
-    call: Call
-    priority: int
-
-
-@dataclass(frozen=True, slots=True)
-class CancelCall:
-    """Effect: stop the endpoint's work on a call."""
-
-    run_id: int
-
-
-Effect = Reply | Broadcast | StartCall | CancelCall | ReadSlot | WriteSlot
-
-
 class AgentCore:
     """The state and the decisions of one incarnation of one agent.
 
@@ -277,7 +220,7 @@
         if run is None or message.incarnation != self._incarnation:
             return []
         run.subscribers.pop(attempt, None)
-        self._ledger.put(attempt.entry, attempt.number, _ACKNOWLEDGED)
+        self._ledger.put(attempt.entry, attempt.number, ACKNOWLEDGED)
         return self._cancel_unwanted(run, now)
 
     def on_connected(self, entry: str) -> list[Effect]:
@@ -299,7 +242,7 @@
             return []
         attempt = AttemptId("", 0)
         run.head = Head(attempt, run.call.request_id, status, content_type)
-        return [self._reply(each, _head(run, each)) for each in run.subscribers]
+        return [self._reply(each, head_for(run, each)) for each in run.subscribers]
 
     def on_data(self, run_id: int, data: bytes) -> list[Effect]:
         """Take a part of the endpoint's answer."""
@@ -324,7 +267,7 @@
             self._reply(each, Finished(each, finished, self.load))
             for each in run.subscribers
         ]
-        effects += self._record(run, ClaimState.DONE, _outcome(run), now)
+        effects += self._record(run, ClaimState.DONE, outcome_of(run), now)
         return effects + self._release(run, now)
 
     def on_failed(
@@ -569,7 +512,7 @@
             ]
         else:
             run.state = RunState.FINISHED
-            _adopt_outcome(run, standing.outcome)
+            adopt_outcome(run, standing.outcome)
             for each in run.subscribers:
                 effects += self._replay(run, each, 0)
         return effects + self._release(run, now)
@@ -653,7 +596,7 @@
         if run.state is RunState.RUNNING:
             yield self._reply(attempt, Begun(attempt))
         if run.head is not None and next_sequence == 0:
-            yield self._reply(attempt, _head(run, attempt))
+            yield self._reply(attempt, head_for(run, attempt))
         first = max(next_sequence, 1)
         for sequence, data in enumerate(run.chunks[first - 1 :], first):
             yield self._reply(attempt, Chunk(attempt, sequence, data))
@@ -664,7 +607,7 @@
     def _never_received(
         self, attempt: AttemptId, reason: Reason = Reason.NEVER_RECEIVED
     ) -> list[Effect]:
-        run = Run(0, _NO_CALL, "", RunState.DROPPED)
+        run = Run(0, NO_CALL, "", RunState.DROPPED)
         run.subscribers[attempt] = ""
         self._ledger.put(attempt.entry, attempt.number, run)
         return [self._refusal(attempt, reason)]
@@ -674,31 +617,3 @@
 
     def _reply(self, attempt: AttemptId, message: FromAgent) -> Reply:
         return Reply(attempt.entry, message)
-
-
-_NO_CALL = Call("", "", "", "", "", "", b"", 0.0, 0.0)
-_ACKNOWLEDGED = Run(0, _NO_CALL, "", RunState.BROKEN)
-
-
-def _head(run: Run, attempt: AttemptId) -> Head:
-    assert run.head is not None
-    head = run.head
-    request_id = run.subscribers[attempt]
-    return Head(attempt, request_id, head.status, head.content_type, head.replayed)
-
-
-def _outcome(run: Run) -> Outcome | None:
-    if run.head is None:
-        return None
-    body: bytes | None = b"".join(run.chunks)
-    if body is not None and len(body) > RECORDED_BODY_LIMIT:
-        body = None
-    return Outcome(run.head.status, run.head.content_type, body)
-
-
-def _adopt_outcome(run: Run, outcome: Outcome) -> None:
-    attempt = AttemptId("", 0)
-    run.head = Head(
-        attempt, run.call.request_id, outcome.status, outcome.content_type, True
-    )
-    run.chunks = [outcome.body] if outcome.body else []
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -17,9 +17,7 @@
 A request ends as NOT_RUN only when every attempt is NOT_RUN.
 """
 
-import enum
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from cyclamenyoke.core.invariants import InvariantMonitor, Promise
 from cyclamenyoke.core.messages import (
@@ -39,7 +37,22 @@
     Reason,
     Resume,
     Revoke,
-    ToAgent,
+)
+from cyclamenyoke.core.request_state import (
+    FINAL,
+    UNSETTLED,
+    Answer,
+    Attempt,
+    AttemptNumbers,
+    AttemptState,
+    DeliverEnd,
+    DeliverHead,
+    DeliverPart,
+    Effect,
+    Ran,
+    Refuse,
+    RequestState,
+    Send,
 )
 from cyclamenyoke.core.retry import RetryBudget
 from cyclamenyoke.core.routing import Router
@@ -70,158 +83,9 @@
 """Advised wait in seconds where no agent gave one."""
 
 
-class Ran(enum.Enum):
-    """What a refusal says of the request."""
-
-    NO = "no"
-    UNKNOWN = "unknown"
-
-
-class RequestState(enum.Enum):
-    """Where a request is."""
-
-    OPEN = "open"
-    SETTLING = "settling"
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
-class AttemptState(enum.Enum):
-    """What an entry knows of an attempt."""
-
-    SENT = "sent"
-    BEGUN = "begun"
-    LOST = "lost"
-    ELSEWHERE = "elsewhere"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-    FINISHED = "finished"
-
-
-UNSETTLED = frozenset({AttemptState.SENT, AttemptState.BEGUN, AttemptState.LOST})
-FINAL = frozenset({RequestState.ANSWERED, RequestState.NOT_RUN, RequestState.UNKNOWN})
 FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.KEY_EXPIRED})
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One hand-over of the request."""
-
-    attempt_id: AttemptId
-    agent: str
-    incarnation: str
-    sent_at: float
-    state: AttemptState = AttemptState.SENT
-    was_busy: bool = False
-    has_reacted: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Effect: send a message to an agent."""
-
-    agent: str
-    message: ToAgent
-
-
-@dataclass(frozen=True, slots=True)
-class DeliverHead:
-    """Effect: begin the answer to the caller."""
-
-    status: int
-    content_type: str
-    replayed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class DeliverPart:
-    """Effect: pass a part of the answer to the caller."""
-
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class DeliverEnd:
-    """Effect: tell the caller that the answer is whole."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """Effect: give the caller its final refusal.
-
-    :param retry_after: seconds after which the caller may come back.
-    :param delivered: whether a part of an answer has already gone out, so that
-        the refusal marks it as failed.
-    """
-
-    ran: Ran
-    reason: Reason
-    retry_after: float
-    delivered: bool
-
-
-Effect = Send | DeliverHead | DeliverPart | DeliverEnd | Refuse
-
-
-class AttemptNumbers:
-    """Numbers the attempts of one incarnation of an entry.
-
-    :param entry: the incarnation of the entry.
-    """
-
-    def __init__(self, entry: str) -> None:
-        self._entry = entry
-        self._next = 0
-        self._open: dict[int, None] = {}
-
-    @property
-    def floor(self) -> int:
-        """The lowest number that is not settled."""
-        return next(iter(self._open), self._next)
-
-    def open(self) -> AttemptId:
-        """Return the next attempt id."""
-        number = self._next
-        self._next += 1
-        self._open[number] = None
-        return AttemptId(self._entry, number)
-
-    def settle(self, attempt: AttemptId) -> None:
-        """Note that nothing more is expected of an attempt."""
-        self._open.pop(attempt.number, None)
-
-
-@dataclass(slots=True)
-class Answer:
-    """The answer of the current attempt as far as it has come.
-
-    :param next_sequence: the first part that is missing.
-    :param early: parts that came before their turn.
-    :param total: the number of parts, once known.
-    """
-
-    head: Head | None = None
-    next_sequence: int = 1
-    early: dict[int, bytes] = field(default_factory=dict)
-    ready: list[bytes] = field(default_factory=list)
-    total: int | None = None
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether every part is here."""
-        return self.head is not None and self.total == self.next_sequence - 1
-
-    def add(self, sequence: int, data: bytes) -> None:
-        """Take a part, in any order, doubled or not."""
-        if sequence < self.next_sequence:
-            return
-        self.early[sequence] = data
-        while self.next_sequence in self.early:
-            self.ready.append(self.early.pop(self.next_sequence))
-            self.next_sequence += 1
-
-
 class RequestCore:
     """The state and the decisions of one request.
 
--- /dev/null
+++ b/src/cyclamenyoke/core/runs.py
@@ -0,0 +1,105 @@
+"""The runs of an agent: one execution of a call each, and the agent's effects."""
+
+import enum
+from dataclasses import dataclass, field
+
+from cyclamenyoke.core.claims import ReadSlot, WriteSlot
+from cyclamenyoke.core.journal import RECORDED_BODY_LIMIT, Outcome
+from cyclamenyoke.core.messages import AttemptId, Call, FromAgent, Head
+
+
+class RunState(enum.Enum):
+    """Where a run is."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    FINISHED = "finished"
+    BROKEN = "broken"
+    DROPPED = "dropped"
+
+
+NOT_BEGUN = frozenset({RunState.QUEUED, RunState.CLAIMING})
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One execution of one call on the endpoint.
+
+    :param holds_slot: whether the run counts against the endpoint's slots.
+    :param subscribers: the request of each attempt that receives the answer.
+    """
+
+    run_id: int
+    call: Call
+    digest: str
+    state: RunState = RunState.QUEUED
+    claim_id: str = ""
+    head: Head | None = None
+    chunks: list[bytes] = field(default_factory=list)
+    begun_at: float = 0.0
+    holds_slot: bool = False
+    priority: int = 0
+    subscribers: dict[AttemptId, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Effect: send a message to the incarnation of an entry."""
+
+    entry: str
+    message: FromAgent
+
+
+@dataclass(frozen=True, slots=True)
+class Broadcast:
+    """Effect: send a message to every connected entry."""
+
+    message: FromAgent
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Effect: give a call to the endpoint."""
+
+    run_id: int
+    call: Call
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Effect: stop the endpoint's work on a call."""
+
+    run_id: int
+
+
+Effect = Reply | Broadcast | StartCall | CancelCall | ReadSlot | WriteSlot
+
+
+NO_CALL = Call("", "", "", "", "", "", b"", 0.0, 0.0)
+ACKNOWLEDGED = Run(0, NO_CALL, "", RunState.BROKEN)
+
+
+def head_for(run: Run, attempt: AttemptId) -> Head:
+    assert run.head is not None
+    head = run.head
+    request_id = run.subscribers[attempt]
+    return Head(attempt, request_id, head.status, head.content_type, head.replayed)
+
+
+def outcome_of(run: Run) -> Outcome | None:
+    if run.head is None:
+        return None
+    body: bytes | None = b"".join(run.chunks)
+    if body is not None and len(body) > RECORDED_BODY_LIMIT:
+        body = None
+    return Outcome(run.head.status, run.head.content_type, body)
+
+
+def adopt_outcome(run: Run, outcome: Outcome) -> None:
+    attempt = AttemptId("", 0)
+    run.head = Head(
+        attempt, run.call.request_id, outcome.status, outcome.content_type, True
+    )
+    run.chunks = [outcome.body] if outcome.body else []
--- a/src/cyclamenyoke/daemon/agent.py
+++ b/src/cyclamenyoke/daemon/agent.py
@@ -11,14 +11,7 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.adapters.wire import AgentHandshake, MessageStream
-from cyclamenyoke.core.agent import (
-    AgentCore,
-    Broadcast,
-    CancelCall,
-    Effect,
-    Reply,
-    StartCall,
-)
+from cyclamenyoke.core.agent import AgentCore
 from cyclamenyoke.core.claims import ReadSlot, WriteSlot
 from cyclamenyoke.core.messages import (
     Acknowledge,
@@ -29,6 +22,7 @@
     ToAgent,
     Welcome,
 )
+from cyclamenyoke.core.runs import Broadcast, CancelCall, Effect, Reply, StartCall
 from cyclamenyoke.core.units import MILLISECOND
 from cyclamenyoke.exceptions import (
     AuthenticationError,
--- /dev/null
+++ b/src/cyclamenyoke/daemon/answers.py
@@ -0,0 +1,188 @@
+"""What a caller gets over HTTP: an answer, a refusal, or a marked failure."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from cyclamenyoke.core.messages import Reason
+from cyclamenyoke.core.request_state import DeliverHead, Ran, Refuse
+from cyclamenyoke.daemon.requests import AnswerSink
+from cyclamenyoke.ports.clock import Clock
+
+PROBLEM = "application/problem+json"
+
+STATUS_OF_REASON = {
+    Reason.LEAVING: 503,
+    Reason.DEADLINE: 504,
+    Reason.QUEUE_FULL: 429,
+    Reason.KEY_EXPIRED: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.HOLDER_LOST: 409,
+    Reason.ENDPOINT_FAILED: 502,
+    Reason.ENDPOINT_UNREACHABLE: 503,
+    Reason.LINK_LOST: 502,
+    Reason.WRONG_ANSWER: 502,
+}
+"""The HTTP status of a refusal; 503 for every other reason."""
+
+SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of a refusal, as RFC 9457 has it.
+
+    :param ran: ``no`` when the request started nothing and never will;
+        ``unknown`` when it may have run.
+    :param earlier: for a call with an idempotency key, whether an earlier request
+        with the key may have run.
+    :param retry_after: seconds after which the caller may come back.
+    :param entries: other entries to use.
+    """
+
+    title: str
+    status: int
+    ran: str
+    reason: str
+    request_id: str
+    detail: str = ""
+    earlier: str = ""
+    retry_after: float = 0.0
+    entries: list[str] = []
+
+
+class RejectedCall(Exception):
+    """A call that is refused before any agent is asked.
+
+    :param reason: a short machine-readable word.
+    """
+
+    def __init__(self, status: int, reason: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+
+
+class HttpSink(AnswerSink):
+    """Gives one request's answer to its caller.
+
+    :param received_at: when the request came, in Unix time.
+    """
+
+    def __init__(
+        self, send: SendEvent, request_id: str, received_at: float, clock: Clock
+    ) -> None:
+        self._send = send
+        self._request_id = request_id
+        self._clock = clock
+        self._received_at = received_at
+        self._last_part_at = 0.0
+        self._event_stream = False
+        self.keyed = False
+        self.is_ended = False
+        self.first_part_after = 0.0
+        self.longest_gap = 0.0
+
+    @property
+    def received_at(self) -> float:
+        """When the request came, in Unix time."""
+        return self._received_at
+
+    async def head(self, effect: DeliverHead) -> None:
+        self._event_stream = effect.content_type.startswith("text/event-stream")
+        headers = {"content-type": effect.content_type}
+        if effect.replayed:
+            headers["idempotent-replayed"] = "true"
+        await self._start(effect.status, headers)
+
+    async def part(self, data: bytes) -> None:
+        now = self._clock.now()
+        if self._last_part_at:
+            self.longest_gap = max(self.longest_gap, now - self._last_part_at)
+        else:
+            self.first_part_after = now - self._received_at
+        self._last_part_at = now
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end(self) -> None:
+        self.is_ended = True
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def refuse(self, effect: Refuse) -> None:
+        status = STATUS_OF_REASON.get(effect.reason, 503)
+        problem = Problem(
+            "request refused" if effect.ran is Ran.NO else "outcome unknown",
+            status,
+            effect.ran.value,
+            effect.reason.value,
+            self._request_id,
+            earlier="unknown" if self.keyed else "",
+            retry_after=round(effect.retry_after, 3),
+        )
+        self.is_ended = True
+        if effect.delivered:
+            await self._mark_failed(problem)
+        else:
+            await self._problem(problem)
+
+    async def reject(self, rejected: RejectedCall) -> None:
+        """Refuse a call that no agent was asked to run."""
+        problem = Problem(
+            "request rejected",
+            rejected.status,
+            Ran.NO.value,
+            rejected.reason,
+            self._request_id,
+            rejected.detail,
+        )
+        await self._problem(problem)
+
+    async def refuse_leaving(self, entries: list[str]) -> None:
+        """Send a caller to other entries."""
+        problem = Problem(
+            "this entry is leaving",
+            503,
+            Ran.NO.value,
+            Reason.LEAVING.value,
+            self._request_id,
+            entries=entries,
+        )
+        await self._problem(problem, {"connection": "close"})
+
+    async def _problem(
+        self, problem: Problem, more_headers: dict[str, str] | None = None
+    ) -> None:
+        headers = {"content-type": PROBLEM, **(more_headers or {})}
+        if problem.retry_after:
+            headers["retry-after"] = str(max(1, round(problem.retry_after)))
+        await self._start(problem.status, headers)
+        await self._send(
+            {"type": "http.response.body", "body": msgspec.json.encode(problem)}
+        )
+
+    async def _mark_failed(self, problem: Problem) -> None:
+        """Mark an answer as failed whose beginning has gone out.
+
+        An event stream gets an error event and no last event. Any other answer
+        is cut, which HTTP shows by the missing last chunk.
+        """
+        if self._event_stream:
+            event = b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+            await self._send(
+                {"type": "http.response.body", "body": event, "more_body": False}
+            )
+            return
+        raise ConnectionAbortedError("answer is not whole")
+
+    async def _start(self, status: int, headers: dict[str, str]) -> None:
+        fields = {**headers, "x-request-id": self._request_id}
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(k.encode(), v.encode()) for k, v in fields.items()],
+            }
+        )
--- a/src/cyclamenyoke/daemon/callers.py
+++ b/src/cyclamenyoke/daemon/callers.py
@@ -5,7 +5,6 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any
-from urllib.parse import unquote
 
 import msgspec
 from litestar import Litestar, asgi, get
@@ -16,10 +15,16 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.burn import BurnLedger
 from cyclamenyoke.core.config import Customer, Service, ServiceKind
-from cyclamenyoke.core.messages import Call, Reason
-from cyclamenyoke.core.request import DeliverHead, Ran, Refuse, RequestState
-from cyclamenyoke.core.units import MEBIBYTE, MINUTE, SECOND
-from cyclamenyoke.daemon.requests import AnswerSink, CallerGone, Dispatcher, Mailbox
+from cyclamenyoke.core.request_state import RequestState
+from cyclamenyoke.core.units import MEBIBYTE, SECOND
+from cyclamenyoke.daemon.answers import HttpSink, RejectedCall, SendEvent
+from cyclamenyoke.daemon.call_requests import (
+    CallRequest,
+    PreparedCall,
+    Scope,
+    decode_chat,
+)
+from cyclamenyoke.daemon.requests import CallerGone, Dispatcher, Mailbox
 from cyclamenyoke.ports.clock import Clock
 
 BODY_LIMIT = 1 * MEBIBYTE
@@ -28,72 +33,10 @@
 ADDRESS_LIFETIME = 10 * SECOND
 """Seconds for which a caller may keep an answer about addresses."""
 
-FUTURE_LIMIT = 5 * MINUTE
-"""Seconds by which a key's issue time may lie in the future."""
-
-START_SHARE = 0.8
-"""Share of the time to the deadline within which a call must begin."""
-
 BYTES_A_TOKEN = 4
 """Bytes of a request body that count as one token."""
 
-DEFAULT_MAX_TOKENS = 256
-"""Tokens of an answer that are assumed without ``max_tokens``."""
-
-PROBLEM = "application/problem+json"
-
-STATUS_OF_REASON = {
-    Reason.LEAVING: 503,
-    Reason.DEADLINE: 504,
-    Reason.QUEUE_FULL: 429,
-    Reason.KEY_EXPIRED: 409,
-    Reason.KEY_REUSED: 422,
-    Reason.HOLDER_LOST: 409,
-    Reason.ENDPOINT_FAILED: 502,
-    Reason.ENDPOINT_UNREACHABLE: 503,
-    Reason.LINK_LOST: 502,
-    Reason.WRONG_ANSWER: 502,
-}
-"""The HTTP status of a refusal; 503 for every other reason."""
-
-Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
-
-
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The body of a refusal, as RFC 9457 has it.
-
-    :param ran: ``no`` when the request started nothing and never will;
-        ``unknown`` when it may have run.
-    :param earlier: for a call with an idempotency key, whether an earlier request
-        with the key may have run.
-    :param retry_after: seconds after which the caller may come back.
-    :param entries: other entries to use.
-    """
-
-    title: str
-    status: int
-    ran: str
-    reason: str
-    request_id: str
-    detail: str = ""
-    earlier: str = ""
-    retry_after: float = 0.0
-    entries: list[str] = []
-
-
-class RejectedCall(Exception):
-    """A call that is refused before any agent is asked.
-
-    :param reason: a short machine-readable word.
-    """
-
-    def __init__(self, status: int, reason: str, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.reason = reason
-        self.detail = detail
 
 
 class EntryAddress(msgspec.Struct, frozen=True):
@@ -256,7 +199,7 @@
     def _prepare_chat(self, request: "CallRequest") -> "PreparedCall":
         if request.method != "POST":
             raise RejectedCall(405, "method", "use POST")
-        chat = _decode_chat(request.body)
+        chat = decode_chat(request.body)
         service = next(
             (each for each in self._services().values() if chat.model in each.models),
             None,
@@ -276,248 +219,6 @@
         return request.prepare(service, customer, f"/{path}", 1.0)
 
 
-class ChatBody(msgspec.Struct):
-    """What an entry reads of a chat request; the rest passes through."""
-
-    model: str
-    stream: bool = False
-    max_tokens: int = DEFAULT_MAX_TOKENS
-
-
-class PreparedCall(msgspec.Struct, frozen=True):
-    """A checked call."""
-
-    call: Call
-    service: Service
-    streaming: bool
-
-
-class CallRequest:
-    """One HTTP request of a caller."""
-
-    def __init__(
-        self, scope: Scope, body: bytes, request_id: str, received_at: float
-    ) -> None:
-        self._headers: dict[str, str] = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in scope["headers"]
-        }
-        raw_path = scope.get("raw_path") or scope["path"].encode()
-        self._query = scope.get("query_string", b"").decode("latin-1")
-        self.method: str = scope["method"]
-        self.path = unquote(str(raw_path, "latin-1"))
-        self.body = body
-        self._request_id = request_id
-        self._received_at = received_at
-
-    @property
-    def authorization(self) -> str:
-        """The value of the header of that name."""
-        return self._headers.get("authorization", "")
-
-    def prepare(
-        self, service: Service, customer: Customer, path: str, cost: float
-    ) -> PreparedCall:
-        """Check the call against its service.
-
-        :param path: the path at the endpoint.
-        :param cost: estimated work in tokens.
-        :raises RejectedCall: when it may not be carried.
-        """
-        deadline = self._deadline(service)
-        repeatable = service.may_repeat(self.method, path)
-        key, issued_at = ("", 0.0) if repeatable else self._idempotency_key()
-        target = f"{path}?{self._query}" if self._query else path
-        digest = hashlib.blake2b(
-            f"{self.method} {target}\n".encode() + self.body, digest_size=12
-        )
-        call = Call(
-            self._request_id,
-            service.service,
-            customer.name,
-            self.method,
-            target,
-            self._headers.get("content-type", ""),
-            self.body,
-            deadline,
-            self._received_at + START_SHARE * (deadline - self._received_at),
-            customer.share,
-            cost,
-            key,
-            issued_at,
-            digest.digest(),
-        )
-        streaming = service.kind is ServiceKind.MODEL and _decode_chat(self.body).stream
-        return PreparedCall(call, service, streaming)
-
-    def _deadline(self, service: Service) -> float:
-        text = self._headers.get("x-request-timeout")
-        if text is None:
-            return self._received_at + service.deadlines.default
-        try:
-            seconds = float(text)
-        except ValueError:
-            seconds = 0.0
-        if not 0 < seconds <= service.deadlines.maximum:
-            limit = service.deadlines.maximum
-            detail = (
-                f"X-Request-Timeout {text!r} is not between 0 and {limit:g} seconds"
-            )
-            raise RejectedCall(400, "bad_timeout", detail)
-        return self._received_at + seconds
-
-    def _idempotency_key(self) -> tuple[str, float]:
-        key = self._headers.get("idempotency-key", "")
-        if not key or len(key) > 255:
-            detail = "this call may not be repeated and needs an Idempotency-Key"
-            raise RejectedCall(400, "key_missing", detail)
-        issued_at = self._issue_time(key)
-        if issued_at > self._received_at + FUTURE_LIMIT:
-            raise RejectedCall(400, "key_from_future", "issue time lies in the future")
-        return key, issued_at
-
-    def _issue_time(self, key: str) -> float:
-        """Return when a key was issued: from its header, or from a UUIDv7."""
-        header = self._headers.get("idempotency-key-issued-at")
-        try:
-            if header is not None:
-                return float(header)
-            parsed = uuid.UUID(key)
-        except ValueError:
-            parsed = None
-        if parsed is None or parsed.version != 7:
-            detail = (
-                "Idempotency-Key is no UUIDv7 and Idempotency-Key-Issued-At, in"
-                " seconds of Unix time, is missing or wrong"
-            )
-            raise RejectedCall(400, "key_without_issue_time", detail)
-        return (parsed.int >> 80) / 1000
-
-
-class HttpSink(AnswerSink):
-    """Gives one request's answer to its caller.
-
-    :param received_at: when the request came, in Unix time.
-    """
-
-    def __init__(
-        self, send: SendEvent, request_id: str, received_at: float, clock: Clock
-    ) -> None:
-        self._send = send
-        self._request_id = request_id
-        self._clock = clock
-        self._received_at = received_at
-        self._last_part_at = 0.0
-        self._event_stream = False
-        self.keyed = False
-        self.is_ended = False
-        self.first_part_after = 0.0
-        self.longest_gap = 0.0
-
-    @property
-    def received_at(self) -> float:
-        """When the request came, in Unix time."""
-        return self._received_at
-
-    async def head(self, effect: DeliverHead) -> None:
-        self._event_stream = effect.content_type.startswith("text/event-stream")
-        headers = {"content-type": effect.content_type}
-        if effect.replayed:
-            headers["idempotent-replayed"] = "true"
-        await self._start(effect.status, headers)
-
-    async def part(self, data: bytes) -> None:
-        now = self._clock.now()
-        if self._last_part_at:
-            self.longest_gap = max(self.longest_gap, now - self._last_part_at)
-        else:
-            self.first_part_after = now - self._received_at
-        self._last_part_at = now
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
-
-    async def end(self) -> None:
-        self.is_ended = True
-        await self._send({"type": "http.response.body", "body": b""})
-
-    async def refuse(self, effect: Refuse) -> None:
-        status = STATUS_OF_REASON.get(effect.reason, 503)
-        problem = Problem(
-            "request refused" if effect.ran is Ran.NO else "outcome unknown",
-            status,
-            effect.ran.value,
-            effect.reason.value,
-            self._request_id,
-            earlier="unknown" if self.keyed else "",
-            retry_after=round(effect.retry_after, 3),
-        )
-        self.is_ended = True
-        if effect.delivered:
-            await self._mark_failed(problem)
-        else:
-            await self._problem(problem)
-
-    async def reject(self, rejected: RejectedCall) -> None:
-        """Refuse a call that no agent was asked to run."""
-        problem = Problem(
-            "request rejected",
-            rejected.status,
-            Ran.NO.value,
-            rejected.reason,
-            self._request_id,
-            rejected.detail,
-        )
-        await self._problem(problem)
-
-    async def refuse_leaving(self, entries: list[str]) -> None:
-        """Send a caller to other entries."""
-        problem = Problem(
-            "this entry is leaving",
-            503,
-            Ran.NO.value,
-            Reason.LEAVING.value,
-            self._request_id,
-            entries=entries,
-        )
-        await self._problem(problem, {"connection": "close"})
-
-    async def _problem(
-        self, problem: Problem, more_headers: dict[str, str] | None = None
-    ) -> None:
-        headers = {"content-type": PROBLEM, **(more_headers or {})}
-        if problem.retry_after:
-            headers["retry-after"] = str(max(1, round(problem.retry_after)))
-        await self._start(problem.status, headers)
-        await self._send(
-            {"type": "http.response.body", "body": msgspec.json.encode(problem)}
-        )
-
-    async def _mark_failed(self, problem: Problem) -> None:
-        """Mark an answer as failed whose beginning has gone out.
-
-        An event stream gets an error event and no last event. Any other answer
-        is cut, which HTTP shows by the missing last chunk.
-        """
-        if self._event_stream:
-            event = b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
-            await self._send(
-                {"type": "http.response.body", "body": event, "more_body": False}
-            )
-            return
-        raise ConnectionAbortedError("answer is not whole")
-
-    async def _start(self, status: int, headers: dict[str, str]) -> None:
-        fields = {**headers, "x-request-id": self._request_id}
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [(k.encode(), v.encode()) for k, v in fields.items()],
-            }
-        )
-
-
 async def _read_body(receive: Receive) -> bytes:
     parts: list[bytes] = []
     size = 0
@@ -543,13 +244,6 @@
             return
 
 
-def _decode_chat(body: bytes) -> ChatBody:
-    try:
-        return msgspec.json.decode(body, type=ChatBody)
-    except msgspec.DecodeError as error:
-        raise RejectedCall(400, "bad_body", str(error)) from error
-
-
 def _customer_of(service: Service | None, authorization: str) -> Customer | None:
     """Return the customer whose key a caller gave.
 
--- a/src/cyclamenyoke/daemon/entry.py
+++ b/src/cyclamenyoke/daemon/entry.py
@@ -9,7 +9,7 @@
 from cyclamenyoke.core.burn import BurnLedger
 from cyclamenyoke.core.config import Service
 from cyclamenyoke.core.invariants import InvariantMonitor
-from cyclamenyoke.core.request import AttemptNumbers
+from cyclamenyoke.core.request_state import AttemptNumbers
 from cyclamenyoke.core.retry import RetryBudget
 from cyclamenyoke.core.routing import Router, choose_subset
 from cyclamenyoke.core.units import MILLISECOND
--- a/src/cyclamenyoke/daemon/requests.py
+++ b/src/cyclamenyoke/daemon/requests.py
@@ -22,14 +22,14 @@
     LoadReport,
     ToAgent,
 )
-from cyclamenyoke.core.request import (
+from cyclamenyoke.core.request import RequestCore
+from cyclamenyoke.core.request_state import (
     AttemptNumbers,
     DeliverEnd,
     DeliverHead,
     DeliverPart,
     Effect,
     Refuse,
-    RequestCore,
     Send,
 )
 from cyclamenyoke.core.retry import RetryBudget
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,7 +12,7 @@
 
 import soak_config
 from cyclamenyoke.core import agent
-from cyclamenyoke.core.agent import AgentCore, Run
+from cyclamenyoke.core.agent import AgentCore
 from cyclamenyoke.core.attempts import AttemptLedger
 from cyclamenyoke.core.claims import ClaimBook, Granted, SlotState
 from cyclamenyoke.core.config import ConfigStore
@@ -20,7 +20,9 @@
 from cyclamenyoke.core.journal import Journal
 from cyclamenyoke.core.messages import AttemptId
 from cyclamenyoke.core.publishing import Merge
-from cyclamenyoke.core.request import Answer, AttemptState, RequestCore
+from cyclamenyoke.core.request import RequestCore
+from cyclamenyoke.core.request_state import Answer, AttemptState
+from cyclamenyoke.core.runs import Run
 from cyclamenyoke.exceptions import InvariantBreach
 from soak import Faults, Soak
 from soak_config import ConfigSoak
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,13 +18,7 @@
 from unittest.mock import patch
 
 from cyclamenyoke.core import journal
-from cyclamenyoke.core.agent import (
-    AgentCore,
-    Broadcast,
-    CancelCall,
-    Reply,
-    StartCall,
-)
+from cyclamenyoke.core.agent import AgentCore
 from cyclamenyoke.core.claims import ReadSlot, WriteSlot
 from cyclamenyoke.core.config import Endpoint
 from cyclamenyoke.core.invariants import Promise, RaisingMonitor
@@ -41,18 +35,19 @@
     Revoke,
     ToAgent,
 )
-from cyclamenyoke.core.request import (
+from cyclamenyoke.core.request import RequestCore
+from cyclamenyoke.core.request_state import (
     AttemptNumbers,
     DeliverEnd,
     DeliverHead,
     DeliverPart,
     Ran,
     Refuse,
-    RequestCore,
     Send,
 )
 from cyclamenyoke.core.retry import RetryBudget
 from cyclamenyoke.core.routing import REPORTS_MISSED, Router
+from cyclamenyoke.core.runs import Broadcast, CancelCall, Reply, StartCall
 
 SERVICES = {"reports": 3, "orders": 3}
 ENTRIES = 3
