--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -164,6 +164,7 @@
     seconds = 60
     for rate in (1, 10, 100):
         book = ClaimBook("a", "a@1", 86_400.0, Random(1))
+        book.configure(86_400.0, write_rate=1e9)
         platform = InstantPlatform(book)
         random = Random(2)
         total = rate * seconds
--- a/benchmarks/surge.py
+++ b/benchmarks/surge.py
@@ -210,7 +210,7 @@
     """
     random = {each: Random(f"{seed}/{each}") for each in CUSTOMERS}
     core = AgentCore("e", "e@1", SLOTS, 60.0, RaisingMonitor(), Random(seed))
-    core.configure(SLOTS, 60.0, True, 0.0)
+    core.configure(SLOTS, 60.0, 50.0, True, 0.0)
     core._queue = discipline(name)
     if not name.startswith("fair, pri"):
         core._may_take = lambda customer: core._shares.held < SLOTS
--- a/src/cyclamenyoke/cli/client.py
+++ b/src/cyclamenyoke/cli/client.py
@@ -58,6 +58,16 @@
         """
         return self._get("/operators/v1/slo", list[BurnRow], [entry])
 
+    def metrics_of(self, node: str) -> str:
+        """Return a node's metrics in the Prometheus text format.
+
+        :raises CyclamenyokeError: for a node without an answer.
+        """
+        response = self._ask("GET", f"/operators/v1/metrics/{node}", self._entries)
+        if response.status_code != OK:
+            raise CyclamenyokeError(f"node {node!r} gives no metrics")
+        return response.text
+
     def publish(self, request: PublishRequest) -> ConfigIndex:
         """Put a publish into force; safe to repeat with the same publish id.
 
--- a/src/cyclamenyoke/cli/main.py
+++ b/src/cyclamenyoke/cli/main.py
@@ -141,6 +141,13 @@
     return 0
 
 
+@app.command
+def metrics(node: str, *, entry: Entries, key: Key) -> int:
+    """Show the metrics of one node, agents included."""
+    print(OperatorsClient(entry, key).metrics_of(node), end="")
+    return 0
+
+
 @config_app.command(name="show")
 def show_config(*, entry: Entries, key: Key) -> int:
     """Show every service in force, as JSON."""
--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -157,16 +157,22 @@
         return Load(running, self._queue.cost, self._token_rate)
 
     def configure(
-        self, slots: int, retention: float, honours_priorities: bool, now: float
+        self,
+        slots: int,
+        retention: float,
+        write_rate: float,
+        honours_priorities: bool,
+        now: float,
     ) -> list[Effect]:
         """Take the endpoint's part of a new configuration.
 
+        :param write_rate: journal writes a second.
         :param honours_priorities: whether the endpoint lets a call of low priority
             wait for one of high priority.
         """
         self._slots = slots
         self._shares.overcommit = ENGINE_OVERCOMMIT if honours_priorities else 1
-        self._book.configure(retention)
+        self._book.configure(retention, write_rate)
         return self._dispatch(now)
 
     def on_execute(self, message: Execute, now: float) -> list[Effect]:
--- a/src/cyclamenyoke/core/claims.py
+++ b/src/cyclamenyoke/core/claims.py
@@ -52,6 +52,12 @@
 LAZY_DELAY = 2 * SECOND
 """Seconds for which an outcome waits to share the write of a claim."""
 
+DEFAULT_WRITE_RATE = 20.0
+"""Journal writes a second of one agent until the configuration says more."""
+
+BURST_TIME = 2 * SECOND
+"""Seconds of its write rate that an agent may save up."""
+
 CACHED_CLAIMS = 20_000
 """Claims in cached slots, above which idle slots are forgotten."""
 
@@ -196,6 +202,35 @@
         return True
 
 
+class WritePace:
+    """A token bucket that holds one agent to its part of the platform's budget.
+
+    A claim spends what is there. An outcome can wait, so it leaves half of the
+    bucket to claims.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._tokens = rate * BURST_TIME
+        self._refilled_at: float | None = None
+
+    def set_rate(self, rate: float) -> None:
+        """Take the writes a second of a new configuration."""
+        self._rate = rate
+
+    def take(self, is_claim: bool, now: float) -> bool:
+        """Spend one write; return whether the bucket allowed it."""
+        since = now if self._refilled_at is None else self._refilled_at
+        self._refilled_at = max(now, since)
+        refill = max(0.0, now - since) * self._rate
+        limit = max(1.0, self._rate * BURST_TIME)
+        self._tokens = min(limit, self._tokens + refill)
+        if self._tokens < (1.0 if is_claim else max(1.0, limit / 2)):
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 class ClaimBook:
     """The claims of one incarnation of one agent.
 
@@ -215,6 +250,7 @@
         self._incarnation = incarnation
         self._retention = retention
         self._outage = Outage(random)
+        self._pace = WritePace(DEFAULT_WRITE_RATE)
         self._slots: dict[str, Slot] = {}
         self._granted: dict[str, Claim] = {}
         self._next_claim = 0
@@ -224,9 +260,13 @@
         """Whether nothing waits to be written."""
         return not any(slot.has_work for slot in self._slots.values())
 
-    def configure(self, retention: float) -> None:
-        """Take the retention of a new configuration."""
+    def configure(self, retention: float, write_rate: float) -> None:
+        """Take the agent's part of a new configuration.
+
+        :param write_rate: journal writes a second.
+        """
         self._retention = retention
+        self._pace.set_rate(write_rate)
 
     def flush(self, now: float) -> list[Step]:
         """Write what waits for company, because the agent leaves."""
@@ -370,7 +410,7 @@
         if slot.state is SlotState.UNREAD:
             slot.state = SlotState.READING
             yield ReadSlot(slot.name)
-        else:
+        elif self._pace.take(bool(slot.wishes), now):
             yield from self._write(slot, now)
 
     def _refuse_overdue(self, slot: Slot, now: float) -> Iterator[Step]:
--- a/src/cyclamenyoke/core/config.py
+++ b/src/cyclamenyoke/core/config.py
@@ -16,6 +16,9 @@
 
 from cyclamenyoke.core.invariants import InvariantMonitor, Promise
 
+JOURNAL_WRITE_BUDGET = 180.0
+"""Journal writes a second of all agents together."""
+
 HISTORY_LENGTH = 50
 """The number of publishes that the index remembers."""
 
@@ -194,6 +197,17 @@
         return ConfigIndex(generation, services, history)
 
 
+def journal_write_rate(services: Iterable[Service]) -> float:
+    """Return the journal writes a second that each agent may make.
+
+    All agents before plain services together stay within the platform's budget.
+    """
+    writers = sum(
+        len(service.endpoints) for service in services if service.not_repeatable
+    )
+    return JOURNAL_WRITE_BUDGET / max(1, writers)
+
+
 def encode_service(service: Service) -> bytes:
     """Return the blob of a service, the same bytes for equal services."""
     return msgspec.json.encode(service, order="deterministic")
--- a/src/cyclamenyoke/core/gossip.py
+++ b/src/cyclamenyoke/core/gossip.py
@@ -166,6 +166,16 @@
     generation: int
 
 
+class AskMetrics(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Asks for a node's metrics."""
+
+
+class MetricsText(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """A node's metrics in the Prometheus text format."""
+
+    text: str
+
+
 GossipMessage = (
     Offer
     | Answer
@@ -175,6 +185,8 @@
     | Blobs
     | AskGeneration
     | RunsGeneration
+    | AskMetrics
+    | MetricsText
 )
 
 
--- a/src/cyclamenyoke/daemon/agent.py
+++ b/src/cyclamenyoke/daemon/agent.py
@@ -134,11 +134,13 @@
     """A newer configuration is in force.
 
     :param retention: seconds after its issue for which a key is remembered.
+    :param write_rate: journal writes a second.
     :param honours_priorities: whether the endpoint is a model engine.
     """
 
     slots: int
     retention: float
+    write_rate: float
     honours_priorities: bool
 
 
@@ -323,7 +325,11 @@
 
     def _on_configure(self, event: Configure) -> list[Effect]:
         return self._core.configure(
-            event.slots, event.retention, event.honours_priorities, self._clock.now()
+            event.slots,
+            event.retention,
+            event.write_rate,
+            event.honours_priorities,
+            self._clock.now(),
         )
 
     def _reply(self, effect: Reply) -> None:
--- a/src/cyclamenyoke/daemon/configuration.py
+++ b/src/cyclamenyoke/daemon/configuration.py
@@ -18,11 +18,13 @@
 from cyclamenyoke.core.gossip import (
     Answer,
     AskGeneration,
+    AskMetrics,
     Blobs,
     FetchBlobs,
     GossipCore,
     GossipMessage,
     Kind,
+    MetricsText,
     NodeInfo,
     Offer,
     Records,
@@ -120,6 +122,7 @@
         self._questions: dict[type, Callable[..., GossipMessage]] = {
             FetchBlobs: self._on_fetch_blobs,
             AskGeneration: self._on_ask_generation,
+            AskMetrics: self._on_ask_metrics,
         }
         self._surveyed: dict[str, SurveyedNode] = {}
 
@@ -192,6 +195,19 @@
     def _on_ask_generation(self, message: AskGeneration) -> RunsGeneration:
         return RunsGeneration(self._config.generation)
 
+    def _on_ask_metrics(self, message: AskMetrics) -> MetricsText:
+        return MetricsText(self._metrics.render())
+
+    async def metrics_of(self, name: str) -> str | None:
+        """Return a node's metrics, or ``None`` without an answer."""
+        node = self._core.nodes.get(name)
+        if node is None:
+            return None
+        if name == self._core.name:
+            return self._metrics.render()
+        answer = await self._client.ask(node.control, AskMetrics())
+        return answer.text if isinstance(answer, MetricsText) else None
+
     async def survey(self) -> dict[str, int]:
         """Return the generation that each node runs, -1 for one without an answer.
 
--- a/src/cyclamenyoke/daemon/node.py
+++ b/src/cyclamenyoke/daemon/node.py
@@ -11,7 +11,7 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.agent import AgentCore
-from cyclamenyoke.core.config import ConfigStore, ServiceKind
+from cyclamenyoke.core.config import ConfigStore, ServiceKind, journal_write_rate
 from cyclamenyoke.core.gossip import GossipCore, NodeInfo
 from cyclamenyoke.core.invariants import CountingMonitor, Promise
 from cyclamenyoke.core.units import HOUR, SECOND
@@ -177,11 +177,15 @@
         )
 
         def configure() -> None:
-            service = configuration.config.services.get(settings.service)
+            services = configuration.config.services
+            service = services.get(settings.service)
+            rate = journal_write_rate(services.values())
             for each in service.all_endpoints if service else []:
                 if each.name == settings.endpoint and service is not None:
                     is_engine = service.kind is ServiceKind.MODEL
-                    agent.configure(Configure(each.slots, service.retention, is_engine))
+                    agent.configure(
+                        Configure(each.slots, service.retention, rate, is_engine)
+                    )
 
         self._on_change = configure
         self._drain = agent.drain
--- a/src/cyclamenyoke/daemon/operators.py
+++ b/src/cyclamenyoke/daemon/operators.py
@@ -24,6 +24,7 @@
 JSON = "application/json"
 CONFLICT = 409
 BAD_REQUEST = 400
+NOT_FOUND = 404
 UNAVAILABLE = 503
 
 
@@ -125,12 +126,20 @@
         def metrics() -> Response[str]:
             return Response(self._metrics.render(), media_type="text/plain")
 
+        @get("/operators/v1/metrics/{name:str}")
+        async def node_metrics(name: str) -> Response[str]:
+            text = await self._configuration.metrics_of(name)
+            status_code = NOT_FOUND if text is None else 200
+            return Response(
+                text or "", status_code=status_code, media_type="text/plain"
+            )
+
         @post("/operators/v1/publish")
         async def publish(request: Request[Any, Any, Any]) -> Response[bytes]:
             return await self._publish(await request.body())
 
         return Litestar(
-            [status, config, slo, metrics, publish],
+            [status, config, slo, metrics, node_metrics, publish],
             guards=[self._guard],
             openapi_config=None,
             logging_config=None,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -227,7 +227,7 @@
             self.soak.world.random,
         )
         is_engine = self.service == "reports"
-        self.core.configure(SLOTS, RETENTION, is_engine, self.now)
+        self.core.configure(SLOTS, RETENTION, 50.0, is_engine, self.now)
         self.soak.world.at(TICK, lambda i=self.incarnation: self.tick(i))
         self.links = set()
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -103,6 +103,31 @@
     assert Refused(claim_id, Reason.JOURNAL_UNAVAILABLE) in book.tick(now + 0.11)
 
 
+def test_writes_keep_to_the_pace_and_share_a_write(book):
+    book.configure(60.0, write_rate=2.0)
+    writes = 0
+    granted = []
+    values: dict[str, tuple[int, bytes | None]] = {}
+    for number in range(200):
+        now = NOW + number / 20
+        _, steps = book.claim(
+            "orders", key_digest("orders", "c", f"{number}"), now, b"f", now
+        )
+        steps += book.tick(now)
+        while steps:
+            step = steps.pop(0)
+            if isinstance(step, ReadSlot):
+                steps += book.on_read(step.slot, *values.get(step.slot, (0, None)), now)
+            elif isinstance(step, WriteSlot):
+                writes += 1
+                values[step.slot] = (step.expected_revision + 1, step.value)
+                steps += book.on_written(step.slot, step.expected_revision + 1, now)
+            elif isinstance(step, Granted):
+                granted.append(step)
+    assert writes <= 2.0 * (10 + claims.BURST_TIME)
+    assert granted
+
+
 def test_cache_forgets_idle_slots(book, monkeypatch):
     monkeypatch.setattr(claims, "CACHED_CLAIMS", 0)
     claim_id, write = begin(book)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -163,6 +163,14 @@
     assert {row["service"] for row in rows} == {"reports", "orders"}
 
 
+def test_operators_see_the_metrics_of_an_agent(fleet):
+    fleet.order(0, fresh_key())
+    name = fleet.deployment.agent_settings[2].name
+    shown = fleet.cli("metrics", name).stdout
+    assert "cyclamenyoke_config_generation" in shown
+    assert fleet.cli("metrics", "nobody").returncode == 1
+
+
 def test_operators_need_their_own_credential(fleet):
     address = fleet.deployment.entry_settings[0].operators
     response = fleet.client.get(
