Let a later word about a settled attempt change nothing

A doubled call that reached an agent's next start was refused with a promise, and the entry let that promise replace 'may have begun', though the first start could have begun it. Change: an agent answers a call meant for an earlier start as unknown, and an entry ignores what comes after an attempt's end.

--- a/src/cyclamenyoke/core/agent.py
+++ b/src/cyclamenyoke/core/agent.py
@@ -179,7 +179,7 @@
         """Take a call from an entry."""
         attempt = message.attempt
         if message.incarnation != self._incarnation:
-            return [self._refusal(attempt, Reason.STALE_INCARNATION)]
+            return [self._reply(attempt, Broken(attempt, Reason.STALE_INCARNATION))]
         effects = self._settle(attempt.entry, message.floor, now)
         if self._ledger.is_forgotten(attempt.entry, attempt.number):
             return effects
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -455,9 +455,15 @@
         ]
 
     def _settle(self, attempt: Attempt, state: AttemptState) -> None:
-        if attempt.state in UNSETTLED:
-            self._router.on_settled(attempt.agent)
-            self._numbers.settle(attempt.attempt_id)
+        """Take the end of an attempt; whatever comes after the first is ignored.
+
+        A doubled message may bring a new start of the agent to refuse what the
+        old one has begun.
+        """
+        if attempt.state not in UNSETTLED:
+            return
+        self._router.on_settled(attempt.agent)
+        self._numbers.settle(attempt.attempt_id)
         attempt.state = state
 
     def _close(self) -> list[Effect]:
