Tell everybody of a node that does not answer

Cause: an entry that died without a word was still given out to callers for 4 to 60 s: each node had to find out for itself, and one meets a given other once in as many seconds as there are nodes. Ruled out: the back-off of suspicion (it begins after the first failed exchange). Change: a node that gets no answer from a near one tells all in a record of one minute; who lives announces itself anew and so refutes it. Far nodes are not accused, so that a cut between data centres floods nobody. Figures, benchmarks/dead_entry.py, 14 processes, four kills: given out for 60 (the limit), 4.42, 30.16, 19.69 s before; 1.80, 2.31, 2.52, 3.28 s after.

--- /dev/null
+++ b/benchmarks/dead_entry.py
@@ -0,0 +1,43 @@
+"""How long an entry that died without a word is still given out to callers.
+
+Kills entries one after another and asks another entry for addresses. Run with
+``PYTHONPATH=tests python benchmarks/dead_entry.py``.
+"""
+
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from fleet import make_fleet
+
+GIVE_UP_AFTER = 60.0
+
+
+def given_out(fleet) -> set[str]:
+    """Return the entries that entry 1 names."""
+    address = fleet.deployment.entry_settings[0].callers
+    answer = fleet.client.get(f"http://{address}/v1/entry-vms").json()
+    return {entry["name"] for entry in answer["entries"]}
+
+
+def main() -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = make_fleet(Path(directory), entries=8, engines=4, plain=2)
+        with fleet:
+            fleet.start_all()
+            time.sleep(2)
+            for number in (8, 7, 6, 5):
+                name = f"entry-{number}"
+                fleet.send(name, signal.SIGKILL)
+                killed_at = time.monotonic()
+                fleet.wait(name)
+                while name in given_out(fleet):
+                    if time.monotonic() - killed_at > GIVE_UP_AFTER:
+                        break
+                    time.sleep(0.05)
+                print(f"{name}: given out for {time.monotonic() - killed_at:.2f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cyclamenyoke/core/gossip.py
+++ b/src/cyclamenyoke/core/gossip.py
@@ -58,6 +58,9 @@
 PICKS = 8
 """Peers that are looked at for one that answers."""
 
+SUSPICION_LIFETIME = 1 * MINUTE
+"""Seconds for which all nodes suspect one that did not answer some node."""
+
 MAX_RECORDS = 200
 """Records in one message at most; the next exchange carries the rest."""
 
@@ -67,6 +70,7 @@
 
     NODE = "node"
     CONFIG = "config"
+    SUSPECT = "suspect"
 
 
 class Version(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -348,6 +352,18 @@
                 wait = 2 * self._suspect_for.get(name, SUSPECT_FIRST / 2)
                 self._suspect_for[name] = min(wait, SUSPECT_LIMIT)
                 self._suspected[name] = now + self._suspect_for[name]
+                if node.data_centre == self._info.data_centre:
+                    self._accuse(name, now)
+
+    def _accuse(self, name: str, now: float) -> None:
+        """Tell the others that a near node does not answer.
+
+        Only near ones: when data centres lose each other, no node of the one is
+        suspected everywhere in the other.
+        """
+        accused = self._held[f"{Kind.NODE.value}/{name}"].record
+        expires_at = now + SUSPICION_LIFETIME
+        self._store(Record(Kind.SUSPECT, name, accused.version, expires_at, b""))
 
     def on_reachable(self, control: str) -> None:
         """Note that a peer answered."""
@@ -357,8 +373,14 @@
                 self._suspect_for.pop(name, None)
 
     def is_suspected(self, name: str, now: float) -> bool:
-        """Tell whether a node lately did not answer this one."""
-        return self._suspected.get(name, 0.0) > now
+        """Tell whether a node lately did not answer this one, or one near it."""
+        if self._suspected.get(name, 0.0) > now:
+            return True
+        accusation = self.record(Kind.SUSPECT, name)
+        accused = self.record(Kind.NODE, name)
+        if accusation is None or accused is None or accusation.expires_at <= now:
+            return False
+        return accusation.version >= accused.version
 
     def offer(self) -> Offer:
         """Begin an exchange."""
@@ -414,6 +436,12 @@
                 self._outbid(record, now)
             elif self._store(record):
                 self._learned.append(record)
+                self._answer_accusation(record, now)
+
+    def _answer_accusation(self, record: Record, now: float) -> None:
+        """Announce this node anew when others say that it does not answer."""
+        if record.kind is Kind.SUSPECT and record.name == self._name:
+            self.announce(self._info, now)
 
     def _is_own_ghost(self, record: Record) -> bool:
         """Tell whether a record of this node comes from an earlier incarnation.
@@ -440,6 +468,10 @@
             self._digests[_bucket(key)] ^= _digest(held.record)
         self._digests[_bucket(key)] ^= _digest(record)
         is_news = held is None or held.record.payload != record.payload
+        if record.kind is Kind.NODE and f"suspect/{record.name}" in self._held:
+            is_news = True
+        if record.kind is Kind.SUSPECT:
+            is_news = True
         self._held[key] = Held(record, PUSHES if is_news else 0)
         if is_news:
             self._hot[key] = self._held[key]
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,84 @@
+"""Exchanges: news, suspicion and its refutation, and who watches the platform."""
+
+from random import Random
+
+from cyclamenyoke.core.gossip import (
+    SUSPECT_FIRST,
+    SUSPICION_LIFETIME,
+    WATCHERS,
+    GossipCore,
+    NodeInfo,
+)
+
+NOW = 1000.0
+
+
+def make_nodes(count: int, data_centres: int = 1) -> list[GossipCore]:
+    nodes = []
+    for number in range(count):
+        place = f"dc-{number % data_centres}"
+        info = NodeInfo("agent", place, f"n{number}", "", "", False)
+        nodes.append(GossipCore(f"n{number}", 1, info, Random(number), NOW))
+    spread(nodes)
+    return nodes
+
+
+def exchange(first: GossipCore, second: GossipCore, now: float = NOW) -> None:
+    transfer = first.on_answer(second.on_offer(first.offer(), now), now)
+    if transfer is not None:
+        first.on_records(second.on_transfer(transfer, now), now)
+
+
+def spread(nodes: list[GossipCore], now: float = NOW) -> None:
+    for _ in range(3):
+        for node in nodes:
+            for other in nodes:
+                if node is not other:
+                    exchange(node, other, now)
+
+
+def test_everybody_suspects_a_near_node_that_does_not_answer():
+    nodes = make_nodes(4)
+    nodes[0].on_unreachable("n3", NOW)
+    spread(nodes[:3])
+    assert all(node.is_suspected("n3", NOW + 1.0) for node in nodes[:3])
+    later = NOW + SUSPICION_LIFETIME + 1.0
+    assert not any(node.is_suspected("n3", later) for node in nodes[:3])
+
+
+def test_nobody_else_suspects_a_far_node():
+    nodes = make_nodes(4, data_centres=2)
+    nodes[0].on_unreachable("n3", NOW)
+    spread(nodes[:3])
+    assert nodes[0].is_suspected("n3", NOW + 1.0)
+    assert not nodes[1].is_suspected("n3", NOW + 1.0)
+
+
+def test_node_that_lives_refutes_a_suspicion():
+    nodes = make_nodes(4)
+    nodes[0].on_unreachable("n3", NOW)
+    spread(nodes)
+    later = NOW + SUSPECT_FIRST + 1.0
+    assert not any(node.is_suspected("n3", later) for node in nodes)
+
+
+def test_restarted_node_outbids_its_earlier_start():
+    nodes = make_nodes(3)
+    info = NodeInfo("agent", "dc-0", "n2", "", "", False)
+    ahead = nodes[2]
+    ahead.announce(info, NOW)
+    again = GossipCore("n2", 0, info, Random(1), NOW)
+    exchange(again, nodes[0])
+    spread([again, *nodes[:2]])
+    assert {node.nodes["n2"].leaving for node in nodes[:2]} == {False}
+
+
+def test_later_nodes_watch_only_when_the_first_are_gone():
+    nodes = make_nodes(6)
+    first = [node for node in nodes if not node.watchers_before()]
+    assert len(first) == WATCHERS
+    names = {node.name for node in first}
+    second = [
+        node for node in nodes if {n.control for n in node.watchers_before()} == names
+    ]
+    assert len(second) == WATCHERS
