--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,6 +15,7 @@
 )
 from cyclamenyoke.core.journal import ClaimState, decode_journal, key_digest
 from cyclamenyoke.core.messages import Reason
+from cyclamenyoke.core.pacing import BURST_TIME
 
 NOW = 1000.0
 DIGEST = key_digest("orders", "customer", "key")
@@ -124,7 +125,7 @@
                 steps += book.on_written(step.slot, step.expected_revision + 1, now)
             elif isinstance(step, Granted):
                 granted.append(step)
-    assert writes <= 2.0 * (10 + claims.BURST_TIME)
+    assert writes <= 2.0 * (10 + BURST_TIME)
     assert granted
 
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -59,6 +59,19 @@
     return str(uuid.UUID(int=value & ~(3 << 62) | 2 << 62))
 
 
+def start_streams(fleet: Fleet, tokens: int):
+    """Start four callers at entry 1; return them and the list of their answers."""
+    body = {"model": MODEL, "stream": True, "max_tokens": tokens}
+    answers: list[httpx.Response] = []
+    callers = [
+        threading.Thread(target=lambda: answers.append(fleet.call(0, CHAT, body)))
+        for _ in range(4)
+    ]
+    for caller in callers:
+        caller.start()
+    return callers, answers
+
+
 def begun_with(fleet: Fleet, key: str) -> int:
     return sum(call["key"] == key for call in fleet.begun())
 
@@ -251,14 +264,7 @@
 
 
 def test_leaving_agent_finishes_its_stream(fleet, snapshot):
-    body = {"model": MODEL, "stream": True, "max_tokens": 200}
-    answers: list[httpx.Response] = []
-    callers = [
-        threading.Thread(target=lambda: answers.append(fleet.call(0, CHAT, body)))
-        for _ in range(4)
-    ]
-    for caller in callers:
-        caller.start()
+    callers, answers = start_streams(fleet, tokens=200)
     time.sleep(0.3)
     name = fleet.deployment.agent_settings[0].name
     fleet.send(name, signal.SIGTERM)
@@ -302,14 +308,7 @@
 def test_killed_engine_agent_is_replaced_before_the_first_token(fleet):
     for settings in fleet.deployment.agent_settings[:2]:
         fleet.client.post(settings.agent.url + "/stand-in/faults", json={"delay": 0.5})
-    body = {"model": MODEL, "stream": True, "max_tokens": 3}
-    answers: list[httpx.Response] = []
-    callers = [
-        threading.Thread(target=lambda: answers.append(fleet.call(0, CHAT, body)))
-        for _ in range(4)
-    ]
-    for caller in callers:
-        caller.start()
+    callers, answers = start_streams(fleet, tokens=3)
     time.sleep(0.25)
     name = fleet.deployment.agent_settings[0].name
     fleet.send(name, signal.SIGKILL)
