Start an entry anew in the test of a start without the platform

Cause: the test started entry 3 while it ran already; the second process could not bind and ended, the first was forgotten by the fleet and left behind after each run. So the test did not show a start from peers. Found by looking for left processes. Change: the test kills the entry first; a fleet refuses to start what runs. Conclusion: the start from peers while the platform is away does hold.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -89,7 +89,8 @@
         wait_until(lambda: self._answers(url + "/stand-in/begun"), name)
 
     def start(self, name: str) -> None:
-        """Start a daemon."""
+        """Start a daemon that does not run."""
+        assert name not in self._processes or self.has_ended(name), name
         settings = next(each for each in self._daemons() if each.name == name)
         path = self.deployment.write_settings(settings)
         self._run(name, "-m", "cyclamenyoke.daemon.main", "run", str(path))
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -295,6 +295,8 @@
 
 
 def test_entry_starts_from_its_peers_while_the_platform_is_away(fleet):
+    fleet.send("entry-3", signal.SIGKILL)
+    fleet.wait("entry-3")
     fleet.set_faults(down=True)
     try:
         fleet.start("entry-3")
