Remove what the change left dead or wrote twice

Cause: a read of the whole change. Nothing used Header, Service.share_of or the limit of a request head; an entry announced its leaving twice; three places built the same revocation; the randomised run's VMs had their clock twice; whether a record is news was decided by three conditions in a row. Change: each stands once, or is gone.

--- a/src/cyclamenyoke/adapters/http_server.py
+++ b/src/cyclamenyoke/adapters/http_server.py
@@ -8,10 +8,7 @@
 
 import uvicorn
 
-from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND
-
-HEADER_LIMIT = 32 * KIBIBYTE
-"""Largest request head in bytes."""
+from cyclamenyoke.core.units import MILLISECOND
 
 BACKLOG = 1024
 """Connections that may wait to be accepted."""
--- a/src/cyclamenyoke/core/config.py
+++ b/src/cyclamenyoke/core/config.py
@@ -139,13 +139,6 @@
         """Tell whether a call may run more than once."""
         return not any(call.matches(method, path) for call in self.not_repeatable)
 
-    def share_of(self, customer: str) -> float:
-        """Return the weight of a customer, or 1 for one that left the service."""
-        for candidate in self.customers:
-            if candidate.name == customer:
-                return candidate.share
-        return 1.0
-
 
 class ServiceRevision(msgspec.Struct, frozen=True):
     """Which blob defines a service, and how often it has changed."""
--- a/src/cyclamenyoke/core/gossip.py
+++ b/src/cyclamenyoke/core/gossip.py
@@ -467,11 +467,7 @@
         if held is not None:
             self._digests[_bucket(key)] ^= _digest(held.record)
         self._digests[_bucket(key)] ^= _digest(record)
-        is_news = held is None or held.record.payload != record.payload
-        if record.kind is Kind.NODE and f"suspect/{record.name}" in self._held:
-            is_news = True
-        if record.kind is Kind.SUSPECT:
-            is_news = True
+        is_news = self._is_news(record, held)
         self._held[key] = Held(record, PUSHES if is_news else 0)
         if is_news:
             self._hot[key] = self._held[key]
@@ -484,6 +480,14 @@
             self._suspect_for.pop(record.name, None)
         return True
 
+    def _is_news(self, record: Record, held: Held | None) -> bool:
+        """Tell whether a record says more than that its subject lives on."""
+        if held is None or held.record.payload != record.payload:
+            return True
+        if record.kind is Kind.SUSPECT:
+            return True
+        return self.record(Kind.SUSPECT, record.name) is not None
+
     def _drop(self, key: str) -> None:
         held = self._held.pop(key)
         self._hot.pop(key, None)
--- a/src/cyclamenyoke/core/messages.py
+++ b/src/cyclamenyoke/core/messages.py
@@ -44,13 +44,6 @@
     WRONG_ANSWER = "answer_not_own"
 
 
-class Header(msgspec.Struct, frozen=True, array_like=True):
-    """One HTTP header field."""
-
-    name: str
-    value: str
-
-
 class Call(msgspec.Struct, frozen=True, array_like=True):
     """What a caller asks for, as the agent needs it.
 
--- a/src/cyclamenyoke/core/request.py
+++ b/src/cyclamenyoke/core/request.py
@@ -245,9 +245,7 @@
             return []
         self._refusal = (Reason.SILENT, DEFAULT_RETRY_AFTER)
         effects = self._try_next(now)
-        floor = self._numbers.floor
-        revoke = Revoke(silent.attempt_id, floor, silent.incarnation)
-        return [*effects, Send(silent.agent, revoke)]
+        return [*effects, self._revoke(silent)]
 
     def _tries(self) -> int:
         return sum(not attempt.was_busy for attempt in self._attempts.values())
@@ -391,10 +389,9 @@
             return self._replace(Reason.LINK_LOST, now)
         attempt.state = AttemptState.SENT
         attempt.has_reacted = True
-        floor = self._numbers.floor
         if attempt is not self._current or self._state is RequestState.SETTLING:
-            revoke = Revoke(attempt.attempt_id, floor, attempt.incarnation)
-            return [Send(attempt.agent, revoke)]
+            return [self._revoke(attempt)]
+        floor = self._numbers.floor
         self._wake_at = self._call.deadline
         next_sequence = self._answer.next_sequence if self._answer.head else 0
         resume = Resume(attempt.attempt_id, floor, attempt.incarnation, next_sequence)
@@ -444,16 +441,18 @@
         return [refuse, *self._close()]
 
     def _revoke_unsettled(self) -> list[Effect]:
-        floor = self._numbers.floor
+        open_states = {AttemptState.SENT, AttemptState.BEGUN}
         return [
-            Send(
-                attempt.agent,
-                Revoke(attempt.attempt_id, floor, attempt.incarnation),
-            )
+            self._revoke(attempt)
             for attempt in self._attempts.values()
-            if attempt.state in {AttemptState.SENT, AttemptState.BEGUN}
+            if attempt.state in open_states
         ]
 
+    def _revoke(self, attempt: Attempt) -> Send:
+        floor = self._numbers.floor
+        revoke = Revoke(attempt.attempt_id, floor, attempt.incarnation)
+        return Send(attempt.agent, revoke)
+
     def _settle(self, attempt: Attempt, state: AttemptState) -> None:
         """Take the end of an attempt; whatever comes after the first is ignored.
 
--- a/src/cyclamenyoke/daemon/entry.py
+++ b/src/cyclamenyoke/daemon/entry.py
@@ -112,7 +112,6 @@
     async def drain(self) -> None:
         """Take no new calls; return once every request has its final answer."""
         self._leaving = True
-        self._configuration.announce_leaving()
         self._log.info("entry leaves", requests=self._dispatcher.active)
         while self._dispatcher.active:
             await asyncio.sleep(DRAIN_POLL)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -193,31 +193,37 @@
     delivered: dict = field(default_factory=dict)
 
 
-class AgentNode:
+class Vm:
+    """A machine with a clock of its own, which may be paused."""
+
+    def __init__(self, soak: "Soak") -> None:
+        self.soak = soak
+        self.paused_until = 0.0
+        self.skew = soak.world.random.uniform(-SKEW, SKEW)
+
+    @property
+    def now(self) -> float:
+        """The time on this VM's clock."""
+        return self.soak.world.now + self.skew
+
+
+class AgentNode(Vm):
     """One endpoint VM: its agent and its endpoint."""
 
     def __init__(self, soak: "Soak", name: str, service: str) -> None:
-        self.soak = soak
+        super().__init__(soak)
         self.name = name
         self.service = service
         self.starts = 0
         self.alive = False
-        self.paused_until = 0.0
         self.core: AgentCore
         self.links: set[str] = set()
-        self.skew = soak.world.random.uniform(-SKEW, SKEW)
         self.start()
 
-    @property
-    def now(self) -> float:
-        """The time on this VM's clock."""
-        return self.soak.world.now + self.skew
-
     def start(self) -> None:
         self.starts += 1
         self.alive = True
         self.incarnation = f"{self.name}@{self.starts}"
-        self.drained_at = 0.0
         self.core = AgentCore(
             self.name,
             self.incarnation,
@@ -308,22 +314,15 @@
         )
 
 
-class EntryNode:
+class EntryNode(Vm):
     """One entry VM."""
 
     def __init__(self, soak: "Soak", number: int) -> None:
-        self.soak = soak
+        super().__init__(soak)
         self.number = number
         self.starts = 0
-        self.paused_until = 0.0
-        self.skew = soak.world.random.uniform(-SKEW, SKEW)
         self.start()
 
-    @property
-    def now(self) -> float:
-        """The time on this VM's clock."""
-        return self.soak.world.now + self.skew
-
     def start(self) -> None:
         self.starts += 1
         self.incarnation = f"entry-{self.number}@{self.starts}"
