--- a/src/cyclamenyoke/adapters/clock.py
+++ b/src/cyclamenyoke/adapters/clock.py
@@ -1,4 +1,4 @@
-"""The system's clock."""
+"""The system's clocks."""
 
 import time
 
@@ -10,3 +10,13 @@
 
     def now(self) -> float:
         return time.time()
+
+
+class BootClock(Clock):
+    """Seconds since the VM was started.
+
+    Goes on while the VM is suspended, and does not follow jumps of the time of day.
+    """
+
+    def now(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/cyclamenyoke/core/balancer.py
@@ -0,0 +1,163 @@
+"""Which endpoint gets a request, by the load that all gateways put on each.
+
+Answers the load of many gateways before few endpoints: each gateway knows its own
+requests exactly and those of its peers with the delay of the exchange. The least
+loaded endpoint wins; equal ones are told apart by data centre and then by chance, so
+that gateways do not follow each other.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from cyclamenyoke.core.circuit import Circuit, CircuitState
+from cyclamenyoke.core.fleet import Endpoint, Fleet
+from cyclamenyoke.core.units import SECOND
+
+PEER_LOAD_LIFETIME = 2 * SECOND
+"""Seconds for which a silent peer's last word on its load counts."""
+
+NEAR_BONUS = 0.02
+"""Load, in parts of an endpoint's slots, that an endpoint of the own data centre may
+have more: less than one request, so it only decides between equals."""
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """What a peer said of its requests.
+
+    :param requests: requests under way, by endpoint.
+    :param suspects: endpoints whose circuit is open there.
+    """
+
+    heard_at: float
+    requests: Mapping[str, int] = field(default_factory=dict)
+    suspects: frozenset[str] = frozenset()
+
+
+class Balancer:
+    """The load of each endpoint and the choice between them.
+
+    :param data_centre: of this node.
+    """
+
+    def __init__(self, fleet: Fleet, data_centre: str, random: Random) -> None:
+        self._fleet = fleet
+        self._data_centre = data_centre
+        self._random = random
+        self._own: Counter[str] = Counter()
+        self._peers: dict[str, PeerLoad] = {}
+        self._circuits: dict[str, Circuit] = {}
+
+    @property
+    def own_requests(self) -> dict[str, int]:
+        """Requests of this node under way, by endpoint."""
+        return {id_: count for id_, count in self._own.items() if count > 0}
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Endpoints that this node passes over."""
+        return frozenset(
+            id_
+            for id_, circuit in self._circuits.items()
+            if circuit.state is not CircuitState.CLOSED
+        )
+
+    def load(self, endpoint: Endpoint) -> int:
+        """Return the requests under way at an endpoint, as far as known."""
+        peers = sum(peer.requests.get(endpoint.id, 0) for peer in self._peers.values())
+        return self._own[endpoint.id] + peers
+
+    def service_load(self, service: str) -> tuple[int, int]:
+        """Return the requests under way at a service and its slots."""
+        endpoints = self._fleet.usable(service)
+        slots = sum(endpoint.slots for endpoint in endpoints)
+        return sum(self.load(endpoint) for endpoint in endpoints), slots
+
+    def choose(
+        self, service: str, tried: frozenset[str], now: float
+    ) -> Endpoint | None:
+        """Return the endpoint for a request, or ``None`` without any.
+
+        Circuits are ignored where they would leave nothing, so that they never empty
+        a service.
+
+        :param tried: endpoints that have had the request.
+        """
+        untried = [each for each in self._fleet.usable(service) if each.id not in tried]
+        self._forget_silent(now)
+        accused = self._accused()
+        groups: tuple[Callable[[Endpoint], bool], ...] = (
+            lambda each: self._may_pass(each.id, now) and each.id not in accused,
+            lambda each: self._may_pass(each.id, now),
+            lambda each: True,
+        )
+        for is_allowed in groups:
+            allowed = [each for each in untried if is_allowed(each)]
+            if allowed:
+                return self._least_loaded(allowed)
+        return None
+
+    def on_sent(self, endpoint: str) -> None:
+        """Note that a request goes to an endpoint."""
+        self._own[endpoint] += 1
+        self._circuit(endpoint).on_sent()
+
+    def on_done(self, endpoint: str) -> None:
+        """Note that a request at an endpoint has ended."""
+        self._own[endpoint] -= 1
+        if self._own[endpoint] <= 0:
+            del self._own[endpoint]
+
+    def on_success(self, endpoint: str, now: float) -> None:
+        """Note a sound answer of an endpoint."""
+        self._circuit(endpoint).on_success(now)
+
+    def on_nothing(self, endpoint: str) -> None:
+        """Note a request that tells nothing of the endpoint's health."""
+        self._circuit(endpoint).on_nothing()
+
+    def on_failure(self, endpoint: str, now: float, is_certain: bool = False) -> None:
+        """Note that an endpoint failed a request."""
+        self._circuit(endpoint).on_failure(now, is_certain)
+
+    def on_gone(self, endpoints: Iterable[str]) -> None:
+        """Forget the circuits of endpoints that are gone or started anew."""
+        for id_ in endpoints:
+            self._circuits.pop(id_, None)
+
+    def on_peer(
+        self,
+        node: str,
+        requests: Mapping[str, int],
+        suspects: Iterable[str],
+        now: float,
+    ) -> None:
+        """Take a peer's word on its requests."""
+        self._peers[node] = PeerLoad(now, requests, frozenset(suspects))
+
+    def _forget_silent(self, now: float) -> None:
+        oldest = now - PEER_LOAD_LIFETIME
+        for node in [n for n, peer in self._peers.items() if peer.heard_at < oldest]:
+            del self._peers[node]
+
+    def _accused(self) -> frozenset[str]:
+        accused: set[str] = set()
+        for peer in self._peers.values():
+            accused |= peer.suspects
+        return frozenset(accused)
+
+    def _may_pass(self, id_: str, now: float) -> bool:
+        circuit = self._circuits.get(id_)
+        return circuit is None or circuit.may_pass(now)
+
+    def _circuit(self, id_: str) -> Circuit:
+        return self._circuits.setdefault(id_, Circuit())
+
+    def _least_loaded(self, endpoints: list[Endpoint]) -> Endpoint:
+        def cost(endpoint: Endpoint) -> tuple[float, float]:
+            bonus = NEAR_BONUS if endpoint.data_centre == self._data_centre else 0.0
+            return self.load(endpoint) / endpoint.slots - bonus, self._random.random()
+
+        return min(endpoints, key=cost)
--- /dev/null
+++ b/src/cyclamenyoke/core/fleet.py
@@ -0,0 +1,175 @@
+"""What a gateway believes of the endpoints, and how old that belief is.
+
+Readers of the platform's list hand over whole lists; everybody else receives
+changes and a digest from them. An endpoint that is missing from a list is gone,
+except shortly after an outage of the list, when live endpoints may not have
+entered themselves again yet.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from cyclamenyoke.core.units import SECOND
+
+RETURN_TIME = 2.2 * SECOND
+"""Seconds after an outage within which live endpoints enter themselves again: about
+two by the platform's word, and a tenth more."""
+
+CHANGE_MEMORY = 3 * SECOND
+"""Seconds for which a change is repeated to other nodes; several exchange rounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One incarnation of an engine or of a plain service's server.
+
+    :param born: when it started, which tells a restart under the same id.
+    :param slots: requests that it works on at the same time.
+    :param is_leaving: whether it takes no new work.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    is_leaving: bool
+    born: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One difference between two lists.
+
+    :param endpoint: ``None`` for an endpoint that is gone.
+    """
+
+    id: str
+    endpoint: Endpoint | None
+    seen_at: float
+
+
+class Fleet:
+    """The endpoints by service.
+
+    All times are readings of one clock that goes on while the VM is suspended.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, Endpoint] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+        self._missing_until: dict[str, float] = {}
+        self._changes: list[Change] = []
+        self._read_at: float | None = None
+        self._failed_at: float | None = None
+        self._digest = b""
+
+    @property
+    def endpoints(self) -> Mapping[str, Endpoint]:
+        """All endpoints by id."""
+        return self._endpoints
+
+    @property
+    def read_at(self) -> float | None:
+        """When the list was read on which this belief rests."""
+        return self._read_at
+
+    @property
+    def digest(self) -> bytes:
+        """Equal on two nodes that believe the same."""
+        return self._digest
+
+    def usable(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work."""
+        return self._by_service.get(service, [])
+
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Tell whether this incarnation still takes new work."""
+        known = self._endpoints.get(endpoint.id)
+        return (
+            known is not None and known.born == endpoint.born and not known.is_leaving
+        )
+
+    def recent_changes(self, now: float) -> list[Change]:
+        """Return the changes that other nodes may not have heard of."""
+        self._changes = [
+            change for change in self._changes if change.seen_at > now - CHANGE_MEMORY
+        ]
+        return self._changes
+
+    def on_list_failed(self, now: float) -> None:
+        """Note that the platform's list could not be read."""
+        self._failed_at = now
+
+    def on_list(
+        self, endpoints: Iterable[Endpoint], read_at: float, now: float
+    ) -> list[Change]:
+        """Take a whole list of the platform and return what changed.
+
+        :param read_at: when the read began.
+        """
+        if self._read_at is not None and read_at <= self._read_at:
+            return []
+        self._read_at = read_at
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        changes = [
+            Change(each.id, each, now)
+            for each in listed.values()
+            if self._endpoints.get(each.id) != each
+        ]
+        changes += [
+            Change(id_, None, now)
+            for id_ in self._endpoints
+            if id_ not in listed and self._is_gone(id_, now)
+        ]
+        for id_ in listed:
+            self._missing_until.pop(id_, None)
+        self._apply(changes)
+        return changes
+
+    def on_news(
+        self, changes: Iterable[Change], digest: bytes, read_at: float, now: float
+    ) -> bool:
+        """Take changes from another node; tell whether both now believe the same.
+
+        :param digest: of the other node's belief.
+        :param read_at: when the list was read that the other node relies on.
+        """
+        if self._read_at is None or read_at <= self._read_at:
+            return digest == self._digest
+        if digest != self._digest:
+            fresh = [
+                Change(change.id, change.endpoint, now)
+                for change in changes
+                if self._endpoints.get(change.id) != change.endpoint
+            ]
+            self._apply(fresh)
+        if digest != self._digest:
+            return False
+        self._read_at = read_at
+        return True
+
+    def _is_gone(self, id_: str, now: float) -> bool:
+        """Tell whether a missing endpoint may be written off."""
+        if self._failed_at is not None and now - self._failed_at < RETURN_TIME:
+            self._missing_until.setdefault(id_, self._failed_at + RETURN_TIME)
+        return now >= self._missing_until.get(id_, now)
+
+    def _apply(self, changes: list[Change]) -> None:
+        if not changes:
+            return
+        for change in changes:
+            self._missing_until.pop(change.id, None)
+            if change.endpoint is None:
+                self._endpoints.pop(change.id, None)
+            else:
+                self._endpoints[change.id] = change.endpoint
+        self._changes += changes
+        self._by_service = {}
+        digest = hashlib.blake2b(digest_size=8)
+        for _, endpoint in sorted(self._endpoints.items()):
+            digest.update(repr(endpoint).encode())
+            if not endpoint.is_leaving:
+                self._by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._digest = digest.digest()
--- /dev/null
+++ b/src/cyclamenyoke/core/peers.py
@@ -0,0 +1,147 @@
+"""The other gateways: who lives, who takes callers, who reads the platform's list.
+
+Nobody is elected. The reader is the first by address among the live nodes whose
+last read succeeded, and a node whose news grows too old reads for itself.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from cyclamenyoke.core.fleet import Change
+from cyclamenyoke.core.units import SECOND
+
+FRESH_TIME = 1 * SECOND
+"""Seconds of silence after which a peer is not given out; four missed words."""
+
+FORGET_TIME = 30 * SECOND
+"""Seconds of silence after which a peer is no longer written to."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    """What a node says of itself and of what it believes, in one datagram.
+
+    :param incarnation: rises with each start of the node.
+    :param sequence: rises with each datagram of an incarnation.
+    :param callers: the address for callers' requests; empty without one.
+    :param reads_store: whether the node's last call of the store succeeded.
+    :param config_version: 0 without a configuration.
+    :param list_age: seconds since the read of the list that the node relies on;
+        negative without one.
+    :param requests: its requests under way, by endpoint.
+    """
+
+    ip: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    callers: str
+    is_ready: bool
+    is_leaving: bool
+    reads_store: bool
+    config_version: int
+    list_age: float
+    list_digest: bytes
+    changes: tuple[Change, ...]
+    requests: dict[str, int]
+    suspects: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Peer:
+    """One other node.
+
+    :param heard_at: when its last word came; ``None`` before the first.
+    """
+
+    ip: str
+    known_since: float
+    heard_at: float | None = None
+    news: PeerNews | None = None
+
+
+@dataclass(slots=True)
+class Peers:
+    """All other nodes that are known.
+
+    :param ip: of this node.
+    """
+
+    ip: str
+    _peers: dict[str, Peer] = field(default_factory=dict)
+
+    @property
+    def ips(self) -> list[str]:
+        """The nodes to write to."""
+        return list(self._peers)
+
+    def learn(self, ips: Iterable[str], now: float) -> None:
+        """Note nodes that may exist."""
+        for ip in ips:
+            if ip != self.ip and ip not in self._peers:
+                self._peers[ip] = Peer(ip, now)
+
+    def on_news(self, news: PeerNews, now: float) -> bool:
+        """Take a node's word; tell whether it is newer than its last one."""
+        if news.ip == self.ip:
+            return False
+        peer = self._peers.setdefault(news.ip, Peer(news.ip, now))
+        last = peer.news
+        if last is not None and (news.incarnation, news.sequence) <= (
+            last.incarnation,
+            last.sequence,
+        ):
+            return False
+        peer.news = news
+        peer.heard_at = now
+        return True
+
+    def forget_silent(self, now: float) -> None:
+        """Drop the nodes that have been silent for long."""
+        for ip, peer in list(self._peers.items()):
+            if now - (peer.heard_at or peer.known_since) > FORGET_TIME:
+                del self._peers[ip]
+
+    def live(self, now: float) -> list[PeerNews]:
+        """Return the last word of each node that is not silent."""
+        return [
+            peer.news
+            for peer in self._peers.values()
+            if peer.news is not None
+            and peer.heard_at is not None
+            and now - peer.heard_at < FRESH_TIME
+        ]
+
+    def count(self, now: float) -> int:
+        """Return the number of live nodes, this one among them."""
+        return 1 + len(self.live(now))
+
+    def addresses(self, now: float) -> list[str]:
+        """Return where callers may connect, besides this node.
+
+        A node that hears less than half of the others may itself be cut off; it
+        then gives out all that it knew last, and callers find out who answers.
+        """
+        known = [peer.news for peer in self._peers.values() if peer.news is not None]
+        live = self.live(now)
+        candidates = live if 2 * len(live) >= len(known) else known
+        return [
+            news.callers
+            for news in candidates
+            if news.is_ready and not news.is_leaving and news.callers
+        ]
+
+    def is_reader(self, now: float, reads_store: bool) -> bool:
+        """Tell whether this node reads the platform's list for all."""
+        able = [news.ip for news in self.live(now) if news.reads_store]
+        return reads_store and all(self.ip < ip for ip in able)
+
+    def choose(self, count: int, random: Random) -> list[str]:
+        """Return some nodes to write to."""
+        ips = self.ips
+        return ips if len(ips) <= count else random.sample(ips, count)
+
+    def holders(self, version: int, now: float) -> list[str]:
+        """Return the live nodes that have at least a version of the configuration."""
+        return [news.ip for news in self.live(now) if news.config_version >= version]
--- a/src/cyclamenyoke/core/retry.py
+++ b/src/cyclamenyoke/core/retry.py
@@ -1,5 +1,7 @@
 """A budget that bounds retries relative to first tries."""
 
+from collections import deque
+
 from cyclamenyoke.core.units import SECOND
 
 RETRY_SHARE = 0.1
@@ -11,6 +13,9 @@
 RETRY_REFILL = 1.0 / SECOND
 """Retries a second that are allowed even without traffic."""
 
+BUDGET_MARGIN = 0.7
+"""Part of a shared budget that is spent; nodes may disagree on how many they are."""
+
 
 class RetryBudget:
     """A token bucket that first tries and time refill.
@@ -35,3 +40,41 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+class WindowedRetryBudget:
+    """A node's part of a retry budget that all nodes share.
+
+    The budget allows, in any window, a share of the first tries and a fixed
+    number besides. Each node spends the share of its own first tries and an equal
+    part of the fixed number, so that the sum holds without an exchange.
+
+    :param ratio: retries allowed for each first try.
+    :param slack: retries allowed besides, by all nodes together.
+    :param window: seconds.
+    """
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio * BUDGET_MARGIN
+        self._slack = slack * BUDGET_MARGIN
+        self._window = window
+        self._firsts: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def on_first_try(self, now: float) -> None:
+        """Note a request."""
+        self._firsts.append(now)
+
+    def take(self, now: float, nodes: int) -> bool:
+        """Spend one retry; return whether the budget allowed it.
+
+        :param nodes: how many nodes share the budget.
+        """
+        for times in (self._firsts, self._retries):
+            while times and times[0] <= now - self._window:
+                times.popleft()
+        allowed = self._ratio * len(self._firsts) + self._slack / max(1, nodes)
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
--- /dev/null
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -0,0 +1,298 @@
+"""A gateway process: callers before it, endpoints behind it, no agents between.
+
+The wiring of the users' platform. Run as ``python3 -m cyclamenyoke.daemon.gateway``.
+"""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from random import SystemRandom
+
+from cyclamenyoke.adapters.clock import BootClock
+from cyclamenyoke.adapters.connection_pool import ConnectionPool
+from cyclamenyoke.adapters.http_ingress import HttpRequest, IngressServer, Responder
+from cyclamenyoke.adapters.logs import Log, install_logs
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.deployment import NodeSettings
+from cyclamenyoke.core.fleet import Endpoint, Fleet
+from cyclamenyoke.core.invariants import CountingMonitor, Promise
+from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.routes import GatewayConfig
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.belief import Belief, DocumentDecoder
+from cyclamenyoke.daemon.forwarder import Forwarder
+from cyclamenyoke.daemon.membership import Membership
+from cyclamenyoke.exceptions import CyclamenyokeError, FindingsError
+from cyclamenyoke.platform.callers import CallerEdge, DirectoryEdge, ReadinessEdge
+from cyclamenyoke.platform.documents import (
+    CONFIG_KEY,
+    ENDPOINT_PREFIX,
+    UnreadableDocument,
+    decode_config,
+    decode_endpoints,
+)
+from cyclamenyoke.platform.engines import PlatformEngines
+from cyclamenyoke.platform.settings import PATH_VARIABLE, load_settings
+from cyclamenyoke.platform.store import StoreClient
+from cyclamenyoke.ports.platform import StoredItem
+
+ADDRESS_LIFETIME = 2 * SECOND
+"""Seconds for which callers may keep the directory's answer, at most: about the time
+after which a node that died is no longer given out anyway."""
+
+STOP_MARGIN = 0.8 * SECOND
+"""Seconds before the platform's kill at which a stopping process ends."""
+
+STOP_QUIET = 2.5 * SECOND
+"""Seconds for which a stopping process takes late callers at least: the lifetime of an
+answer of the directory and a little more."""
+
+STOP_POLL = 50 * MILLISECOND
+"""Seconds between two looks at whether a stop is complete."""
+
+SETTINGS_POLL = 1 * SECOND
+"""Seconds between two looks at whether the settings file has changed."""
+
+SWEEP_TIME = 1 * SECOND
+"""Seconds between two looks at idle connections to endpoints."""
+
+
+def _decode_items(
+    items: Sequence[StoredItem],
+) -> tuple[list[Endpoint], list[UnreadableDocument]]:
+    return decode_endpoints([(item.key, item.value) for item in items])
+
+
+class Gateway:
+    """One gateway process.
+
+    Order of a stop: tell peers and the platform, serve what comes, close.
+    """
+
+    def __init__(self, settings: NodeSettings, settings_path: Path) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._clock = BootClock()
+        self._metrics = Metrics()
+        self._log = Log("gateway", node=settings.node)
+        random = SystemRandom()
+        monitor = CountingMonitor(self._on_breach)
+        self._fleet = Fleet()
+        self._peers = Peers(settings.ip)
+        self._balancer = Balancer(self._fleet, settings.data_centre, random)
+        self._store = StoreClient(settings.store, self._clock)
+        self._pool = ConnectionPool(self._clock)
+        self._belief = Belief(
+            settings,
+            self._store,
+            DocumentDecoder(CONFIG_KEY, ENDPOINT_PREFIX, decode_config, _decode_items),
+            self._fleet,
+            self._peers,
+            self._balancer,
+            self._clock,
+            random,
+            monitor,
+            self._metrics,
+            self._log,
+        )
+        self._membership = Membership(
+            settings,
+            self._store,
+            self._peers,
+            self._fleet,
+            self._balancer,
+            self._belief,
+            self._clock,
+            random,
+            self._metrics,
+            self._log,
+        )
+        forwarder = Forwarder(
+            PlatformEngines(self._clock, self._pool),
+            self._balancer,
+            self._peers,
+            settings.bounds,
+            lambda: self._belief.config,
+            self._belief.list_age,
+            self._membership.announce,
+            self._clock,
+            random,
+            monitor,
+            self._metrics,
+            self._log,
+        )
+        lifetime = min(ADDRESS_LIFETIME, settings.bounds.address_lifetime)
+        self._callers = self._server(CallerEdge(forwarder.serve))
+        self._servers = [
+            (settings.callers, self._callers),
+            (settings.readiness, self._server(ReadinessEdge(self._is_ready))),
+            (
+                settings.directory,
+                self._server(DirectoryEdge(self._addresses, lifetime)),
+            ),
+            (
+                f"{settings.ip}:{settings.metrics_port}",
+                self._server(self._serve_metrics),
+            ),
+        ]
+        self._stopping = asyncio.Event()
+        self._belief.on_change = self._membership.announce
+        self._belief.on_config = self._on_config
+        self._belief.on_gone = self._pool.drop
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stopping.set()
+
+    def reload(self) -> None:
+        """Read the settings file again; a faulty one changes nothing."""
+        try:
+            load_settings(self._settings_path)
+        except FindingsError as error:
+            self._log.error("settings not reloaded", findings=error.show())
+            return
+        self._log.info("settings reloaded")
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        self._log.info("started", role="gateway", ip=self._settings.ip)
+        for address, server in self._servers:
+            if address is not None:
+                await server.start(address)
+        tasks = [
+            asyncio.create_task(self._belief.watch_config()),
+            asyncio.create_task(self._belief.fetch_newer()),
+            asyncio.create_task(self._belief.read_list()),
+            asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._sweep()),
+            asyncio.create_task(self._watch_settings()),
+        ]
+        stopping = asyncio.create_task(self._stopping.wait())
+        try:
+            done, _ = await asyncio.wait(
+                [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done - {stopping}:
+                task.result()
+            await self._drain()
+        finally:
+            stopping.cancel()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for _, server in self._servers:
+                server.close()
+            await self._store.close()
+        self._log.info("stopped")
+
+    async def _drain(self) -> None:
+        """Serve on until callers have gone, or until the kill is near."""
+        now = self._clock.now()
+        give_up_at = now + self._settings.bounds.grace - STOP_MARGIN
+        quiet_at = min(give_up_at, now + STOP_QUIET)
+        self._log.info("stopping", connections=self._callers.connections)
+        for _, server in self._servers:
+            server.is_draining = True
+        self._membership.leave()
+        await self._membership.end()
+        while (now := self._clock.now()) < give_up_at:
+            if now >= quiet_at and self._callers.busy == 0:
+                break
+            await asyncio.sleep(STOP_POLL)
+        self._callers.stop_accepting()
+        self._log.info("closing", busy=self._callers.busy)
+
+    def _server(self, handler: object) -> IngressServer:
+        return IngressServer(
+            handler,  # type: ignore[arg-type]
+            self._clock,
+            self._on_unreadable,
+            self._on_handler_error,
+        )
+
+    def _is_ready(self) -> bool:
+        return self._belief.is_complete and not self._stopping.is_set()
+
+    def _addresses(self, name: str, data_centre: str) -> list[str]:
+        addresses = self._peers.addresses(self._clock.now())
+        if self._is_ready() and self._settings.callers is not None:
+            addresses.append(self._settings.callers)
+        return addresses
+
+    async def _serve_metrics(self, request: HttpRequest, responder: Responder) -> None:
+        for call, count in self._store.calls.items():
+            self._metrics.gauge("store_calls", count, call=call)
+        self._metrics.gauge("engine_connections_opened", self._pool.opened)
+        self._metrics.gauge("list_age_seconds", self._belief.list_age())
+        self._metrics.gauge("config_version", self._belief.config_version)
+        kind = (b"Content-Type", b"text/plain; version=0.0.4")
+        responder.respond(200, [kind], self._metrics.render().encode())
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_TIME)
+            self._pool.close_expired()
+
+    async def _watch_settings(self) -> None:
+        """Notice a settings file that changes without a signal."""
+        seen = self._settings_mark()
+        while True:
+            await asyncio.sleep(SETTINGS_POLL)
+            mark = self._settings_mark()
+            if mark != seen:
+                seen = mark
+                self.reload()
+
+    def _settings_mark(self) -> tuple[int, int]:
+        try:
+            status = os.stat(self._settings_path)
+        except OSError:
+            return 0, 0
+        return status.st_mtime_ns, status.st_size
+
+    def _on_config(self, config: GatewayConfig) -> None:
+        for _, server in self._servers:
+            server.limits = config.limits
+
+    def _on_unreadable(self, status: int) -> None:
+        self._metrics.count("unreadable_requests", status=str(status))
+        self._log.info("request unreadable", status=status)
+
+    def _on_handler_error(self, error: BaseException | None) -> None:
+        self._metrics.count("handler_errors")
+        self._log.error("request handler failed", error=repr(error))
+
+    def _on_breach(self, promise: Promise, detail: str) -> None:
+        self._metrics.count("breaches", promise=promise.value)
+        self._log.error("promise broken", promise=promise.value, detail=detail)
+
+
+async def _serve(settings: NodeSettings, path: Path) -> None:
+    gateway = Gateway(settings, path)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.stop)
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    await gateway.run()
+
+
+def run() -> None:
+    """Run the gateway of this machine and exit with its code."""
+    try:
+        path = Path(os.environ.get(PATH_VARIABLE, ""))
+        settings = load_settings(path)
+        install_logs("info", sys.stdout)
+        gc.freeze()
+        asyncio.run(_serve(settings, path))
+    except CyclamenyokeError as error:
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -0,0 +1,231 @@
+"""Finds the other gateways through the store, and exchanges news with them."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Iterable
+from random import Random
+
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.adapters.peer_exchange import MessageSeal, PeerExchange
+from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.deployment import NodeSettings
+from cyclamenyoke.core.fleet import Fleet
+from cyclamenyoke.core.peers import PeerNews, Peers
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.belief import Belief
+from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.platform import CasConflict, KeyValueStore, LeaseLost
+
+PREFIX = "cyclamenyoke/"
+NODE_PREFIX = "cyclamenyoke/nodes/"
+EXCHANGE_KEY = "cyclamenyoke/exchange-key"
+EXCHANGE_KEY_SIZE = 32
+"""Bytes of the key that seals messages between nodes."""
+
+LEASE_TIME = 20 * SECOND
+"""Lifetime of a node's entry; a dead node is passed over long before it ends."""
+
+RENEW_TIME = 6 * SECOND
+"""Seconds between two renewals: three fit in a lifetime."""
+
+LIST_TIME = 20 * SECOND
+"""Seconds between two reads of the nodes; news of unknown nodes come by exchange."""
+
+HEARTBEAT = 250 * MILLISECOND
+"""Longest silence towards peers; four fit in the time after which a node is passed
+over."""
+
+PAUSE_PER_PEER = 2 * MILLISECOND
+"""Pause after news, for each peer written to, so that a node's cost stays level as
+the number of nodes grows."""
+
+FANOUT = 24
+"""Peers written to at once; news reach hundreds of nodes in two rounds."""
+
+RETRY = 500 * MILLISECOND
+"""Seconds before a failed call of the store is made again."""
+
+MICROSECONDS = 1_000_000
+
+
+class Membership:
+    """This node among its peers."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyValueStore,
+        peers: Peers,
+        fleet: Fleet,
+        balancer: Balancer,
+        belief: Belief,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._peers = peers
+        self._fleet = fleet
+        self._balancer = balancer
+        self._belief = belief
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._log = log
+        self._incarnation = int(time.time() * MICROSECONDS)
+        self._sequence = 0
+        self._exchange: PeerExchange | None = None
+        self._lease = 0
+        self._has_news = asyncio.Event()
+        self._is_leaving = False
+        peers.learn(settings.seeds, clock.now())
+
+    def announce(self) -> None:
+        """Tell peers soon that something has changed."""
+        self._has_news.set()
+
+    def leave(self) -> None:
+        """Tell peers at once that this node stops."""
+        self._is_leaving = True
+        self._send(self._peers.ips)
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        seal = await self._join()
+        exchange = PeerExchange(
+            self._settings.ip,
+            self._settings.peer_port,
+            seal,
+            self._on_news,
+            self._on_refused,
+            self._belief.snapshot,
+        )
+        await exchange.start()
+        self._exchange = exchange
+        self._belief.use_exchange(exchange)
+        try:
+            await asyncio.gather(self._tell(), self._keep_entry(), self._list_nodes())
+        finally:
+            exchange.close()
+
+    async def end(self) -> None:
+        """Remove this node's entry."""
+        if not self._lease:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except PlatformUnavailable as error:
+            self._log.warning("entry not removed", error=str(error))
+
+    async def _join(self) -> MessageSeal:
+        """Return the seal once the store has given the key that all nodes share."""
+        while True:
+            try:
+                items = {item.key: item for item in await self._store.list(PREFIX)}
+                if EXCHANGE_KEY not in items:
+                    key = secrets.token_bytes(EXCHANGE_KEY_SIZE)
+                    await self._store.compare_and_swap(EXCHANGE_KEY, 0, key)
+                    continue
+                self._learn(items)
+                return MessageSeal(items[EXCHANGE_KEY].value)
+            except CasConflict:
+                continue
+            except PlatformUnavailable as error:
+                self._log.warning("can't join yet", error=str(error))
+                await asyncio.sleep(RETRY * self._random.uniform(0.75, 1.25))
+
+    def _learn(self, keys: Iterable[str]) -> None:
+        names = [key for key in keys if key.startswith(NODE_PREFIX)]
+        ips = [key.removeprefix(NODE_PREFIX) for key in names]
+        self._peers.learn(ips, self._clock.now())
+
+    async def _keep_entry(self) -> None:
+        """Keep this node's entry in the store."""
+        while True:
+            try:
+                if self._lease:
+                    await self._store.renew_lease(self._lease)
+                else:
+                    await self._enter()
+                pause = RENEW_TIME
+            except LeaseLost:
+                self._lease = 0
+                continue
+            except (PlatformUnavailable, CasConflict) as error:
+                self._log.warning("entry not renewed", error=str(error))
+                pause = RETRY * 2
+            await asyncio.sleep(pause * self._random.uniform(0.75, 1.25))
+
+    async def _enter(self) -> None:
+        lease = await self._store.grant_lease(LEASE_TIME)
+        key = NODE_PREFIX + self._settings.ip
+        value = self._settings.data_centre.encode()
+        try:
+            await self._store.compare_and_swap(key, 0, value, lease)
+        except CasConflict:
+            # The entry of this node's last start has not lapsed yet.
+            current = await self._store.get(key)
+            await self._store.compare_and_swap(key, current.revision, value, lease)
+        self._lease = lease
+
+    async def _list_nodes(self) -> None:
+        while True:
+            await asyncio.sleep(LIST_TIME * self._random.uniform(0.75, 1.25))
+            self._peers.forget_silent(self._clock.now())
+            try:
+                self._learn([each.key for each in await self._store.list(NODE_PREFIX)])
+            except PlatformUnavailable as error:
+                self._log.warning("nodes not read", error=str(error))
+
+    async def _tell(self) -> None:
+        """Write to peers whenever there is news, and at each heartbeat."""
+        while True:
+            try:
+                async with asyncio.timeout(HEARTBEAT):
+                    await self._has_news.wait()
+            except TimeoutError:
+                pass
+            self._has_news.clear()
+            ips = self._peers.choose(FANOUT, self._random)
+            self._send(ips)
+            await asyncio.sleep(PAUSE_PER_PEER * max(1, len(ips)))
+
+    def _send(self, ips: list[str]) -> None:
+        if self._exchange is None:
+            return
+        now = self._clock.now()
+        self._sequence += 1
+        news = PeerNews(
+            ip=self._settings.ip,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            data_centre=self._settings.data_centre,
+            callers=self._settings.callers or "",
+            is_ready=self._belief.is_complete,
+            is_leaving=self._is_leaving,
+            reads_store=self._belief.reads_store,
+            config_version=self._belief.config_version,
+            list_age=self._belief.list_age(),
+            list_digest=self._fleet.digest,
+            changes=tuple(self._fleet.recent_changes(now)),
+            requests=self._balancer.own_requests,
+            suspects=tuple(self._balancer.suspects),
+        )
+        self._exchange.send(news, ips)
+        self._metrics.gauge("exchange_sent_bytes", self._exchange.sent_bytes)
+
+    def _on_news(self, news: PeerNews) -> None:
+        now = self._clock.now()
+        if not self._peers.on_news(news, now):
+            return
+        self._balancer.on_peer(news.ip, news.requests, news.suspects, now)
+        self._belief.on_peer(news, now)
+
+    def _on_refused(self, reason: str) -> None:
+        self._metrics.count("exchange_refused")
+        self._log.warning("message of a peer refused", reason=reason)
--- a/src/cyclamenyoke/daemon/node.py
+++ b/src/cyclamenyoke/daemon/node.py
@@ -4,10 +4,10 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from random import Random, SystemRandom
+from urllib.parse import urlsplit
 
 from cyclamenyoke.adapters.exchange import ExchangeClient, ExchangeServer, Seal
 from cyclamenyoke.adapters.http_endpoint import HttpEndpoint
-from cyclamenyoke.adapters.http_platform import HttpPlatform
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.agent import AgentCore
@@ -17,6 +17,7 @@
 from cyclamenyoke.core.units import HOUR, SECOND
 from cyclamenyoke.daemon.configuration import ConfigurationTask
 from cyclamenyoke.daemon.settings import Role, Settings
+from cyclamenyoke.platform.store import StoreClient
 from cyclamenyoke.ports.clock import Clock
 
 MICROSECONDS = 1_000_000
@@ -53,7 +54,7 @@
         self._incarnation = f"{settings.name}@{self._started_at}"
         self._monitor = CountingMonitor(self._on_breach)
         self._shared_key = settings.read_shared_key()
-        self._platform = HttpPlatform(settings.platform, clock)
+        self._platform = StoreClient(urlsplit(settings.platform).netloc, clock)
         self._on_change: Callable[[], None] = lambda: None
         self._drain: Callable[[], Awaitable[None]] = _nothing
         self._close: Callable[[], Awaitable[None]] = _nothing
--- /dev/null
+++ b/src/cyclamenyoke/platform/settings.py
@@ -0,0 +1,131 @@
+"""Reads the settings file that the platform lays for each process."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cyclamenyoke.core.deployment import Bounds, NodeSettings
+from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND
+from cyclamenyoke.exceptions import Finding, FindingsError
+
+PATH_VARIABLE = "CYCLAMENYOKE_NODE_FILE"
+"""Environment variable that holds the path of the settings file."""
+
+PEER_PORT_INDEX = 0
+"""Place of the exchange's port in the range of ports that is free for us."""
+
+METRICS_PORT = 9464
+"""Port of the metrics, as ``deploy/system.toml`` names it; usual for exporters."""
+
+
+class _Listen(msgspec.Struct):
+    front: str | None = None
+    ready: str | None = None
+    directory: str | None = None
+
+
+class _Limits(msgspec.Struct):
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    memory_mb: float = 256.0
+    file_descriptors: int = 1024
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: float
+    grace_s: float
+    config_apply_ms: float
+    retry_budget_ratio: float
+    retry_budget_slack: float
+    budget_window_s: float
+    ttl_max_s: float = 5.0
+    stall_ms: float = 1500.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _Settings(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    bounds: _Bounds
+    platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    seeds: list[str] = []
+
+
+_PARTS: Mapping[str, Any] = {
+    field.name: field.type for field in msgspec.structs.fields(_Settings)
+}
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Return the settings in a file.
+
+    :raises FindingsError: with every fault of the file.
+    """
+    name = str(path)
+    try:
+        content = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise FindingsError([Finding(name, 1, 1, str(error))]) from error
+    findings = [
+        Finding(name, 1, 1, f"{key}: {problem}") for key, problem in _problems(content)
+    ]
+    if findings:
+        raise FindingsError(findings)
+    return _translate(msgspec.convert(content, _Settings))
+
+
+def _problems(content: dict[str, Any]) -> list[tuple[str, str]]:
+    """Return the faulty fields, each checked by itself, with what is wrong."""
+    problems = []
+    for field in msgspec.structs.fields(_Settings):
+        if field.name not in content:
+            if field.required:
+                problems.append((field.name, "missing"))
+            continue
+        try:
+            msgspec.convert(content[field.name], _PARTS[field.name])
+        except msgspec.ValidationError as error:
+            problems.append((field.name, str(error)))
+    return problems
+
+
+def _translate(settings: _Settings) -> NodeSettings:
+    bounds = settings.bounds
+    first_port = settings.internal_ports[0]
+    return NodeSettings(
+        node=settings.node,
+        ip=settings.ip,
+        data_centre=settings.zone,
+        region=settings.region,
+        callers=settings.listen.front,
+        readiness=settings.listen.ready,
+        directory=settings.listen.directory,
+        peer_port=first_port + PEER_PORT_INDEX,
+        metrics_port=METRICS_PORT,
+        seeds=tuple(seed.rpartition(":")[0] for seed in settings.seeds),
+        store=settings.platform.address,
+        capacity=settings.limits.cpu_share * settings.limits.cores,
+        memory_bytes=int(settings.limits.memory_mb * MEBIBYTE),
+        file_descriptors=settings.limits.file_descriptors,
+        bounds=Bounds(
+            drain=bounds.drain_ms * MILLISECOND,
+            grace=bounds.grace_s,
+            config_apply=bounds.config_apply_ms * MILLISECOND,
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_slack=bounds.retry_budget_slack,
+            retry_window=bounds.budget_window_s,
+            address_lifetime=bounds.ttl_max_s,
+            stall=bounds.stall_ms * MILLISECOND,
+        ),
+    )
--- /dev/null
+++ b/src/cyclamenyoke/platform/store.py
@@ -0,0 +1,256 @@
+"""A client of the platform's key-value store."""
+
+import asyncio
+import base64
+from collections import Counter
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from cyclamenyoke.adapters.connection_pool import ConnectionPool
+from cyclamenyoke.adapters.http_connection import (
+    BodyPart,
+    ConnectionFailed,
+    HttpConnection,
+    ResponseBroken,
+    ResponseEnd,
+    ResponseHead,
+    encode_request,
+)
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.platform import (
+    CasConflict,
+    KeyValueStore,
+    LeaseLost,
+    StoredItem,
+    Versioned,
+)
+
+ANSWER_TIME = 1 * SECOND
+"""Seconds after which a call without an answer counts as lost: a slow store answers in
+a quarter of it."""
+
+LONGEST_WATCH = 30 * SECOND
+"""Longest wait that the store accepts."""
+
+KEEP_TIME = 4 * SECOND
+"""Seconds for which an idle connection to the store is used again if the store states
+no time."""
+
+MOST_CONNECTIONS = 16
+"""Connections to the store: one a watch and a few for calls."""
+
+POOL_KEY = "store"
+
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    key: str = ""
+    # Absent from an event that reports a removal.
+    value: str | None = None
+    revision: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    truncated: bool
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Change(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+def _path(path: str, **query: object) -> bytes:
+    return f"{path}?{urlencode(query)}".encode() if query else path.encode()
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailable(f"unreadable answer of the store: {error}") from error
+
+
+def _value(item: _Item) -> bytes:
+    try:
+        return base64.b64decode(item.value or "", validate=True)
+    except ValueError as error:
+        raise PlatformUnavailable(f"key {item.key!r}: bad base64") from error
+
+
+class StoreClient(KeyValueStore):
+    """Speaks with the store.
+
+    :param address: ``IP:PORT`` of the store.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._pool = ConnectionPool(clock)
+        self._calls: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> Counter[str]:
+        """Calls made so far, by method and path."""
+        return self._calls
+
+    async def close(self) -> None:
+        self._pool.drop(POOL_KEY)
+
+    async def get(self, key: str) -> Versioned:
+        status, body = await self._call("GET", "/v1/kv-key", {"key": key})
+        if status == HTTPStatus.NOT_FOUND:
+            return Versioned(0, None)
+        self._require_ok(status, f"key {key!r}")
+        item = _decode(body, _Item)
+        return Versioned(item.revision, _value(item))
+
+    async def list(self, prefix: str) -> Sequence[StoredItem]:
+        items: list[StoredItem] = []
+        query = {"prefix": prefix}
+        while True:
+            status, body = await self._call("GET", "/v1/kv-range", query)
+            self._require_ok(status, f"range {prefix!r}")
+            page = _decode(body, _Range)
+            items += [
+                StoredItem(item.key, _value(item), item.revision) for item in page.items
+            ]
+            if not page.truncated or not page.items:
+                return items
+            query = {"prefix": prefix, "after": page.items[-1].key}
+
+    async def watch(self, key: str, after_revision: int, deadline: float) -> Versioned:
+        after = after_revision
+        while True:
+            wait = min(LONGEST_WATCH, max(0.0, deadline - self._clock.now()))
+            query = {
+                "prefix": key,
+                "after": str(after),
+                "wait_ms": str(int(wait / MILLISECOND)),
+            }
+            status, body = await self._call("GET", "/v1/kv-watch", query, wait=wait)
+            if status == HTTPStatus.GONE:
+                return await self.get(key)
+            self._require_ok(status, f"watch {key!r}")
+            answer = _decode(body, _Events)
+            # The prefix also matches longer keys, whose events are passed over.
+            own = [item for item in answer.events if item.key == key]
+            if own:
+                newest = own[-1]
+                value = None if newest.deleted else _value(newest)
+                return Versioned(newest.revision, value)
+            if not answer.events:
+                return Versioned(after_revision, None)
+            after = answer.store_revision
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes, lease: int = 0
+    ) -> int:
+        text = base64.b64encode(value).decode()
+        change = {
+            "expected": [{"key": key, "revision": expected_revision}],
+            "writes": [{"key": key, "value": text, "lease": lease}],
+            "deletes": [],
+        }
+        status, body = await self._call("POST", "/v1/kv-txn", content=change)
+        if status == HTTPStatus.PRECONDITION_FAILED:
+            raise CasConflict(f"key {key!r} is not at revision {expected_revision}")
+        if status == HTTPStatus.NOT_FOUND:
+            raise LeaseLost(f"key {key!r}: lease {lease} has ended")
+        self._require_ok(status, f"change of {key!r}")
+        return _decode(body, _Change).revision
+
+    async def grant_lease(self, lifetime: float) -> int:
+        content = {"ttl_ms": int(lifetime / MILLISECOND)}
+        status, body = await self._call("POST", "/v1/kv-lease", content=content)
+        self._require_ok(status, "lease")
+        return _decode(body, _Lease).lease
+
+    async def renew_lease(self, lease: int) -> None:
+        status, _ = await self._call("POST", f"/v1/kv-keep/{lease}")
+        if status == HTTPStatus.NOT_FOUND:
+            raise LeaseLost(f"lease {lease} has ended")
+        self._require_ok(status, f"lease {lease}")
+
+    async def end_lease(self, lease: int) -> None:
+        status, _ = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        if status != HTTPStatus.NOT_FOUND:
+            self._require_ok(status, f"lease {lease}")
+
+    @staticmethod
+    def _require_ok(status: int, what: str) -> None:
+        if status != HTTPStatus.OK:
+            raise PlatformUnavailable(f"{what}: status {status}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        content: object = None,
+        wait: float = 0.0,
+    ) -> tuple[int, bytes]:
+        """Return status and body of an answer.
+
+        :param wait: seconds for which the store may hold the call.
+        :raises PlatformUnavailable: without an answer in time.
+        """
+        self._calls[f"{method} {path.split('/')[2]}"] += 1
+        body = b"" if content is None else msgspec.json.encode(content)
+        headers = [(b"Host", self._address.encode())]
+        if content is not None:
+            headers.append((b"Content-Type", b"application/json"))
+        if method != "GET":
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        data = encode_request(
+            method.encode(), _path(path, **query or {}), headers, body
+        )
+        connection: HttpConnection | None = None
+        try:
+            async with asyncio.timeout(ANSWER_TIME + wait):
+                connection, _ = await self._pool.acquire(
+                    self._address, POOL_KEY, MOST_CONNECTIONS, ANSWER_TIME
+                )
+                connection.send(data, method.encode(), lambda head: True)
+                status, answer = await self._read(connection)
+        except (ConnectionFailed, TimeoutError) as error:
+            kind = str(error) or type(error).__name__
+            raise PlatformUnavailable(f"{method} {path}: {kind}") from error
+        finally:
+            if connection is not None and not connection.is_reusable:
+                connection.close()
+        self._pool.release(connection, self._address, POOL_KEY, KEEP_TIME)
+        return status, answer
+
+    async def _read(self, connection: HttpConnection) -> tuple[int, bytes]:
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = await connection.receive()
+            match event:
+                case ResponseHead():
+                    status = event.status
+                case BodyPart():
+                    parts.append(event.data)
+                case ResponseEnd():
+                    return status, b"".join(parts)
+                case ResponseBroken():
+                    raise PlatformUnavailable(f"store: {event.reason}")
--- a/src/cyclamenyoke/ports/clock.py
+++ b/src/cyclamenyoke/ports/clock.py
@@ -4,7 +4,7 @@
 
 
 class Clock(ABC):
-    """Tells the time in seconds of Unix time."""
+    """Tells the time in seconds, from an origin of its own."""
 
     @abstractmethod
     def now(self) -> float:
--- /dev/null
+++ b/src/cyclamenyoke/ports/engine.py
@@ -0,0 +1,93 @@
+"""How a gateway speaks with engines and plain services."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from cyclamenyoke.core.calls import Header, InboundCall
+from cyclamenyoke.core.fleet import Endpoint
+from cyclamenyoke.exceptions import CyclamenyokeError
+
+
+class EngineUnreachable(CyclamenyokeError):
+    """No connection; no byte of the request was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The beginning of the endpoint's own answer.
+
+    :param headers: those that go on to the caller.
+    :param is_success: whether it is a success that the endpoint vouches for.
+    """
+
+    status: int
+    headers: list[Header]
+    is_success: bool
+    is_event_stream: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerData:
+    """A part of the answer's body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLost:
+    """The answer broke off or can't be trusted; the request may have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The endpoint promises that the request has not run.
+
+    :param is_misdirected: whether another endpoint answered at the address.
+    """
+
+    status: int
+    is_misdirected: bool
+
+
+EngineEvent = AnswerHead | AnswerData | AnswerEnd | AnswerLost | NotRun
+
+
+class Exchange(ABC):
+    """One request at one endpoint."""
+
+    @abstractmethod
+    async def receive(self) -> EngineEvent:
+        """Return the next event of the answer."""
+
+    @abstractmethod
+    def finish(self) -> None:
+        """Release the connection; an answer that is not whole is cut off."""
+
+
+class EngineClient(ABC):
+    """Sends requests to endpoints."""
+
+    @abstractmethod
+    async def send(
+        self,
+        endpoint: Endpoint,
+        call: InboundCall,
+        customer: str | None,
+        last_event_id: int | None,
+        deadline: float,
+        most_connections: int,
+    ) -> Exchange:
+        """Send a request.
+
+        :param last_event_id: the event after which a stream goes on.
+        :param deadline: when the endpoint stops working on it.
+        :param most_connections: that this node may hold to the endpoint.
+        :raises EngineUnreachable: when nothing was sent.
+        """
--- a/src/cyclamenyoke/ports/platform.py
+++ b/src/cyclamenyoke/ports/platform.py
@@ -1,10 +1,11 @@
-"""What the platform gives: a key-value service and a list of VMs.
+"""What the platform gives: a key-value service with lists, watches and leases.
 
 The contract includes its faults. Any call may raise :class:`PlatformUnavailable`,
 and a change whose answer was lost may have taken effect, or may take effect later.
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from cyclamenyoke.exceptions import CyclamenyokeError
@@ -14,6 +15,10 @@
     """The value's revision was not the expected one; nothing was changed."""
 
 
+class LeaseLost(CyclamenyokeError):
+    """The lease has ended, and its keys with it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Versioned:
     """A value with the revision that a compare-and-swap must name.
@@ -26,12 +31,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Vm:
-    """One machine of the platform's list, which lags."""
+class StoredItem:
+    """One key of a list."""
 
-    name: str
-    ip: str
-    leaving: bool
+    key: str
+    value: bytes
+    revision: int
 
 
 class KeyValueStore(ABC):
@@ -46,12 +51,14 @@
 
     @abstractmethod
     async def compare_and_swap(
-        self, key: str, expected_revision: int, value: bytes
+        self, key: str, expected_revision: int, value: bytes, lease: int = 0
     ) -> int:
         """Change a value and return its new revision.
 
         :param expected_revision: 0 for a key that must be absent.
+        :param lease: whose end removes the key; 0 for none.
         :raises CasConflict: when the revision is another one.
+        :raises LeaseLost: when there is no such lease.
         :raises PlatformUnavailable: without an answer; the change may have taken
             effect or may yet do so.
         """
@@ -60,17 +67,42 @@
     async def watch(self, key: str, after_revision: int, deadline: float) -> Versioned:
         """Return the value once its revision is above ``after_revision``.
 
-        :param deadline: when to return at the latest, in seconds of Unix time.
+        :param deadline: when to return at the latest, by the store's clock.
         :raises PlatformUnavailable: without an answer.
         """
 
+    @abstractmethod
+    async def list(self, prefix: str) -> Sequence[StoredItem]:
+        """Return all keys that begin with a prefix.
+
+        Long lists come in pages and are no snapshot.
 
-class VmList(ABC):
-    """The platform's list of live and leaving VMs."""
+        :raises PlatformUnavailable: without an answer.
+        """
 
     @abstractmethod
-    async def machines(self) -> list[Vm]:
-        """Return the list as the platform has it, which lags.
+    async def grant_lease(self, lifetime: float) -> int:
+        """Return the id of a new lease.
 
+        :param lifetime: seconds from now to its end.
         :raises PlatformUnavailable: without an answer.
         """
+
+    @abstractmethod
+    async def renew_lease(self, lease: int) -> None:
+        """Start a lease's lifetime anew.
+
+        :raises LeaseLost: when it has ended.
+        :raises PlatformUnavailable: without an answer.
+        """
+
+    @abstractmethod
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys.
+
+        :raises PlatformUnavailable: without an answer.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release the connections."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -77,7 +77,7 @@
     def start_platform(self) -> None:
         port = str(self.deployment.platform_port)
         self._run("platform", "-m", "cyclamenyoke.standins", "platform", port)
-        wait_until(lambda: self._answers(self.deployment.platform + "/v1/vms"), "kv")
+        wait_until(lambda: self._answers(self.deployment.platform + "/v1/calls"), "kv")
 
     def start_endpoint(self, name: str) -> None:
         url = self.endpoint_url(name)
