Let a watch go on from the store's revision, and list nodes after entering

Nodes listed each other before they had entered, so most knew nobody for 20 s and each read the endpoints for itself. Ruled out: calls refused during outages (17 a node), lease renewals. Change: the client remembers up to which revision of the store a value is the newest; a node lists the others right after its own entry.

--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -58,6 +58,9 @@
 SETTINGS_POLL = 1 * SECOND
 """Seconds between two looks at whether the settings file has changed."""
 
+REPORT_TIME = 10 * SECOND
+"""Seconds between two lines with the process's totals."""
+
 SWEEP_TIME = 1 * SECOND
 """Seconds between two looks at idle connections to endpoints."""
 
@@ -234,9 +237,19 @@
         responder.respond(200, [kind], self._metrics.render().encode())
 
     async def _sweep(self) -> None:
+        report_at = self._clock.now() + REPORT_TIME
         while True:
             await asyncio.sleep(SWEEP_TIME)
             self._pool.close_expired()
+            if self._clock.now() >= report_at:
+                report_at += REPORT_TIME
+                self._log.info(
+                    "totals",
+                    store_calls=dict(self._store.calls),
+                    connections_opened=self._pool.opened,
+                    config_version=self._belief.config_version,
+                    list_age=round(self._belief.list_age(), 3),
+                )
 
     async def _watch_settings(self) -> None:
         """Notice a settings file that changes without a signal."""
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Iterable
 from random import Random
 
 from cyclamenyoke.adapters.logs import Log
@@ -19,7 +18,6 @@
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.platform import CasConflict, KeyValueStore, LeaseLost
 
-PREFIX = "cyclamenyoke/"
 NODE_PREFIX = "cyclamenyoke/nodes/"
 EXCHANGE_KEY = "cyclamenyoke/exchange-key"
 EXCHANGE_KEY_SIZE = 32
@@ -126,23 +124,27 @@
         """Return the seal once the store has given the key that all nodes share."""
         while True:
             try:
-                items = {item.key: item for item in await self._store.list(PREFIX)}
-                if EXCHANGE_KEY not in items:
-                    key = secrets.token_bytes(EXCHANGE_KEY_SIZE)
-                    await self._store.compare_and_swap(EXCHANGE_KEY, 0, key)
-                    continue
-                self._learn(items)
-                return MessageSeal(items[EXCHANGE_KEY].value)
+                found = await self._store.get(EXCHANGE_KEY)
+                if found.value is not None:
+                    return MessageSeal(found.value)
+                key = secrets.token_bytes(EXCHANGE_KEY_SIZE)
+                await self._store.compare_and_swap(EXCHANGE_KEY, 0, key)
             except CasConflict:
+                # Another node was first; its key counts.
                 continue
             except PlatformUnavailable as error:
                 self._log.warning("can't join yet", error=str(error))
                 await asyncio.sleep(RETRY * self._random.uniform(0.75, 1.25))
 
-    def _learn(self, keys: Iterable[str]) -> None:
-        names = [key for key in keys if key.startswith(NODE_PREFIX)]
-        ips = [key.removeprefix(NODE_PREFIX) for key in names]
+    async def _learn_nodes(self) -> None:
+        """Read the other nodes' entries.
+
+        Of any two nodes the one that enters last finds the other, and writes to it.
+        """
+        keys = [item.key for item in await self._store.list(NODE_PREFIX)]
+        ips = [key.removeprefix(NODE_PREFIX) for key in keys]
         self._peers.learn(ips, self._clock.now())
+        self.announce()
 
     async def _keep_entry(self) -> None:
         """Keep this node's entry in the store."""
@@ -152,6 +154,7 @@
                     await self._store.renew_lease(self._lease)
                 else:
                     await self._enter()
+                    await self._learn_nodes()
                 pause = RENEW_TIME
             except LeaseLost:
                 self._lease = 0
@@ -178,7 +181,7 @@
             await asyncio.sleep(LIST_TIME * self._random.uniform(0.75, 1.25))
             self._peers.forget_silent(self._clock.now())
             try:
-                self._learn([each.key for each in await self._store.list(NODE_PREFIX)])
+                await self._learn_nodes()
             except PlatformUnavailable as error:
                 self._log.warning("nodes not read", error=str(error))
 
--- a/src/cyclamenyoke/platform/store.py
+++ b/src/cyclamenyoke/platform/store.py
@@ -52,6 +52,8 @@
 
 class _Item(msgspec.Struct):
     key: str = ""
+    # Revision of the whole store at the time of the answer.
+    store_revision: int = 0
     # Absent from an event that reports a removal.
     value: str | None = None
     revision: int = 0
@@ -105,6 +107,7 @@
         self._clock = clock
         self._pool = ConnectionPool(clock)
         self._calls: Counter[str] = Counter()
+        self._unchanged: dict[str, tuple[int, int]] = {}
 
     @property
     def calls(self) -> Counter[str]:
@@ -117,10 +120,10 @@
     async def get(self, key: str) -> Versioned:
         status, body = await self._call("GET", "/v1/kv-key", {"key": key})
         if status == HTTPStatus.NOT_FOUND:
-            return Versioned(0, None)
+            return self._note(key, Versioned(0, None), _decode(body, _Item))
         self._require_ok(status, f"key {key!r}")
         item = _decode(body, _Item)
-        return Versioned(item.revision, _value(item))
+        return self._note(key, Versioned(item.revision, _value(item)), item)
 
     async def list(self, prefix: str) -> Sequence[StoredItem]:
         items: list[StoredItem] = []
@@ -137,17 +140,19 @@
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(self, key: str, after_revision: int, deadline: float) -> Versioned:
-        after = after_revision
         while True:
             wait = min(LONGEST_WATCH, max(0.0, deadline - self._clock.now()))
             query = {
                 "prefix": key,
-                "after": str(after),
+                "after": str(self._unchanged_until(key, after_revision)),
                 "wait_ms": str(int(wait / MILLISECOND)),
             }
             status, body = await self._call("GET", "/v1/kv-watch", query, wait=wait)
             if status == HTTPStatus.GONE:
-                return await self.get(key)
+                current = await self.get(key)
+                if current.revision != after_revision:
+                    return current
+                continue
             self._require_ok(status, f"watch {key!r}")
             answer = _decode(body, _Events)
             # The prefix also matches longer keys, whose events are passed over.
@@ -156,9 +161,9 @@
                 newest = own[-1]
                 value = None if newest.deleted else _value(newest)
                 return Versioned(newest.revision, value)
+            self._unchanged[key] = after_revision, answer.store_revision
             if not answer.events:
                 return Versioned(after_revision, None)
-            after = answer.store_revision
 
     async def compare_and_swap(
         self, key: str, expected_revision: int, value: bytes, lease: int = 0
@@ -194,6 +199,20 @@
         if status != HTTPStatus.NOT_FOUND:
             self._require_ok(status, f"lease {lease}")
 
+    def _note(self, key: str, value: Versioned, item: _Item) -> Versioned:
+        """Remember up to which revision of the store a value is the newest."""
+        self._unchanged[key] = value.revision, item.store_revision
+        return value
+
+    def _unchanged_until(self, key: str, revision: int) -> int:
+        """Return where a watch goes on.
+
+        The store forgets its history, so a watch that went on from the last change of
+        a key that rarely changes would be refused.
+        """
+        known, until = self._unchanged.get(key, (0, 0))
+        return max(revision, until) if known == revision else revision
+
     @staticmethod
     def _require_ok(status: int, what: str) -> None:
         if status != HTTPStatus.OK:
