Admit by predicted room, reserve at the decision, and bound what circuits pass over

A node that read all engines' reports (trial) saw 30 requests queued at one engine and none at others: circuits opened on silence, every node passed over what any other accused, and all requests went to the few engines left. Requests that were let go together all got the same engine, since none was counted before it was sent. Ruled out: connections left by the power loss, engines that were slow (pace 1.0). Change: admission predicts the time until room and waits or refuses at once; an endpoint is counted at the decision; at most a third of a service is passed over. What is left is capacity: both groups run full for 8 s.

--- /dev/null
+++ b/src/cyclamenyoke/core/admission.py
@@ -0,0 +1,168 @@
+"""Which requests are sent, which wait, and which are turned away at once.
+
+Answers the load at and beyond capacity. A request that finds room is sent. Otherwise
+the time until room is predicted from all gateways' requests and waiting lines: a short
+one is waited out, a long one is refused at once, with the prediction as Retry-After.
+Requests that can still be on time go before those that are late anyway, since a late
+answer is worth less to its caller and takes the same work.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from cyclamenyoke.core.fleet import Endpoint
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+
+SHORTEST_RETRY = 100 * MILLISECOND
+"""Least Retry-After in seconds: below it callers would come back with the same load."""
+
+LONGEST_RETRY = 2.5 * SECOND
+"""Bound on Retry-After: callers wait no longer than a third of their time."""
+
+LATE_SHARE = 0.5
+"""Part of a caller's patience that a request may wait; the rest is for its answer."""
+
+DURATION_RATE = 0.1
+"""Weight of a new duration in the average."""
+
+FIRST_DURATION = 1 * SECOND
+"""Assumed duration of a request before any has ended."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One request that wants an endpoint.
+
+    :param on_time_until: when it must be sent to be on time.
+    :param wait_until: when waiting has become pointless.
+    :param tried: endpoints that have had it.
+    """
+
+    service: str
+    customer: str
+    priority: int
+    arrived_at: float
+    on_time_until: float
+    wait_until: float
+    tried: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """The request may go to an endpoint."""
+
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """The request is in the line."""
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAway:
+    """The request is refused now.
+
+    :param retry_after: seconds until room is predicted.
+    """
+
+    retry_after: float
+
+
+Decision = Room | Wait | TurnAway
+
+
+@dataclass(slots=True)
+class Line:
+    """The requests of one service that wait at this node."""
+
+    tickets: list[Ticket] = field(default_factory=list)
+    duration: float = FIRST_DURATION
+
+
+class Admission:
+    """The waiting lines of one node.
+
+    :param find_room: returns an endpoint with room, or ``None``.
+    :param load: returns the requests under way at a service, by all nodes.
+    :param waiting_elsewhere: returns the requests that wait at other nodes.
+    """
+
+    def __init__(
+        self,
+        find_room: Callable[[Ticket, float], Endpoint | None],
+        load: Callable[[str], int],
+        waiting_elsewhere: Callable[[str], int],
+    ) -> None:
+        self._find_room = find_room
+        self._load = load
+        self._waiting_elsewhere = waiting_elsewhere
+        self._lines: dict[str, Line] = {}
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Requests that wait here, by service."""
+        return {
+            service: len(line.tickets)
+            for service, line in self._lines.items()
+            if line.tickets
+        }
+
+    def on_duration(self, service: str, seconds: float) -> None:
+        """Learn how long requests of a service take."""
+        line = self._line(service)
+        line.duration += DURATION_RATE * (seconds - line.duration)
+
+    def predicted_wait(self, service: str) -> float:
+        """Return the seconds until a request that comes now would find room."""
+        line = self._line(service)
+        ahead = len(line.tickets) + self._waiting_elsewhere(service)
+        return (ahead + 1) * line.duration / max(1, self._load(service))
+
+    def decide(self, ticket: Ticket, now: float) -> Decision:
+        """Take a new request."""
+        line = self._line(ticket.service)
+        if not line.tickets:
+            endpoint = self._find_room(ticket, now)
+            if endpoint is not None:
+                return Room(endpoint)
+        wait = self.predicted_wait(ticket.service)
+        if now + wait > ticket.wait_until:
+            return TurnAway(min(LONGEST_RETRY, max(SHORTEST_RETRY, wait)))
+        line.tickets.append(ticket)
+        return Wait()
+
+    def leave(self, ticket: Ticket) -> None:
+        """Take a request out of its line."""
+        line = self._line(ticket.service)
+        if ticket in line.tickets:
+            line.tickets.remove(ticket)
+
+    def advance(self, now: float) -> Iterator[tuple[Ticket, Room | TurnAway]]:
+        """Yield the requests whose waiting has ended, and how."""
+        for service, line in self._lines.items():
+            while line.tickets:
+                ticket = self._next(line, now)
+                if now >= ticket.wait_until:
+                    line.tickets.remove(ticket)
+                    wait = max(SHORTEST_RETRY, self.predicted_wait(service))
+                    yield ticket, TurnAway(min(LONGEST_RETRY, wait))
+                    continue
+                endpoint = self._find_room(ticket, now)
+                if endpoint is None:
+                    break
+                line.tickets.remove(ticket)
+                yield ticket, Room(endpoint)
+
+    def _next(self, line: Line, now: float) -> Ticket:
+        """Return the request to serve next: by urgency, on time first, then by age."""
+
+        def rank(ticket: Ticket) -> tuple[bool, int, bool, float]:
+            has_expired = now >= ticket.wait_until
+            is_late = now >= ticket.on_time_until
+            return not has_expired, ticket.priority, is_late, ticket.arrived_at
+
+        return min(line.tickets, key=rank)
+
+    def _line(self, service: str) -> Line:
+        return self._lines.setdefault(service, Line())
--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -22,6 +22,12 @@
 """Load, in parts of an endpoint's slots, that an endpoint of the own data centre may
 have more: less than one request, so it only decides between equals."""
 
+MOST_PASSED_OVER = 0.34
+"""Share of a service's endpoints that may be passed over: one of three."""
+
+ACCUSERS = 2
+"""Peers whose circuits must be open for this node to pass over an endpoint, too."""
+
 
 @dataclass(slots=True)
 class PeerLoad:
@@ -66,8 +72,12 @@
 
     def load(self, endpoint: Endpoint) -> int:
         """Return the requests under way at an endpoint, as far as known."""
-        peers = sum(peer.requests.get(endpoint.id, 0) for peer in self._peers.values())
-        return self._own[endpoint.id] + peers
+        return self.load_of(endpoint.id)
+
+    def load_of(self, id_: str) -> int:
+        """Return the same by the endpoint's id."""
+        peers = sum(peer.requests.get(id_, 0) for peer in self._peers.values())
+        return self._own[id_] + peers
 
     def service_load(self, service: str) -> tuple[int, int]:
         """Return the requests under way at a service and its slots."""
@@ -76,28 +86,29 @@
         return sum(self.load(endpoint) for endpoint in endpoints), slots
 
     def choose(
-        self, service: str, tried: frozenset[str], now: float
+        self,
+        service: str,
+        tried: frozenset[str],
+        now: float,
+        limit: Callable[[Endpoint], int],
     ) -> Endpoint | None:
-        """Return the endpoint for a request, or ``None`` without any.
-
-        Circuits are ignored where they would leave nothing, so that they never empty
-        a service.
+        """Return the endpoint for a request, or ``None`` without any that has room.
 
         :param tried: endpoints that have had the request.
+        :param limit: returns how many requests an endpoint may have.
         """
-        untried = [each for each in self._fleet.usable(service) if each.id not in tried]
         self._forget_silent(now)
-        accused = self._accused()
-        groups: tuple[Callable[[Endpoint], bool], ...] = (
-            lambda each: self._may_pass(each.id, now) and each.id not in accused,
-            lambda each: self._may_pass(each.id, now),
-            lambda each: True,
-        )
-        for is_allowed in groups:
-            allowed = [each for each in untried if is_allowed(each)]
-            if allowed:
-                return self._least_loaded(allowed)
-        return None
+        usable = self._trusted(self._fleet.usable(service), now)
+        roomy = [
+            each
+            for each in usable
+            if each.id not in tried and self.load(each) < limit(each)
+        ]
+        return self._least_loaded(roomy) if roomy else None
+
+    def has_endpoint(self, service: str, tried: frozenset[str]) -> bool:
+        """Tell whether a service has an endpoint, with room or not."""
+        return any(each.id not in tried for each in self._fleet.usable(service))
 
     def on_sent(self, endpoint: str) -> None:
         """Note that a request goes to an endpoint."""
@@ -142,11 +153,24 @@
         for node in [n for n, peer in self._peers.items() if peer.heard_at < oldest]:
             del self._peers[node]
 
-    def _accused(self) -> frozenset[str]:
-        accused: set[str] = set()
-        for peer in self._peers.values():
-            accused |= peer.suspects
-        return frozenset(accused)
+    def _trusted(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
+        """Return the endpoints that are not passed over.
+
+        Passing over many would send all requests to the few that are left, and under
+        a load that is too high for all each would look faulty in turn.
+        """
+        accusers = Counter(
+            id_ for peer in self._peers.values() for id_ in peer.suspects
+        )
+        needed = min(ACCUSERS, max(1, len(self._peers)))
+        trusted = [
+            each
+            for each in endpoints
+            if self._may_pass(each.id, now) and accusers[each.id] < needed
+        ]
+        if len(trusted) >= (1 - MOST_PASSED_OVER) * len(endpoints):
+            return trusted
+        return endpoints
 
     def _may_pass(self, id_: str, now: float) -> bool:
         circuit = self._circuits.get(id_)
--- a/src/cyclamenyoke/core/delivery.py
+++ b/src/cyclamenyoke/core/delivery.py
@@ -44,11 +44,15 @@
 class Attempt:
     """One endpoint to which the request was sent.
 
+    :param load: requests under way there when it was chosen, as far as known.
+    :param first_at: when the first part of the answer came.
     :param end: ``None`` while it lasts.
     """
 
     endpoint: str
     sent_at: float
+    load: int
+    first_at: float | None = None
     end: End | None = None
 
 
@@ -94,14 +98,14 @@
             return False
         return self.is_surely_not_run or self.repeat is not Repeat.NEVER
 
-    def begin(self, endpoint: str, now: float) -> Attempt:
+    def begin(self, endpoint: str, load: int, now: float) -> Attempt:
         """Note that the request is about to be sent to an endpoint."""
         self.monitor.check(
             Promise.AT_MOST_ONCE,
             self.repeat is not Repeat.NEVER or self.is_surely_not_run,
             f"request {self.request_id} sent again though it may have run",
         )
-        attempt = Attempt(endpoint, now)
+        attempt = Attempt(endpoint, now, load)
         self.attempts.append(attempt)
         return attempt
 
--- /dev/null
+++ b/src/cyclamenyoke/core/pass_model.py
@@ -0,0 +1,80 @@
+"""Predicts how long an engine's passes last, and how many requests fit.
+
+Engines process all their requests in passes, and a stream gets one event a pass. The
+published figures of a service give the pass of a balanced, healthy engine; the pauses
+that are seen between events tell by what factor a real one is slower: by unevenly used
+experts, by prompts that are read meanwhile, by a rank that is slow.
+"""
+
+from cyclamenyoke.core.routes import EngineModel
+from cyclamenyoke.core.units import SECOND
+
+LEARNING_RATE = 0.1
+"""Weight of a new pause in the average; some two seconds of one engine's events."""
+
+GAP_SHARE = 0.9
+"""Part of the longest good pause that a predicted pass may take; the rest is for the
+spread of passes around their average."""
+
+MOST_FACTOR = 50.0
+"""Bound on the learned factor, so that one stall is forgotten within seconds."""
+
+LEARNED_LIFETIME = 4 * SECOND
+"""Seconds after which what was learned of an engine no longer counts; it has had no
+stream since, so it must be tried to be known."""
+
+
+class PassModel:
+    """The passes of one service's engines.
+
+    :param model: the published figures.
+    """
+
+    def __init__(self, model: EngineModel) -> None:
+        self._model = model
+        self._factors: dict[str, tuple[float, float]] = {}
+
+    @property
+    def model(self) -> EngineModel:
+        """The published figures."""
+        return self._model
+
+    def balanced_pass(self, requests: int) -> float:
+        """Return the seconds of a pass of a healthy engine with some requests."""
+        model = self._model
+        context = model.usual_prompt + model.usual_output / 2
+        for_each = model.per_sequence + model.per_context_token * context
+        return model.stride * (model.step + requests * for_each)
+
+    def on_gap(self, endpoint: str, gap: float, requests: int, now: float) -> None:
+        """Learn from a pause between two events of one stream."""
+        seen = min(MOST_FACTOR, gap / self.balanced_pass(max(1, requests)))
+        known, heard_at = self._factors.get(endpoint, (seen, now))
+        factor = known + LEARNING_RATE * (seen - known)
+        self._factors[endpoint] = factor, now
+
+    def factor(self, endpoint: str, now: float) -> float:
+        """Return how many times slower than published an engine is."""
+        factor, heard_at = self._factors.get(endpoint, (1.0, now))
+        return factor if now - heard_at < LEARNED_LIFETIME else 1.0
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an engine that is gone."""
+        self._factors.pop(endpoint, None)
+
+    def limit(self, endpoint: str, slots: int, gap: float, now: float) -> int:
+        """Return how many requests an engine can have with good pauses.
+
+        All its slots where even a single request would be late: waiting would not
+        help then.
+
+        :param gap: the longest good pause in seconds; 0 for none.
+        """
+        factor = self.factor(endpoint, now)
+        allowed = GAP_SHARE * gap
+        if not gap or factor * self.balanced_pass(1) > allowed:
+            return slots
+        fitting = slots
+        while fitting > 1 and factor * self.balanced_pass(fitting) > allowed:
+            fitting -= 1
+        return fitting
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -30,6 +30,7 @@
     :param list_age: seconds since the read of the list that the node relies on;
         negative without one.
     :param requests: its requests under way, by endpoint.
+    :param waiting: its requests that wait for an endpoint, by service.
     """
 
     ip: str
@@ -45,6 +46,7 @@
     list_digest: bytes
     changes: tuple[Change, ...]
     requests: dict[str, int]
+    waiting: dict[str, int]
     suspects: tuple[str, ...]
 
 
@@ -142,6 +144,10 @@
         ips = self.ips
         return ips if len(ips) <= count else random.sample(ips, count)
 
+    def waiting(self, service: str, now: float) -> int:
+        """Return the requests of a service that wait at other nodes."""
+        return sum(news.waiting.get(service, 0) for news in self.live(now))
+
     def holders(self, version: int, now: float) -> list[str]:
         """Return the live nodes that have at least a version of the configuration."""
         return [news.ip for news in self.live(now) if news.config_version >= version]
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -8,15 +8,30 @@
 from cyclamenyoke.adapters.event_stream import EventSplitter, StreamEvent
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.core.admission import (
+    LATE_SHARE,
+    Admission,
+    Room,
+    Ticket,
+    TurnAway,
+    Wait,
+)
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.calls import InboundCall, Refusal
 from cyclamenyoke.core.delivery import Attempt, Delivery, End, Verdict
 from cyclamenyoke.core.deployment import Bounds
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.invariants import InvariantMonitor
+from cyclamenyoke.core.pass_model import PassModel
 from cyclamenyoke.core.peers import Peers
 from cyclamenyoke.core.retry import WindowedRetryBudget
-from cyclamenyoke.core.routes import Customer, GatewayConfig, Repeat, Route
+from cyclamenyoke.core.routes import (
+    Customer,
+    EngineModel,
+    GatewayConfig,
+    Repeat,
+    Route,
+)
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.ports.caller import Reply
 from cyclamenyoke.ports.clock import Clock
@@ -59,6 +74,17 @@
 START_RETRY = 500 * MILLISECOND
 """Retry-After in seconds while this node knows no configuration."""
 
+LINE_POLL = 50 * MILLISECOND
+"""Seconds between two looks at requests that have waited too long."""
+
+PLAIN_LINE = 2
+"""Requests for each slot of a plain service that are sent at once: one works while
+one waits, so a slot is never idle between them."""
+
+ANSWER_PASSES = 2.5
+"""Passes from sending a request to its first event: the rest of one, its own, and the
+reading of its prompt."""
+
 SERVER_ERRORS = range(500, 600)
 
 VERDICTS = {
@@ -85,7 +111,11 @@
     last_event_id: int | None
     failure: tuple[AnswerHead, bytes] | None = None
     is_head_sent: bool = False
+    priority: int = 0
     detail: str = ""
+    retry_after: float | None = None
+    waited: float = 0.0
+    last_event_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -139,6 +169,19 @@
         self._log = log
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
+        self._passes: dict[str, PassModel] = {}
+        self._gaps: dict[str, float] = {}
+        self._waiting: dict[Ticket, asyncio.Future[Room | TurnAway]] = {}
+        self._admission = Admission(
+            self._find_room,
+            lambda service: balancer.service_load(service)[0],
+            lambda service: peers.waiting(service, clock.now()),
+        )
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Requests that wait here, by service."""
+        return self._admission.waiting
 
     async def serve(self, call: InboundCall, reply: Reply) -> None:
         """Answer one request."""
@@ -195,22 +238,113 @@
             ):
                 course.detail = "retry budget is spent"
                 break
-            endpoint = self._balancer.choose(course.service, delivery.tried, now)
-            if endpoint is None:
+            if not self._balancer.has_endpoint(course.service, delivery.tried):
                 course.detail = course.detail or "no endpoint left"
                 break
-            attempt = delivery.begin(endpoint.id, now)
+            endpoint = await self._find_endpoint(course, config)
+            if endpoint is None:
+                break
+            load = self._balancer.load(endpoint) - 1
+            attempt = delivery.begin(endpoint.id, load, self._clock.now())
             attempt.end = await self._attempt(course, endpoint, attempt, most)
             if attempt.end is End.ANSWERED:
                 return "answered"
         return self._give_up(course)
 
+    async def _find_endpoint(
+        self, course: Course, config: GatewayConfig
+    ) -> Endpoint | None:
+        """Return an endpoint with room, after waiting for it if that helps."""
+        ticket = self._ticket(course)
+        now = self._clock.now()
+        decision = self._admission.decide(ticket, now)
+        if isinstance(decision, Wait):
+            decided = asyncio.get_running_loop().create_future()
+            self._waiting[ticket] = decided
+            self._on_load()
+            try:
+                decision = await decided
+            except asyncio.CancelledError:
+                if decided.done() and isinstance(room := decided.result(), Room):
+                    self._balancer.on_nothing(room.endpoint.id)
+                    self._balancer.on_done(room.endpoint.id)
+                raise
+            finally:
+                del self._waiting[ticket]
+                self._admission.leave(ticket)
+            course.waited += self._clock.now() - now
+        if isinstance(decision, Room):
+            return decision.endpoint
+        course.retry_after = decision.retry_after
+        course.detail = "no room in time"
+        return None
+
+    def _ticket(self, course: Course) -> Ticket:
+        route, delivery = course.route, course.delivery
+        arrived_at = course.call.arrived_at
+        now = self._clock.now()
+        patience = route.target_latency * PATIENCE_TARGETS
+        if route.is_stream:
+            patience = self._patience(route)
+        left = max(0.0, delivery.deadline - now)
+        answer_time = ANSWER_PASSES * self._pass_time(course.service)
+        return Ticket(
+            course.service,
+            course.customer or "",
+            course.priority,
+            arrived_at,
+            arrived_at + route.target_latency - answer_time,
+            now + LATE_SHARE * min(patience, left),
+            delivery.tried,
+        )
+
+    def advance(self) -> None:
+        """Give room that has come up to the requests that wait."""
+        if not self._waiting:
+            return
+        for ticket, decision in self._admission.advance(self._clock.now()):
+            decided = self._waiting.get(ticket)
+            if decided is not None and not decided.done():
+                decided.set_result(decision)
+
+    async def watch_lines(self) -> None:
+        """End waiting that has become pointless, until cancelled."""
+        while True:
+            await asyncio.sleep(LINE_POLL)
+            self.advance()
+
+    def _find_room(self, ticket: Ticket, now: float) -> Endpoint | None:
+        config = self._config()
+        service = config.services.get(ticket.service) if config else None
+        gap = self._gaps.get(ticket.service, 0.0)
+
+        def limit(endpoint: Endpoint) -> int:
+            if service is None or service.model is None:
+                return PLAIN_LINE * endpoint.slots
+            passes = self._pass_model(service.name, service.model)
+            return passes.limit(endpoint.id, endpoint.slots, gap, now)
+
+        endpoint = self._balancer.choose(ticket.service, ticket.tried, now, limit)
+        if endpoint is not None:
+            # Counted at once, so that the next decision already sees it.
+            self._balancer.on_sent(endpoint.id)
+        return endpoint
+
+    def _pass_model(self, service: str, model: EngineModel) -> PassModel:
+        known = self._passes.get(service)
+        if known is None or known.model != model:
+            known = self._passes[service] = PassModel(model)
+        return known
+
+    def _pass_time(self, service: str) -> float:
+        passes = self._passes.get(service)
+        return passes.balanced_pass(1) if passes else 0.0
+
     async def _attempt(
         self, course: Course, endpoint: Endpoint, attempt: Attempt, most: int
     ) -> End:
-        """Send the request to one endpoint and pass its answer on."""
+        """Send the request to one endpoint, which counts it already, and pass on."""
         balancer = self._balancer
-        balancer.on_sent(endpoint.id)
         self._on_load()
         exchange: Exchange | None = None
         is_settled = False
@@ -237,8 +371,12 @@
                 balancer.on_nothing(endpoint.id)
             if exchange is not None:
                 self._release(course, exchange, is_settled)
+                seconds = self._clock.now() - attempt.sent_at
+                self._admission.on_duration(course.service, seconds)
+            course.last_event_at = None
             balancer.on_done(endpoint.id)
             self._on_load()
+            self.advance()
 
     def _release(self, course: Course, exchange: Exchange, is_settled: bool) -> None:
         """Free the connection of an attempt.
@@ -290,6 +428,7 @@
         match event:
             case AnswerHead():
                 answer.head = event
+                course.delivery.attempts[-1].first_at = self._clock.now()
             case AnswerData(data=data) if answer.head is not None:
                 if not answer.is_stream:
                     answer.body += data
@@ -321,12 +460,16 @@
             return left
         if not route.is_stream:
             return min(left, SAFE_SILENCE_TARGETS * route.target_latency)
-        patience = max(
+        return min(left, SILENCE_SHARE * self._patience(route))
+
+    @staticmethod
+    def _patience(route: Route) -> float:
+        """Return the gap in seconds after which callers give up a stream."""
+        return max(
             CALLER_PATIENCE,
             PATIENCE_TARGETS * route.target_latency,
             PATIENCE_GAPS * route.target_gap,
         )
-        return min(left, SILENCE_SHARE * patience)
 
     async def _pass_on(
         self, course: Course, head: AnswerHead, events: list[StreamEvent]
@@ -348,8 +491,19 @@
             await course.reply.write(event.data)
             if event.id is not None:
                 course.last_event_id = event.id
+        if events:
+            self._learn_gap(course)
         return True
 
+    def _learn_gap(self, course: Course) -> None:
+        now = self._clock.now()
+        passes = self._passes.get(course.service)
+        before, course.last_event_at = course.last_event_at, now
+        if passes is None or before is None:
+            return
+        id_ = course.delivery.attempts[-1].endpoint
+        passes.on_gap(id_, now - before, self._balancer.load_of(id_), now)
+
     def _end(self, course: Course, head: AnswerHead, answer: Incoming) -> End:
         """Take the end of an answer that came whole."""
         body = bytes(answer.body)
@@ -385,8 +539,8 @@
             return "failed_by_endpoint"
         now = self._clock.now()
         refusal = VERDICTS[delivery.verdict(now)]
-        retry_after = None
-        if refusal is Refusal.NOT_RUN:
+        retry_after = course.retry_after
+        if refusal is Refusal.NOT_RUN and retry_after is None:
             ends = {attempt.end for attempt in delivery.attempts}
             is_full = End.REJECTED in ends
             retry_after = FULL_RETRY if is_full else UNAVAILABLE_RETRY
@@ -446,6 +600,7 @@
         self._metrics.observe("first_byte", seconds, service=course.service)
 
     def _report(self, course: Course, outcome: str, config: GatewayConfig) -> None:
+        now = self._clock.now()
         self._metrics.count("requests", outcome=outcome, service=course.service)
         self._log.info(
             "request done",
@@ -455,12 +610,20 @@
             customer=course.customer,
             outcome=outcome,
             detail=course.detail,
+            waited=round(course.waited, 4),
+            retry_after=course.retry_after,
             seconds=round(self._clock.now() - course.call.arrived_at, 4),
             last_event=course.last_event_id,
             config_version=config.version,
             list_age=round(self._list_age(), 3),
             attempts=[
-                [attempt.endpoint, attempt.end.value if attempt.end else "open"]
+                [
+                    attempt.endpoint,
+                    attempt.end.value if attempt.end else "open",
+                    attempt.load,
+                    round(attempt.sent_at - course.call.arrived_at, 3),
+                    round((attempt.first_at or now) - attempt.sent_at, 3),
+                ]
                 for attempt in course.delivery.attempts
             ],
         )
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -115,7 +115,7 @@
             self._metrics,
             self._log,
         )
-        forwarder = Forwarder(
+        self._forwarder = Forwarder(
             PlatformEngines(self._clock, self._pool),
             self._balancer,
             self._peers,
@@ -130,7 +130,7 @@
             self._log,
         )
         lifetime = min(ADDRESS_LIFETIME, settings.bounds.address_lifetime)
-        self._callers = self._server(CallerEdge(forwarder.serve))
+        self._callers = self._server(CallerEdge(self._forwarder.serve))
         self._servers = [
             (settings.callers, self._callers),
             (settings.readiness, self._server(ReadinessEdge(self._is_ready))),
@@ -147,6 +147,8 @@
         self._belief.on_change = self._membership.announce
         self._belief.on_config = self._on_config
         self._belief.on_gone = self._pool.drop
+        self._membership.waiting = lambda: self._forwarder.waiting
+        self._membership.on_peer = self._forwarder.advance
 
     def stop(self) -> None:
         """Ask for a planned stop."""
@@ -173,6 +175,7 @@
             asyncio.create_task(self._belief.read_list()),
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._sweep()),
+            asyncio.create_task(self._forwarder.watch_lines()),
             asyncio.create_task(self._watch_settings()),
         ]
         stopping = asyncio.create_task(self._stopping.wait())
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Callable
 from random import Random
 
 from cyclamenyoke.adapters.logs import Log
@@ -81,6 +82,8 @@
         self._lease = 0
         self._has_news = asyncio.Event()
         self._is_leaving = False
+        self.waiting: Callable[[], dict[str, int]] = dict
+        self.on_peer: Callable[[], None] = lambda: None
         peers.learn(settings.seeds, clock.now())
 
     def announce(self) -> None:
@@ -217,6 +220,7 @@
             list_digest=self._fleet.digest,
             changes=tuple(self._fleet.recent_changes(now)),
             requests=self._balancer.own_requests,
+            waiting=self.waiting(),
             suspects=tuple(self._balancer.suspects),
         )
         self._exchange.send(news, ips)
@@ -228,6 +232,7 @@
             return
         self._balancer.on_peer(news.ip, news.requests, news.suspects, now)
         self._belief.on_peer(news, now)
+        self.on_peer()
 
     def _on_refused(self, reason: str) -> None:
         self._metrics.count("exchange_refused")
