Test the gateway over stand-ins of the platform's store and engines

Change: the stand-in engine breaks off, resets, doubles, leaves unframed or unsigned, answers late, rejects and falls silent; tests drive real gateways against it and the stand-in store: traffic, truth of refusals, lifecycle, outages, news between nodes. Admission is played at 0.8 to 3 times capacity without a network.

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,199 @@
+"""Queueing, refusing and placing, played on a model of the engines."""
+
+import heapq
+from random import Random
+
+import pytest
+
+from cyclamenyoke.core.admission import Admission, Room, Ticket, TurnAway, Wait
+from cyclamenyoke.core.fleet import Endpoint
+from cyclamenyoke.core.pass_model import PassModel
+from cyclamenyoke.core.retry import BUDGET_MARGIN, WindowedRetryBudget
+from cyclamenyoke.core.routes import EngineModel
+
+NOW = 100.0
+MODEL = EngineModel(
+    step=0.006,
+    per_sequence=0.0007,
+    per_context_token=0.0,
+    prefill_rate=60_000,
+    chunk=512,
+    stride=5,
+    report_lag=0.2,
+    usual_prompt=800,
+    usual_output=140,
+    memory_tokens=100_000,
+)
+ENDPOINT = Endpoint("e", "llm", "127.0.0.1:1", "dc", 6, False, 1)
+
+
+def ticket(arrived_at: float = NOW, priority: int = 1, on_time: float = 0.3) -> Ticket:
+    return Ticket(
+        "llm",
+        "c",
+        priority,
+        arrived_at,
+        arrived_at + on_time,
+        arrived_at + 1.0,
+        frozenset(),
+    )
+
+
+class Slots:
+    """A service with some slots at one node."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.used = 0
+        self.elsewhere = 0
+        self.admission = Admission(
+            self._find, lambda service: self.used, lambda service: self.elsewhere
+        )
+
+    def _find(self, ticket: Ticket, now: float) -> Endpoint | None:
+        if self.used >= self.slots:
+            return None
+        self.used += 1
+        return ENDPOINT
+
+
+def test_room_is_used_at_once_then_requests_wait():
+    slots = Slots(2)
+    first, second, third = (slots.admission.decide(ticket(), NOW) for _ in range(3))
+    assert isinstance(first, Room) and isinstance(second, Room)
+    assert isinstance(third, Wait)
+
+
+def test_room_that_comes_up_goes_to_as_many_as_fit():
+    slots = Slots(1)
+    slots.admission.on_duration("llm", 0.1)
+    waiting = [ticket(NOW + n / 100) for n in range(3)]
+    slots.admission.decide(ticket(), NOW)
+    for each in waiting:
+        slots.admission.decide(each, NOW)
+    slots.used = 0
+    assert [t for t, _ in slots.admission.advance(NOW + 0.1)] == waiting[:1]
+
+
+def test_wait_that_is_too_long_is_refused_at_once_with_the_predicted_time():
+    slots = Slots(1)
+    slots.admission.decide(ticket(), NOW)
+    slots.elsewhere = 4
+    decision = slots.admission.decide(ticket(), NOW)
+    assert isinstance(decision, TurnAway)
+    assert decision.retry_after == pytest.approx(2.5)
+
+
+def test_those_on_time_go_before_those_that_are_late_anyway():
+    slots = Slots(1)
+    slots.admission.decide(ticket(), NOW)
+    late = ticket(NOW, on_time=0.05)
+    fresh = ticket(NOW + 0.1)
+    slots.admission.decide(late, NOW)
+    slots.admission._line("llm").tickets.append(fresh)
+    slots.used = 0
+    [(served, _)] = list(slots.admission.advance(NOW + 0.2))
+    assert served is fresh
+
+
+def test_waiting_ends_when_it_has_become_pointless():
+    slots = Slots(1)
+    slots.admission.decide(ticket(), NOW)
+    waits = ticket()
+    slots.admission.decide(waits, NOW)
+    [(ended, decision)] = list(slots.admission.advance(NOW + 1.0))
+    assert ended is waits
+    assert isinstance(decision, TurnAway)
+
+
+def test_pass_model_fits_fewer_requests_into_slower_engines():
+    passes = PassModel(MODEL)
+    assert passes.limit("e", 6, 0.12, NOW) == 6
+    for _ in range(100):
+        passes.on_gap("e", 2.2 * passes.balanced_pass(4), 4, NOW)
+    limit = passes.limit("e", 6, 0.12, NOW)
+    assert 1 < limit < 6
+    assert 2.2 * passes.balanced_pass(limit) <= 0.12
+
+
+def test_pass_model_uses_all_slots_where_all_are_late_anyway():
+    passes = PassModel(MODEL)
+    for _ in range(100):
+        passes.on_gap("e", 1.0, 4, NOW)
+    assert passes.limit("e", 6, 0.12, NOW) == 6
+
+
+def test_pass_model_forgets_what_it_has_not_seen_for_long():
+    passes = PassModel(MODEL)
+    passes.on_gap("e", 1.0, 4, NOW)
+    assert passes.factor("e", NOW + 60) == 1.0
+
+
+SECONDS = 30.0
+SLOTS = 20
+
+
+def play(load: float, seconds: float = SECONDS, slots: int = SLOTS) -> dict[str, int]:
+    """Play requests of one second each; return what callers got.
+
+    :param load: of the slots' capacity.
+    """
+    random = Random(7)
+    site = Slots(slots)
+    counts = {"on_time": 0, "late": 0, "refused": 0, "asked": 0}
+    ends: list[float] = []
+    now, end_at = NOW, NOW + seconds
+
+    def served(each: Ticket, at: float) -> None:
+        counts["on_time" if at <= each.on_time_until else "late"] += 1
+        heapq.heappush(ends, at + random.uniform(0.5, 1.5))
+
+    def finish(until: float) -> None:
+        while ends and ends[0] <= until:
+            at = heapq.heappop(ends)
+            site.used -= 1
+            site.admission.on_duration("llm", 1.0)
+            for each, decision in site.admission.advance(at):
+                if isinstance(decision, Room):
+                    served(each, at)
+                else:
+                    counts["refused"] += 1
+
+    while now < end_at:
+        now += random.expovariate(load * slots)
+        finish(now)
+        counts["asked"] += 1
+        each = ticket(now)
+        decision = site.admission.decide(each, now)
+        if isinstance(decision, Room):
+            served(each, now)
+        if isinstance(decision, TurnAway):
+            counts["refused"] += 1
+    return counts
+
+
+def test_below_capacity_nearly_all_are_served_on_time():
+    counts = play(0.8)
+    assert counts["on_time"] >= 0.97 * counts["asked"]
+
+
+@pytest.mark.parametrize("load", [1.3, 1.7, 3.0])
+def test_beyond_capacity_the_slots_stay_full_and_most_served_are_on_time(load):
+    counts = play(load)
+    served = counts["on_time"] + counts["late"]
+    assert served >= 0.95 * SLOTS * SECONDS
+    assert counts["on_time"] >= 0.7 * served
+
+
+def test_retry_budget_of_all_nodes_together_keeps_the_bound():
+    nodes = 13
+    budgets = [WindowedRetryBudget(0.2, 191, 10) for _ in range(nodes)]
+    requests = retries = 0
+    for budget in budgets:
+        for number in range(200):
+            now = NOW + number / 20
+            budget.on_first_try(now)
+            requests += 1
+            while budget.take(now, nodes):
+                retries += 1
+    assert retries <= BUDGET_MARGIN * (0.2 * requests + 191) + nodes
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,170 @@
+"""What a gateway believes of the endpoints, and what its peers tell it."""
+
+from random import Random
+
+from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.fleet import RETURN_TIME, Endpoint, Fleet
+from cyclamenyoke.core.peers import PeerNews, Peers
+
+NOW = 100.0
+
+
+def endpoint(id_: str, is_leaving: bool = False, born: int = 1) -> Endpoint:
+    return Endpoint(id_, "llm", "127.0.0.1:1", "dc", 6, is_leaving, born)
+
+
+def fleet_of(*ids: str) -> Fleet:
+    fleet = Fleet()
+    fleet.on_list([endpoint(id_) for id_ in ids], NOW, NOW)
+    return fleet
+
+
+def usable(fleet: Fleet) -> list[str]:
+    return [each.id for each in fleet.usable("llm")]
+
+
+def test_leaving_and_missing_endpoints_take_no_new_work():
+    fleet = fleet_of("a", "b", "c")
+    fleet.on_list([endpoint("a"), endpoint("b", is_leaving=True)], NOW + 1, NOW + 1)
+    assert usable(fleet) == ["a"]
+    assert set(fleet.endpoints) == {"a", "b"}
+
+
+def test_endpoint_that_vanishes_in_an_outage_is_kept_until_it_may_be_back():
+    fleet = fleet_of("a", "b")
+    fleet.on_list_failed(NOW + 5)
+    fleet.on_list([endpoint("a")], NOW + 5.1, NOW + 5.1)
+    assert usable(fleet) == ["a", "b"]
+    after = NOW + 5 + RETURN_TIME
+    fleet.on_list([endpoint("a")], after, after)
+    assert usable(fleet) == ["a"]
+
+
+def test_older_list_changes_nothing():
+    fleet = fleet_of("a")
+    assert fleet.on_list([endpoint("b")], NOW - 1, NOW + 1) == []
+    assert usable(fleet) == ["a"]
+
+
+def test_changes_and_digest_bring_a_peer_to_the_same_belief():
+    reader, other = fleet_of("a", "b"), fleet_of("a", "b")
+    reader.on_list([endpoint("a"), endpoint("c")], NOW + 1, NOW + 1)
+    changes = reader.recent_changes(NOW + 1)
+    assert other.on_news(changes, reader.digest, NOW + 1, NOW + 1)
+    assert usable(other) == ["a", "c"]
+    assert other.read_at == NOW + 1
+
+
+def test_peer_that_missed_changes_is_told_to_read():
+    reader, other = fleet_of("a", "b"), fleet_of("a")
+    reader.on_list([endpoint("a"), endpoint("c")], NOW + 1, NOW + 1)
+    assert not other.on_news([], reader.digest, NOW + 1, NOW + 1)
+    assert other.read_at == NOW
+
+
+def balancer_of(*ids: str) -> Balancer:
+    return Balancer(fleet_of(*ids), "dc", Random(1))
+
+
+def choose(balancer: Balancer, now: float = NOW, limit: int = 6) -> str | None:
+    chosen = balancer.choose("llm", frozenset(), now, lambda each: limit)
+    if chosen is not None:
+        balancer.on_sent(chosen.id)
+    return chosen.id if chosen else None
+
+
+def test_requests_spread_over_all_endpoints_and_stop_at_the_limit():
+    balancer = balancer_of("a", "b", "c")
+    chosen = [choose(balancer, limit=2) for _ in range(7)]
+    assert sorted(chosen[:6]) == ["a", "a", "b", "b", "c", "c"]
+    assert chosen[6] is None
+
+
+def test_peers_requests_count():
+    balancer = balancer_of("a", "b")
+    balancer.on_peer("p", {"a": 5}, [], NOW)
+    assert [choose(balancer) for _ in range(5)] == ["b"] * 5
+
+
+def test_failing_endpoint_is_passed_over_and_tried_again_later():
+    balancer = balancer_of("a", "b", "c")
+    for _ in range(3):
+        balancer.on_failure("a", NOW)
+    assert "a" not in [choose(balancer) for _ in range(6)]
+    later = [choose(balancer, NOW + 10) for _ in range(4)]
+    assert later.count("a") == 1
+
+
+def test_circuits_never_leave_all_work_to_few_endpoints():
+    """Under a load that is too high for all, silence makes each look faulty."""
+    balancer = balancer_of("a", "b", "c", "d")
+    for id_ in "abc":
+        balancer.on_failure(id_, NOW, is_certain=True)
+    chosen = {choose(balancer) for _ in range(8)}
+    assert chosen == {"a", "b", "c", "d"}
+
+
+def test_one_accuser_is_not_believed_but_two_are():
+    balancer = balancer_of("a", "b", "c")
+    for node in ("p", "q", "r"):
+        balancer.on_peer(node, {}, ["a"] if node == "p" else [], NOW)
+    assert "a" in {choose(balancer) for _ in range(3)}
+    balancer.on_peer("q", {}, ["a"], NOW)
+    assert "a" not in {choose(balancer) for _ in range(6)}
+
+
+def news(ip: str, sequence: int = 1, **changes) -> PeerNews:
+    fields = {
+        "ip": ip,
+        "incarnation": 1,
+        "sequence": sequence,
+        "data_centre": "dc",
+        "callers": f"{ip}:80",
+        "is_ready": True,
+        "is_leaving": False,
+        "reads_store": True,
+        "config_version": 1,
+        "list_age": 0.1,
+        "list_digest": b"",
+        "changes": (),
+        "requests": {},
+        "waiting": {},
+        "suspects": (),
+    }
+    return PeerNews(**{**fields, **changes})
+
+
+def test_first_live_node_that_reaches_the_store_reads_for_all():
+    peers = Peers("10.0.0.2")
+    assert peers.is_reader(NOW, True)
+    peers.on_news(news("10.0.0.1"), NOW)
+    assert not peers.is_reader(NOW, True)
+    assert peers.is_reader(NOW + 2, True)
+    peers.on_news(news("10.0.0.1", 2, reads_store=False), NOW)
+    assert peers.is_reader(NOW, True)
+    assert not peers.is_reader(NOW, False)
+
+
+def test_old_and_doubled_news_are_passed_over():
+    peers = Peers("10.0.0.2")
+    assert peers.on_news(news("10.0.0.1", 2), NOW)
+    assert not peers.on_news(news("10.0.0.1", 2), NOW)
+    assert not peers.on_news(news("10.0.0.1", 1), NOW)
+    assert peers.on_news(news("10.0.0.1", 1, incarnation=2), NOW)
+
+
+def test_leaving_and_silent_nodes_are_not_given_out():
+    peers = Peers("10.0.0.9")
+    for number in range(1, 5):
+        peers.on_news(news(f"10.0.0.{number}"), NOW)
+    peers.on_news(news("10.0.0.1", 2, is_leaving=True), NOW + 0.5)
+    for number in (2, 3):
+        peers.on_news(news(f"10.0.0.{number}", 2), NOW + 1.5)
+    assert peers.addresses(NOW + 1.5) == ["10.0.0.2:80", "10.0.0.3:80"]
+
+
+def test_node_that_hears_nobody_gives_out_what_it_knew():
+    peers = Peers("10.0.0.9")
+    for number in range(1, 4):
+        peers.on_news(news(f"10.0.0.{number}"), NOW)
+    assert len(peers.addresses(NOW + 5)) == 3
--- /dev/null
+++ b/tests/test_gateway_lifecycle.py
@@ -0,0 +1,184 @@
+"""Starts, stops, outages of the store, and news between gateways."""
+
+import asyncio
+
+import pytest
+
+from cyclamenyoke.standins.platform import Faults
+from site_fixture import (
+    HOST,
+    call,
+    caller_headers,
+    configuration,
+    encode,
+    read_answer,
+    route,
+    running_site,
+)
+
+
+async def set_faults(site, **faults):
+    site.platform.state.faults = Faults(**faults)
+    await site.notify()
+
+
+async def test_node_without_a_configuration_refuses_with_a_promise():
+    async with running_site(gateways=0, config=False) as site:
+        node = await site.add_gateway(ready=False)
+        await asyncio.sleep(0.3)
+        assert not await site.is_ready(node)
+        answer = await site.ask(node, "/lookup/a")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        site.publish(configuration(1))
+        await site.notify()
+        await site.until(lambda: site.is_ready(node))
+        assert (await site.ask(node, "/lookup/a")).status == 200
+
+
+async def test_node_that_starts_while_the_store_is_away_serves_when_it_is_back():
+    async with running_site(gateways=0) as site:
+        await set_faults(site, down=True)
+        node = await site.add_gateway(ready=False)
+        await asyncio.sleep(0.3)
+        assert (await site.ask(node, "/lookup/a")).status == 503
+        await set_faults(site)
+        await site.until(lambda: site.is_ready(node), 4)
+
+
+async def test_new_version_is_in_force_on_all_nodes_and_old_routes_go():
+    async with running_site(gateways=3) as site:
+        config = configuration(2)
+        config["routes"] = [route("new", "safe", "app")]
+        site.publish(config)
+        await site.notify()
+        await asyncio.sleep(0.5)
+        for _, node, _ in site.gateways:
+            assert (await site.ask(node, "/new/a")).status == 200
+            assert (await site.ask(node, "/lookup/a")).status == 404
+
+
+async def test_older_and_unreadable_versions_change_nothing():
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        site.publish({**configuration(5), "routes": [route("new", "safe", "app")]})
+        await site.notify()
+        await asyncio.sleep(0.2)
+        for value in (b"{broken", b'{"version": 9}'):
+            site.platform.put("op/config", value)
+            await site.notify()
+        site.publish(configuration(4))
+        await site.notify()
+        await asyncio.sleep(0.2)
+        assert (await site.ask(node, "/new/a")).status == 200
+        assert (await site.ask(node, "/lookup/a")).status == 404
+
+
+async def test_node_that_the_store_refuses_gets_the_configuration_from_peers():
+    async with running_site(gateways=2) as site:
+        refused = site.gateways[1][0]
+        await asyncio.sleep(0.6)
+        await refused._store.close()
+        refused._store._address = "127.0.0.1:1"
+        site.publish({**configuration(2), "routes": [route("new", "safe", "app")]})
+        await site.notify()
+        node = site.gateways[1][1]
+
+        async def serves_the_new_route():
+            return (await site.ask(node, "/new/a")).status == 200
+
+        await site.until(serves_the_new_route, 2.0)
+
+
+async def test_serving_goes_on_while_the_store_is_away():
+    async with running_site(gateways=2) as site:
+        await set_faults(site, down=True)
+        await asyncio.sleep(1.5)
+        for _, node, _ in site.gateways:
+            assert (await site.ask(node, "/lookup/a")).status == 200
+
+
+async def test_leaving_engine_gets_no_new_work_on_any_node_within_the_bound():
+    async with running_site(gateways=3) as site:
+        leaving = site.engines["i-app-0"]
+        site.platform.put("servers/i-app-0", leaving.entry("app", "draining"))
+        await asyncio.sleep(1.5)
+        before = len(leaving.state.arrived)
+        for _ in range(4):
+            for _, node, _ in site.gateways:
+                assert (await site.ask(node, "/lookup/a")).status == 200
+        assert len(leaving.state.arrived) == before
+
+
+async def test_one_node_reads_the_list_for_all():
+    async with running_site(gateways=3) as site:
+        await asyncio.sleep(1.5)
+        before = dict(site.platform.state.calls)
+        await asyncio.sleep(3.0)
+        reads = site.platform.state.calls["range"] - before["range"]
+        assert reads <= 3.0 / 0.5 + 2
+
+
+async def test_planned_stop_cuts_nothing_and_takes_the_node_out_of_the_directory():
+    async with running_site(gateways=2) as site:
+        for engine in site.engines.values():
+            engine.event_time = 0.15
+        (stopping, node, task), (_, other, _) = site.gateways
+        await asyncio.sleep(0.5)
+        host, _, port = node.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(encode("POST", "/stream/a", caller_headers(), b"{}"))
+        await asyncio.sleep(0.2)
+        stopping.stop()
+        await asyncio.sleep(0.1)
+        assert not await site.is_ready(node)
+        path = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
+        given = await call(other.directory, "GET", path, {"Host": "d"})
+        assert node.callers.encode() not in given.body
+        late = await site.ask(node, "/lookup/a")
+        assert late.status == 200
+        assert late.headers["connection"] == "close"
+        answer = await read_answer(reader)
+        assert answer.is_whole
+        writer.close()
+        await asyncio.wait_for(task, 6)
+
+
+async def test_new_node_is_found_by_all_within_a_second():
+    async with running_site(gateways=2) as site:
+        node = await site.add_gateway()
+        path = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
+
+        async def is_given_out():
+            answers = [
+                await call(each.directory, "GET", path, {"Host": "d"})
+                for _, each, _ in site.gateways
+            ]
+            return all(node.callers.encode() in answer.body for answer in answers)
+
+        await site.until(is_given_out, 1.0)
+
+
+async def test_forged_datagrams_are_refused():
+    async with running_site(gateways=1) as site:
+        gateway, node, _ = site.gateways[0]
+        await asyncio.sleep(0.2)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(node.ip, node.peer_port)
+        )
+        transport.sendto(b"\x00" * 64)
+        await asyncio.sleep(0.2)
+        transport.close()
+        assert gateway._metrics.counter("exchange_refused") == 1
+
+
+@pytest.mark.parametrize("path", ["/metrics", "/"])
+async def test_metrics_are_served_as_text(path):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        await site.ask(node, "/lookup/a")
+        address = f"{node.ip}:{node.metrics_port}"
+        answer = await call(address, "GET", path, {"Host": "m"})
+        assert b"cyclamenyoke_requests_total" in answer.body
+        assert b'cyclamenyoke_first_byte_seconds{service="app"' in answer.body
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -40,3 +40,28 @@
             if isinstance(node, ast.Import):
                 names = {alias.name.split(".")[0] for alias in node.names}
                 assert not names & forbidden, path
+
+
+def test_only_the_wiring_knows_the_platform():
+    wiring = {"daemon/gateway.py", "daemon/node.py"}
+    for path in ROOT.rglob("*.py"):
+        name = path.relative_to(ROOT).as_posix()
+        if name.startswith("platform/") or name in wiring:
+            continue
+        assert "platform" not in imported_parts(path), name
+
+
+def test_names_of_the_platforms_wire_stay_in_its_folder():
+    names = ("X-Target-Instance", "X-Not-Executed", "kv-txn", "kv-watch", "NODE_FILE")
+    for path in ROOT.rglob("*.py"):
+        name = path.relative_to(ROOT).as_posix()
+        if name.startswith(("platform/", "standins/")):
+            continue
+        text = path.read_text()
+        assert not any(each in text for each in names), name
+
+
+def test_platform_does_not_import_the_daemon():
+    for path in (ROOT / "platform").glob("*.py"):
+        allowed = {"platform", "adapters", "ports", "core", "exceptions"}
+        assert imported_parts(path) <= allowed, path
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,131 @@
+"""Settings, configuration and entries as the platform writes them."""
+
+import json
+
+import pytest
+
+from cyclamenyoke.core.routes import Repeat
+from cyclamenyoke.exceptions import FindingsError
+from cyclamenyoke.platform.documents import (
+    UnreadableDocument,
+    decode_config,
+    decode_endpoints,
+)
+from cyclamenyoke.platform.settings import load_settings
+from site_fixture import KEY, configuration
+
+SETTINGS = """
+node = "n"
+ip = "10.1.0.40"
+zone = "z"
+region = "r"
+internal_ports = [7340, 7355]
+seeds = ["10.1.0.41:8229"]
+unknown_field = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+[limits]
+cpu_share = 0.5
+cores = 2
+memory_mb = 222
+file_descriptors = 1570
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+retry_budget_slack = 191
+budget_window_s = 10
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "slots": 6,
+    "born": 5,
+}
+
+
+def test_settings_are_translated_with_units(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    settings = load_settings(path)
+    assert settings.callers == "10.1.0.40:8227"
+    assert settings.bounds.drain == pytest.approx(2.0)
+    assert settings.seeds == ("10.1.0.41",)
+    assert settings.capacity == pytest.approx(1.0)
+
+
+def test_all_faults_of_a_settings_file_are_found_together(tmp_path):
+    path = tmp_path / "node.toml"
+    broken = SETTINGS.replace('ip = "10.1.0.40"', "ip = 7")
+    path.write_text(broken.replace('zone = "z"\n', ""))
+    with pytest.raises(FindingsError) as caught:
+        load_settings(path)
+    text = caught.value.show()
+    assert "ip" in text and "zone" in text
+    assert caught.value.exit_code == 2
+
+
+@pytest.mark.parametrize("content", ["not toml [", "\x00"])
+def test_unreadable_settings_are_a_finding(tmp_path, content):
+    path = tmp_path / "node.toml"
+    path.write_text(content)
+    with pytest.raises(FindingsError):
+        load_settings(path)
+    with pytest.raises(FindingsError):
+        load_settings(tmp_path / "missing")
+
+
+def test_configuration_says_what_may_be_repeated():
+    config = decode_config(json.dumps(configuration(7)).encode())
+    repeats = {route.name: route.repeat for route in config.routes}
+    assert repeats == {
+        "stream": Repeat.RESUME,
+        "single": Repeat.NEVER,
+        "order": Repeat.NEVER,
+        "lookup": Repeat.ANYWHERE,
+    }
+    assert config.customers[KEY].name == "customer"
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"version": "x"}', b"\xff\xfe"])
+def test_unreadable_configuration_is_refused(value):
+    with pytest.raises(UnreadableDocument):
+        decode_config(value)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"slots": "six"},
+        {"slots": 0},
+        {"service": None},
+        {"zone": 3},
+        {"born": 1.5},
+    ],
+)
+def test_foreign_entry_names_no_engine_and_the_others_hold(change):
+    items = [
+        ("servers/good", json.dumps(ENTRY).encode()),
+        ("servers/bad", json.dumps({**ENTRY, **change}).encode()),
+        ("servers/worse", b"\x00\xff{"),
+    ]
+    endpoints, unreadable = decode_endpoints(items)
+    assert [endpoint.id for endpoint in endpoints] == ["good"]
+    assert len(unreadable) == 2
+
+
+def test_leaving_state_is_told():
+    entry = json.dumps({**ENTRY, "state": "draining"}).encode()
+    [endpoint], _ = decode_endpoints([("servers/a", entry)])
+    assert endpoint.is_leaving
