Serve callers' first tries before their later ones

Cause: after the final fault callers whose answers were cut come back together with new ones. Served by age, the new ones became late too: 150 of 300 in seconds 38 to 46. Ruled out: engines that were slow; requests queued at engines (the known load stayed at or below the slots). Change: what is left of a caller's deadline tells later tries; they wait behind first ones and leave one slot of each engine to them. Later tries that are turned away are the next loss.

--- a/src/cyclamenyoke/core/admission.py
+++ b/src/cyclamenyoke/core/admission.py
@@ -7,6 +7,7 @@
 answer is worth less to its caller and takes the same work.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -29,11 +30,42 @@
 """Assumed duration of a request before any has ended."""
 
 
+LEARNED_DEADLINES = 64
+"""Requests of a route whose deadlines are remembered, the newest."""
+
+
+class Freshness:
+    """Tells a caller's first try from a later one.
+
+    Each caller counts its deadline from its first try and sends what is left of it. So
+    the longest deadline that a route's callers send is that of first tries, and what a
+    request's own is shorter has passed already.
+
+    >>> freshness = Freshness()
+    >>> freshness.elapsed("r", 8.0)
+    0.0
+    >>> freshness.elapsed("r", 6.5)
+    1.5
+    """
+
+    def __init__(self) -> None:
+        self._deadlines: dict[str, deque[float]] = {}
+
+    def elapsed(self, route: str, left: float) -> float:
+        """Return the seconds since the caller's first try.
+
+        :param left: the seconds that the caller still waits.
+        """
+        seen = self._deadlines.setdefault(route, deque(maxlen=LEARNED_DEADLINES))
+        seen.append(left)
+        return max(seen) - left
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """One request that wants an endpoint.
 
-    :param on_time_until: when it must be sent to be on time.
+    :param on_time_until: when it must be sent to be on time; may have passed.
     :param wait_until: when waiting has become pointless.
     :param tried: endpoints that have had it.
     """
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -11,6 +11,7 @@
 from cyclamenyoke.core.admission import (
     LATE_SHARE,
     Admission,
+    Freshness,
     Room,
     Ticket,
     TurnAway,
@@ -81,6 +82,10 @@
 """Requests for each slot of a plain service that are sent at once: one works while
 one waits, so a slot is never idle between them."""
 
+LATE_RESERVE = 1
+"""Slots of each engine that requests which are late anyway leave to those that can
+still be on time."""
+
 ANSWER_PASSES = 2.5
 """Passes from sending a request to its first event: the rest of one, its own, and the
 reading of its prompt."""
@@ -99,6 +104,7 @@
     """One request under way.
 
     :param last_event_id: the last event that went to the caller.
+    :param elapsed: seconds since the caller's first try when this one arrived.
     :param failure: an endpoint's own failure, to pass on if nothing better comes.
     """
 
@@ -112,6 +118,7 @@
     failure: tuple[AnswerHead, bytes] | None = None
     is_head_sent: bool = False
     priority: int = 0
+    elapsed: float = 0.0
     detail: str = ""
     retry_after: float | None = None
     waited: float = 0.0
@@ -171,6 +178,7 @@
         self._detached: set[asyncio.Task[None]] = set()
         self._passes: dict[str, PassModel] = {}
         self._gaps: dict[str, float] = {}
+        self._freshness = Freshness()
         self._waiting: dict[Ticket, asyncio.Future[Room | TurnAway]] = {}
         self._admission = Admission(
             self._find_room,
@@ -293,7 +301,7 @@
             course.customer or "",
             course.priority,
             arrived_at,
-            arrived_at + route.target_latency - answer_time,
+            arrived_at - course.elapsed + route.target_latency - answer_time,
             now + LATE_SHARE * min(patience, left),
             delivery.tried,
         )
@@ -317,12 +325,14 @@
         config = self._config()
         service = config.services.get(ticket.service) if config else None
         gap = self._gaps.get(ticket.service, 0.0)
+        reserve = LATE_RESERVE if now >= ticket.on_time_until else 0
 
         def limit(endpoint: Endpoint) -> int:
             if service is None or service.model is None:
                 return PLAIN_LINE * endpoint.slots
             passes = self._pass_model(service.name, service.model)
-            return passes.limit(endpoint.id, endpoint.slots, gap, now)
+            fitting = passes.limit(endpoint.id, endpoint.slots, gap, now)
+            return max(1, fitting - reserve)
 
         endpoint = self._balancer.choose(ticket.service, ticket.tried, now, limit)
         if endpoint is not None:
@@ -611,6 +621,7 @@
             outcome=outcome,
             detail=course.detail,
             waited=round(course.waited, 4),
+            elapsed=round(course.elapsed, 3),
             retry_after=course.retry_after,
             seconds=round(self._clock.now() - course.call.arrived_at, 4),
             last_event=course.last_event_id,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from cyclamenyoke.core.admission import Admission, Room, Ticket, TurnAway, Wait
+from cyclamenyoke.core.admission import (
+    Admission,
+    Freshness,
+    Room,
+    Ticket,
+    TurnAway,
+    Wait,
+)
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.pass_model import PassModel
 from cyclamenyoke.core.retry import BUDGET_MARGIN, WindowedRetryBudget
@@ -197,3 +204,25 @@
             while budget.take(now, nodes):
                 retries += 1
     assert retries <= BUDGET_MARGIN * (0.2 * requests + 191) + nodes
+
+
+def test_later_tries_leave_the_last_slots_to_first_tries():
+    freshness = Freshness()
+    assert freshness.elapsed("r", 8.05) == 0.0
+    assert freshness.elapsed("r", 6.0) == pytest.approx(2.05)
+    assert freshness.elapsed("other", 6.0) == 0.0
+
+
+def test_first_tries_after_an_outage_are_on_time_while_later_ones_wait():
+    """Callers that lost their answers all come back at once, with new ones behind."""
+    slots = Slots(4)
+    slots.admission.on_duration("llm", 1.0)
+    later = [ticket(NOW, on_time=-1.0) for _ in range(3)]
+    decisions = [slots.admission.decide(ticket(), NOW) for _ in range(4)]
+    assert all(isinstance(decision, Room) for decision in decisions)
+    for each in later:
+        slots.admission.decide(each, NOW)
+    first = ticket(NOW + 0.05)
+    assert isinstance(slots.admission.decide(first, NOW + 0.05), Wait)
+    slots.used = 3
+    assert [t for t, _ in slots.admission.advance(NOW + 0.1)] == [first]
