Fit expert maps under load by one gateway

A trial that read what was chosen found the most loaded rank of a set at 2.4 to 3.8 times the mean, one expert with a quarter of all choices, and another one every four seconds. Change: the list's reader takes a lock in the store, reads one rank's counts, and switches a group by prepare on all ranks, a held pass, arm on all, and go.

--- /dev/null
+++ b/src/cyclamenyoke/core/expert_maps.py
@@ -0,0 +1,100 @@
+"""Maps of experts for a group whose ranks hold several sets of layers.
+
+Answers the load of a group whose hottest experts lie on one rank: all ranks wait for
+it in each pass. A plan adds replicas of the hottest experts where they cut the most
+loaded rank, as few as bring a set near to even.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cyclamenyoke.core.experts import Layer, Placement
+from cyclamenyoke.core.routes import ExpertLayout
+
+GOOD_SKEW = 0.25
+"""Skew at which a set is left alone: what is left is less than what one pass differs
+from the next."""
+
+MOST_MOVES = 16
+"""Loads of a set in one plan at most, two a rank in a group of eight."""
+
+LEAST_GAIN = 0.3
+"""Gain in mean skew below which a plan is not worth its loads and orders: passes get
+shorter by about a tenth."""
+
+ExpertMap = list[Placement]
+"""Experts by set and rank."""
+
+
+@dataclass(frozen=True, slots=True)
+class MapPlan:
+    """A new map and what it brings.
+
+    :param skew_before: mean over the sets of the largest rank load relative to the
+        mean, less 1.
+    :param loads: experts that the busiest rank has to load.
+    """
+
+    experts: ExpertMap
+    skew_before: float
+    skew_after: float
+    moves: int
+    loads: int
+
+    @property
+    def is_worth_it(self) -> bool:
+        """Whether the gain pays for the loads."""
+        return self.skew_before - self.skew_after >= LEAST_GAIN
+
+
+def first_map(layout: ExpertLayout, ranks: int) -> ExpertMap:
+    """Return the map of a group that has just formed: experts in turn.
+
+    >>> first_map(ExpertLayout(1, 4, 3, 1, 0.0), 2)
+    [[[0, 2], [1, 3]]]
+    """
+    experts = range(layout.experts)
+    placement = [list(experts[rank::ranks]) for rank in range(ranks)]
+    return [[list(each) for each in placement] for _ in range(layout.sets)]
+
+
+def plan_map(
+    current: ExpertMap, counts: Sequence[Sequence[float]], layout: ExpertLayout
+) -> MapPlan:
+    """Return a map for what was chosen lately.
+
+    :param counts: how often each expert was chosen, by set.
+    """
+    planned: ExpertMap = []
+    before = after = 0.0
+    moves = 0
+    ranks = len(current[0])
+    loads = [0] * ranks
+    for placement, chosen in zip(current, counts, strict=True):
+        layer = Layer(_padded(placement, chosen, layout.places), chosen, [1.0] * ranks)
+        before += layer.skew
+        new = [0] * ranks
+        for _ in range(MOST_MOVES):
+            move = layer.best_move() if layer.skew > GOOD_SKEW else None
+            if move is None or new[move.rank] >= layout.spare:
+                break
+            layer.apply(move)
+            new[move.rank] += 1
+            moves += 1
+        after += layer.skew
+        loads = [total + count for total, count in zip(loads, new, strict=True)]
+        planned.append([sorted(set(held)) for held in layer.placement])
+    sets = len(current)
+    return MapPlan(planned, before / sets, after / sets, moves, max(loads))
+
+
+def _padded(placement: Placement, chosen: Sequence[float], places: int) -> Placement:
+    """Return a placement whose free places hold a second copy of the coldest expert.
+
+    Such a copy changes no rank's load and is the first to give way.
+    """
+    padded = []
+    for held in placement:
+        coldest = min(held, key=lambda expert: chosen[expert])
+        padded.append([*held, *[coldest] * (places - len(held))])
+    return padded
--- a/src/cyclamenyoke/core/routes.py
+++ b/src/cyclamenyoke/core/routes.py
@@ -92,18 +92,38 @@
     memory_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExpertLayout:
+    """How a service's groups hold their experts.
+
+    :param sets: sets of layers, each with a placement of its own.
+    :param experts: experts of each set.
+    :param places: experts of a set that a rank may hold.
+    :param spare: experts of a set that a rank may load for one map.
+    :param load_time: seconds to load one expert.
+    """
+
+    sets: int
+    experts: int
+    places: int
+    spare: int
+    load_time: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A group of interchangeable endpoints.
 
     :param max_connections: accepted by each endpoint from all callers together.
     :param model: ``None`` for a plain service.
+    :param layout: ``None`` for engines without experts.
     """
 
     name: str
     health_path: str
     max_connections: int
     model: EngineModel | None
+    layout: ExpertLayout | None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/cyclamenyoke/daemon/expert_steward.py
@@ -0,0 +1,500 @@
+"""Keeps the expert maps of engine groups fitted to what is chosen.
+
+One gateway at a time does it, the holder of a lease in the store, and only under load,
+since counts, loads and orders are priced. All ranks of a group must switch at one pass:
+
+* every rank has prepared the map, by its own report;
+* one rank is told to hold the pass of the switch;
+* every rank is armed for that pass, asked again until it has answered;
+* the pass is let go.
+
+Once the pass is held the switch only goes forward, so that whoever takes over can
+finish it from the ranks' reports alone, and an order that is carried out late finds
+its pass begun.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.metrics import Metrics
+from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.expert_maps import ExpertMap, MapPlan, first_map, plan_map
+from cyclamenyoke.core.fleet import Endpoint, Fleet
+from cyclamenyoke.core.routes import ExpertLayout, GatewayConfig, Service
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.engine_control import (
+    ControlFailed,
+    EngineControl,
+    ExpertCounts,
+    OrderResult,
+    RankReport,
+)
+from cyclamenyoke.ports.platform import CasConflict, KeyValueStore, LeaseLost
+
+LOCK_KEY = "cyclamenyoke/expert-steward"
+MAP_PREFIX = "cyclamenyoke/expert-maps/"
+
+LOCK_TIME = 4 * SECOND
+"""Lifetime of the steward's lease: a dead steward is followed within it."""
+
+LOCK_MARGIN = 1 * SECOND
+"""Seconds before the lease's end at which the holder no longer begins anything."""
+
+RENEW_TIME = 1 * SECOND
+"""Seconds between two renewals: three fit before the margin."""
+
+LOOK_TIME = 250 * MILLISECOND
+"""Seconds between two looks at the load."""
+
+SAMPLE_TIME = 800 * MILLISECOND
+"""Seconds between two reads of counts; some hundred requests of a loaded service."""
+
+PRESSURE = 0.6
+"""Share of a service's slots in use from which uneven experts are worth a look: below
+it all requests are on time anyway."""
+
+PRESSURE_TIME = 0.5 * SECOND
+"""Seconds for which the load must have been high."""
+
+PREPARE_TIME = 3 * SECOND
+"""Seconds within which all ranks must have prepared a map."""
+
+PREPARE_POLL = 200 * MILLISECOND
+"""Seconds between two looks at whether they have; their reports lag as much."""
+
+LEAD_PASSES = 10
+"""Passes between the last reported one and the switch: the reports' lag and the round
+trips of the orders."""
+
+ORDER_TRIES = 4
+"""Times that an order is given before nothing has been armed."""
+
+FORWARD_TIME = 2.5 * SECOND
+"""Seconds for which a switch is driven forward before the lock is left to another."""
+
+ORDER_PAUSE = 20 * MILLISECOND
+"""Seconds between two tries of an order."""
+
+VERSIONS_PER_LOCK = 1000
+"""Map versions that one holder of the lock can give out. They begin with the lock's
+revision, so a later holder's are higher."""
+
+
+@dataclass(slots=True)
+class Group:
+    """The ranks of one group in one epoch, in the order of their numbers."""
+
+    name: str
+    epoch: int
+    ranks: list[Endpoint]
+    reports: list[RankReport]
+
+    @property
+    def step(self) -> int:
+        """The newest pass that any rank reported."""
+        return max(report.step for report in self.reports)
+
+    @property
+    def held(self) -> tuple[Endpoint, int] | None:
+        """The rank that holds a pass, and which."""
+        for endpoint, report in zip(self.ranks, self.reports, strict=True):
+            if report.held is not None:
+                return endpoint, report.held
+        return None
+
+    def agreed(self, of: Callable[[RankReport], int | None]) -> int | None:
+        """Return a version that all ranks report, or ``None``."""
+        versions = {of(report) for report in self.reports}
+        return versions.pop() if len(versions) == 1 else None
+
+
+@dataclass(slots=True)
+class KnownMap:
+    """The map that a group got last, as the store keeps it."""
+
+    epoch: int
+    version: int
+    experts: ExpertMap
+
+
+@dataclass(slots=True)
+class Sample:
+    """What was chosen between two reads of one rank."""
+
+    rank: str = ""
+    last: ExpertCounts | None = None
+    read_at: float = 0.0
+    chosen: list[list[float]] = field(default_factory=list)
+
+
+class ExpertSteward:
+    """The maps of all groups.
+
+    :param config: returns the configuration in force.
+    :param is_wanted: tells whether this node is the one to do it.
+    :param waiting: returns the requests of a service that wait at any node.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        control: EngineControl,
+        fleet: Fleet,
+        balancer: Balancer,
+        config: Callable[[], GatewayConfig | None],
+        is_wanted: Callable[[], bool],
+        waiting: Callable[[str], int],
+        node: str,
+        clock: Clock,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        self._store = store
+        self._control = control
+        self._fleet = fleet
+        self._balancer = balancer
+        self._config = config
+        self._is_wanted = is_wanted
+        self._waiting = waiting
+        self._node = node
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._lease = 0
+        self._lock_revision = 0
+        self._locked_until = 0.0
+        self._renew_at = 0.0
+        self._next_version = 0
+        self._busy_since: dict[str, float] = {}
+        self._samples: dict[str, Sample] = {}
+        self._maps: dict[str, KnownMap] = {}
+
+    async def run(self) -> None:
+        """Watch the load and fit maps until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_TIME)
+            config = self._config()
+            if config is None or not self._is_wanted():
+                continue
+            for service in config.services.values():
+                if service.layout is not None and self._is_pressed(service.name):
+                    await self._serve(service, service.layout)
+
+    def _is_pressed(self, service: str) -> bool:
+        """Tell whether a service has been loaded for a while."""
+        now = self._clock.now()
+        load, slots = self._balancer.service_load(service)
+        if load <= PRESSURE * slots and not self._waiting(service):
+            self._busy_since.pop(service, None)
+            return False
+        return now - self._busy_since.setdefault(service, now) >= PRESSURE_TIME
+
+    async def _serve(self, service: Service, layout: ExpertLayout) -> None:
+        try:
+            if await self._hold_lock():
+                await self._finish_open_switches(service.name)
+            if self._clock.now() >= self._locked_until:
+                return
+            await self._fit(service.name, layout)
+        except (PlatformUnavailable, CasConflict, LeaseLost) as error:
+            self._log.info("experts are not looked after", error=str(error))
+        except ControlFailed as error:
+            self._log.info("experts not read", error=str(error))
+
+    async def _hold_lock(self) -> bool:
+        """Take or keep the lock; tell whether it was taken now."""
+        now = self._clock.now()
+        if now < self._locked_until and now < self._renew_at:
+            return False
+        if self._lease:
+            try:
+                await self._store.renew_lease(self._lease)
+            except LeaseLost:
+                self._lease = 0
+            else:
+                self._locked_until = now + LOCK_TIME - LOCK_MARGIN
+                self._renew_at = now + RENEW_TIME
+                return False
+        lease = await self._store.grant_lease(LOCK_TIME)
+        value = self._node.encode()
+        revision = await self._store.compare_and_swap(LOCK_KEY, 0, value, lease)
+        self._lease, self._lock_revision = lease, revision
+        self._next_version = revision * VERSIONS_PER_LOCK
+        self._locked_until = now + LOCK_TIME - LOCK_MARGIN
+        self._renew_at = now + RENEW_TIME
+        self._log.info("expert lock taken", revision=revision)
+        return True
+
+    async def _fit(self, service: str, layout: ExpertLayout) -> None:
+        """Read what is chosen, and switch the groups that gain enough."""
+        sample = await self._sample(service, layout)
+        if not sample.chosen:
+            return
+        groups = await self._groups(service)
+        fitting = (self._fit_group(group, sample.chosen, layout) for group in groups)
+        for failure in await asyncio.gather(*fitting, return_exceptions=True):
+            if failure is not None:
+                raise failure
+
+    async def _fit_group(
+        self, group: Group, chosen: list[list[float]], layout: ExpertLayout
+    ) -> None:
+        if group.held is not None:
+            await self._finish(group)
+            return
+        current = await self._current_map(group, layout)
+        if current is None:
+            return
+        plan = plan_map(current, chosen, layout)
+        self._metrics.gauge("expert_skew", plan.skew_before, group=group.name)
+        if plan.is_worth_it and self._clock.now() < self._locked_until:
+            await self._switch(group, plan, layout)
+
+    async def _sample(self, service: str, layout: ExpertLayout) -> Sample:
+        """Read one rank's counts if it is time; what is chosen is alike on all."""
+        sample = self._samples.setdefault(service, Sample())
+        now = self._clock.now()
+        sample.chosen = []
+        if now < sample.read_at + SAMPLE_TIME:
+            return sample
+        endpoints = self._fleet.usable(service)
+        known = [each for each in endpoints if each.id == sample.rank]
+        if not known:
+            known = sorted(endpoints, key=self._balancer.load, reverse=True)
+            sample.last = None
+        if not known:
+            return sample
+        rank = known[0]
+        counts = await self._control.counts(rank, layout.sets)
+        last = sample.last
+        if last is not None and last.epoch == counts.epoch:
+            rows = [
+                [float(new - old) for new, old in zip(*pair, strict=True)]
+                for pair in zip(counts.counts, last.counts, strict=True)
+            ]
+            if all(sum(row) > 0 and min(row) >= 0 for row in rows):
+                sample.chosen = rows
+        sample.rank, sample.last, sample.read_at = rank.id, counts, now
+        return sample
+
+    async def _groups(self, service: str) -> list[Group]:
+        """Return the groups that are open and whole, by their ranks' reports."""
+        endpoints = self._fleet.usable(service)
+        found = await asyncio.gather(*(self._report(each) for each in endpoints))
+        by_group: dict[tuple[str, int], list[tuple[RankReport, Endpoint]]] = {}
+        for endpoint, report in zip(endpoints, found, strict=True):
+            if report is not None and report.is_open:
+                key = report.group, report.epoch
+                by_group.setdefault(key, []).append((report, endpoint))
+        groups = []
+        for (name, epoch), members in by_group.items():
+            members.sort(key=lambda member: member[0].rank)
+            numbers = [report.rank for report, _ in members]
+            if numbers == list(range(members[0][0].size)):
+                ranks = [endpoint for _, endpoint in members]
+                groups.append(Group(name, epoch, ranks, [r for r, _ in members]))
+        return groups
+
+    async def _report(self, endpoint: Endpoint) -> RankReport | None:
+        try:
+            return await self._control.report(endpoint)
+        except ControlFailed as error:
+            self._log.debug("no report", endpoint=endpoint.id, error=str(error))
+            return None
+
+    async def _current_map(
+        self, group: Group, layout: ExpertLayout
+    ) -> ExpertMap | None:
+        """Return the map in force, or ``None`` if it is not known."""
+        version = group.agreed(lambda report: report.map_version)
+        if version is None:
+            return None
+        if version == 0:
+            return first_map(layout, len(group.ranks))
+        known = self._maps.get(group.name)
+        if known is None or known.version != version:
+            stored = await self._store.get(MAP_PREFIX + group.name)
+            if stored.value is None:
+                return None
+            known = msgspec.json.decode(stored.value, type=KnownMap)
+            self._maps[group.name] = known
+        is_current = known.version == version and known.epoch == group.epoch
+        return known.experts if is_current else None
+
+    async def _switch(self, group: Group, plan: MapPlan, layout: ExpertLayout) -> None:
+        """Take a group to a new map."""
+        self._next_version += 1
+        version = self._next_version
+        self._log.info(
+            "expert map planned",
+            group=group.name,
+            epoch=group.epoch,
+            version=version,
+            skew_before=round(plan.skew_before, 2),
+            skew_after=round(plan.skew_after, 2),
+            moves=plan.moves,
+        )
+        if not await self._prepare(group, version, plan, layout):
+            self._log.info("expert map not prepared", group=group.name, version=version)
+            return
+        await self._remember(group, KnownMap(group.epoch, version, plan.experts))
+        if self._clock.now() >= self._locked_until:
+            return
+        step = await self._hold(group)
+        if step is None:
+            return
+        await self._complete(group, version, step)
+
+    async def _prepare(
+        self, group: Group, version: int, plan: MapPlan, layout: ExpertLayout
+    ) -> bool:
+        """Let all ranks load the map; tell whether each reports that it has."""
+
+        async def order(rank: Endpoint) -> bool:
+            for _ in range(ORDER_TRIES):
+                result = await self._control.prepare(
+                    rank, version, group.epoch, plan.experts
+                )
+                if result is not OrderResult.UNKNOWN:
+                    return result is OrderResult.DONE
+                await asyncio.sleep(ORDER_PAUSE)
+            return False
+
+        if not all(await asyncio.gather(*(order(rank) for rank in group.ranks))):
+            return False
+        give_up_at = self._clock.now() + PREPARE_TIME
+        await asyncio.sleep(plan.loads * layout.load_time)
+        while self._clock.now() < give_up_at:
+            await self._keep_lock()
+            if await self._refresh(group) and (
+                group.agreed(lambda report: report.prepared) == version
+            ):
+                return True
+            await asyncio.sleep(PREPARE_POLL)
+        return False
+
+    async def _keep_lock(self) -> None:
+        if self._clock.now() >= self._renew_at and self._lease:
+            await self._hold_lock()
+
+    async def _refresh(self, group: Group) -> bool:
+        """Read all reports again; tell whether the epoch still lasts."""
+        found = await asyncio.gather(*(self._report(rank) for rank in group.ranks))
+        reports = [report for report in found if report is not None]
+        if len(reports) < len(group.ranks):
+            return False
+        group.reports = reports
+        return all(each.epoch == group.epoch and each.is_open for each in reports)
+
+    async def _remember(self, group: Group, known: KnownMap) -> None:
+        """Keep a map in the store, for whoever takes over."""
+        key = MAP_PREFIX + group.name
+        stored = await self._store.get(key)
+        value = msgspec.json.encode(known)
+        await self._store.compare_and_swap(key, stored.revision, value)
+        self._maps[group.name] = known
+
+    async def _hold(self, group: Group) -> int | None:
+        """Hold a pass that is ahead at the first rank; return it."""
+        guard = group.ranks[0]
+        for attempt in range(1, ORDER_TRIES + 1):
+            step = group.step + attempt * LEAD_PASSES
+            result = await self._control.hold(guard, group.epoch, step)
+            if result is OrderResult.DONE:
+                return step
+            if result is OrderResult.UNKNOWN:
+                # It may be held: nobody is armed, so the pass may just go on.
+                await self._go(group, guard, step)
+                return None
+        return None
+
+    async def _complete(self, group: Group, version: int, step: int) -> None:
+        """Arm all ranks for a held pass, then let it go."""
+        give_up_at = self._clock.now() + FORWARD_TIME
+        results = await asyncio.gather(
+            *(self._arm(rank, version, group, step, give_up_at) for rank in group.ranks)
+        )
+        if OrderResult.UNKNOWN in results:
+            # Only somebody who reaches all ranks may let the pass go.
+            self._log.warning("switch left open", group=group.name, step=step)
+            await self._give_lock_up()
+            return
+        if OrderResult.REFUSED in results:
+            await self._abandon(group, version, step, results)
+            return
+        await self._go(group, group.ranks[0], step)
+        self._metrics.count("expert_switches")
+        self._log.info("expert map armed", group=group.name, version=version, step=step)
+
+    async def _arm(
+        self,
+        rank: Endpoint,
+        version: int,
+        group: Group,
+        step: int,
+        give_up_at: float,
+    ) -> OrderResult:
+        while True:
+            result = await self._control.arm(rank, version, group.epoch, step)
+            if result is not OrderResult.UNKNOWN or self._clock.now() >= give_up_at:
+                return result
+            await asyncio.sleep(ORDER_PAUSE)
+
+    async def _abandon(
+        self, group: Group, version: int, step: int, results: Iterable[OrderResult]
+    ) -> None:
+        """Take a switch back that a rank refused, mostly since its epoch ended."""
+        refused = sum(result is OrderResult.REFUSED for result in results)
+        self._log.warning(
+            "expert map refused", group=group.name, version=version, ranks=refused
+        )
+        for rank in group.ranks:
+            while True:
+                result = await self._control.disarm(rank, version, group.epoch)
+                if result is not OrderResult.UNKNOWN:
+                    break
+                await asyncio.sleep(ORDER_PAUSE)
+        await self._go(group, group.ranks[0], step)
+
+    async def _go(self, group: Group, guard: Endpoint, step: int) -> None:
+        give_up_at = self._clock.now() + FORWARD_TIME
+        while self._clock.now() < give_up_at:
+            result = await self._control.go(guard, group.epoch, step)
+            if result is not OrderResult.UNKNOWN:
+                return
+            await asyncio.sleep(ORDER_PAUSE)
+        self._log.warning("held pass not let go", group=group.name, step=step)
+        await self._give_lock_up()
+
+    async def _give_lock_up(self) -> None:
+        lease, self._lease = self._lease, 0
+        self._locked_until = 0.0
+        if lease:
+            await self._store.end_lease(lease)
+
+    async def _finish_open_switches(self, service: str) -> None:
+        """Finish what an earlier holder of the lock left."""
+        for group in await self._groups(service):
+            if group.held is not None:
+                await self._finish(group)
+
+    async def _finish(self, group: Group) -> None:
+        """Go forward with a pass that is held."""
+        held = group.held
+        version = group.agreed(lambda report: report.prepared)
+        if held is None:
+            return
+        guard, step = held
+        self._log.warning(
+            "held pass found", group=group.name, step=step, prepared=version
+        )
+        if version is not None and version > 0:
+            await self._complete(group, version, step)
+        else:
+            await self._go(group, guard, step)
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -25,6 +25,7 @@
 from cyclamenyoke.core.routes import GatewayConfig
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.belief import Belief, DocumentDecoder
+from cyclamenyoke.daemon.expert_steward import ExpertSteward
 from cyclamenyoke.daemon.forwarder import Forwarder
 from cyclamenyoke.daemon.membership import Membership
 from cyclamenyoke.exceptions import CyclamenyokeError, FindingsError
@@ -37,6 +38,7 @@
     decode_endpoints,
 )
 from cyclamenyoke.platform.engines import PlatformEngines
+from cyclamenyoke.platform.ranks import PlatformRanks
 from cyclamenyoke.platform.settings import PATH_VARIABLE, load_settings
 from cyclamenyoke.platform.store import StoreClient
 from cyclamenyoke.ports.platform import StoredItem
@@ -129,6 +131,19 @@
             self._metrics,
             self._log,
         )
+        self._steward = ExpertSteward(
+            self._store,
+            PlatformRanks(ConnectionPool(self._clock)),
+            self._fleet,
+            self._balancer,
+            lambda: self._belief.config,
+            self._is_steward,
+            self._waiting,
+            settings.node,
+            self._clock,
+            self._metrics,
+            self._log,
+        )
         lifetime = min(ADDRESS_LIFETIME, settings.bounds.address_lifetime)
         self._callers = self._server(CallerEdge(self._forwarder.serve))
         self._servers = [
@@ -176,6 +191,7 @@
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._sweep()),
             asyncio.create_task(self._forwarder.watch_lines()),
+            asyncio.create_task(self._steward.run()),
             asyncio.create_task(self._watch_settings()),
         ]
         stopping = asyncio.create_task(self._stopping.wait())
@@ -224,6 +240,15 @@
     def _is_ready(self) -> bool:
         return self._belief.is_complete and not self._stopping.is_set()
 
+    def _is_steward(self) -> bool:
+        """Tell whether this node looks after the experts: the list's reader does."""
+        now = self._clock.now()
+        return self._is_ready() and self._peers.is_reader(now, self._belief.reads_store)
+
+    def _waiting(self, service: str) -> int:
+        elsewhere = self._peers.waiting(service, self._clock.now())
+        return elsewhere + self._forwarder.waiting.get(service, 0)
+
     def _addresses(self, name: str, data_centre: str) -> list[str]:
         addresses = self._peers.addresses(self._clock.now())
         if self._is_ready() and self._settings.callers is not None:
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -9,6 +9,7 @@
     CallerLimits,
     Customer,
     EngineModel,
+    ExpertLayout,
     GatewayConfig,
     Repeat,
     Route,
@@ -25,6 +26,8 @@
 READY = "ready"
 LEAVING_STATES = {READY: False, "draining": True}
 THOUSAND = 1000.0
+BITS = 8.0
+"""Bits in a byte."""
 
 
 class UnreadableDocument(CyclamenyokeError):
@@ -69,6 +72,13 @@
     report_lag_ms: float = 0.0
     kv_capacity_tokens: int = 0
     usual: _Usual = msgspec.field(default_factory=_Usual)
+    link_mbps: float = 0.0
+    sets: int = 0
+    experts: int = 0
+    # Experts of a set that one rank may hold.
+    placements: int = 0
+    spare: int = 0
+    expert_mb: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -207,7 +217,22 @@
 
 def _service(service: _Service) -> Service:
     model = _model(service.engine) if service.engine else None
-    return Service(service.name, service.health_path, service.max_connections, model)
+    layout = _layout(service.engine) if service.engine else None
+    return Service(
+        service.name, service.health_path, service.max_connections, model, layout
+    )
+
+
+def _layout(engine: _Engine) -> ExpertLayout | None:
+    if not engine.sets or not engine.experts or not engine.link_mbps:
+        return None
+    return ExpertLayout(
+        engine.sets,
+        engine.experts,
+        engine.placements,
+        engine.spare,
+        engine.expert_mb * BITS / engine.link_mbps,
+    )
 
 
 def _model(engine: _Engine) -> EngineModel:
--- a/src/cyclamenyoke/platform/store.py
+++ b/src/cyclamenyoke/platform/store.py
@@ -11,17 +11,10 @@
 import msgspec
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
-from cyclamenyoke.adapters.http_connection import (
-    BodyPart,
-    ConnectionFailed,
-    HttpConnection,
-    ResponseBroken,
-    ResponseEnd,
-    ResponseHead,
-    encode_request,
-)
+from cyclamenyoke.adapters.http_connection import ConnectionFailed
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.platform.json_call import AnswerBroken, call_json
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.platform import (
     CasConflict,
@@ -38,10 +31,6 @@
 LONGEST_WATCH = 30 * SECOND
 """Longest wait that the store accepts."""
 
-KEEP_TIME = 4 * SECOND
-"""Seconds for which an idle connection to the store is used again if the store states
-no time."""
-
 MOST_CONNECTIONS = 16
 """Connections to the store: one a watch and a few for calls."""
 
@@ -233,43 +222,19 @@
         :raises PlatformUnavailable: without an answer in time.
         """
         self._calls[f"{method} {path.split('/')[2]}"] += 1
-        body = b"" if content is None else msgspec.json.encode(content)
-        headers = [(b"Host", self._address.encode())]
-        if content is not None:
-            headers.append((b"Content-Type", b"application/json"))
-        if method != "GET":
-            headers.append((b"Content-Length", b"%d" % len(body)))
-        data = encode_request(
-            method.encode(), _path(path, **query or {}), headers, body
-        )
-        connection: HttpConnection | None = None
+        target = _path(path, **query or {})
         try:
             async with asyncio.timeout(ANSWER_TIME + wait):
-                connection, _ = await self._pool.acquire(
-                    self._address, POOL_KEY, MOST_CONNECTIONS, ANSWER_TIME
+                return await call_json(
+                    self._pool,
+                    self._address,
+                    POOL_KEY,
+                    MOST_CONNECTIONS,
+                    method,
+                    target,
+                    [],
+                    content,
                 )
-                connection.send(data, method.encode(), lambda head: True)
-                status, answer = await self._read(connection)
-        except (ConnectionFailed, TimeoutError) as error:
+        except (ConnectionFailed, AnswerBroken, TimeoutError) as error:
             kind = str(error) or type(error).__name__
             raise PlatformUnavailable(f"{method} {path}: {kind}") from error
-        finally:
-            if connection is not None and not connection.is_reusable:
-                connection.close()
-        self._pool.release(connection, self._address, POOL_KEY, KEEP_TIME)
-        return status, answer
-
-    async def _read(self, connection: HttpConnection) -> tuple[int, bytes]:
-        status = 0
-        parts: list[bytes] = []
-        while True:
-            event = await connection.receive()
-            match event:
-                case ResponseHead():
-                    status = event.status
-                case BodyPart():
-                    parts.append(event.data)
-                case ResponseEnd():
-                    return status, b"".join(parts)
-                case ResponseBroken():
-                    raise PlatformUnavailable(f"store: {event.reason}")
