--- a/src/cyclamenyoke/core/expert_maps.py
+++ b/src/cyclamenyoke/core/expert_maps.py
@@ -58,34 +58,58 @@
     return [[list(each) for each in placement] for _ in range(layout.sets)]
 
 
-def plan_map(
-    current: ExpertMap, counts: Sequence[Sequence[float]], layout: ExpertLayout
-) -> MapPlan:
-    """Return a map for what was chosen lately.
+@dataclass(frozen=True, slots=True)
+class SetPlan:
+    """A new placement of one set.
+
+    :param loads: experts that each rank has to load.
+    """
+
+    placement: Placement
+    skew_before: float
+    skew_after: float
+    loads: list[int]
+
 
-    :param counts: how often each expert was chosen, by set.
+def plan_set(
+    placement: Placement, chosen: Sequence[float], layout: ExpertLayout
+) -> SetPlan:
+    """Return a placement of one set for what was chosen lately.
+
+    :param chosen: how often each expert was chosen.
     """
-    planned: ExpertMap = []
-    before = after = 0.0
-    moves = 0
-    ranks = len(current[0])
+    ranks = len(placement)
+    layer = Layer(_padded(placement, chosen, layout.places), chosen, [1.0] * ranks)
+    before = layer.skew
     loads = [0] * ranks
-    for placement, chosen in zip(current, counts, strict=True):
-        layer = Layer(_padded(placement, chosen, layout.places), chosen, [1.0] * ranks)
-        before += layer.skew
-        new = [0] * ranks
-        for _ in range(MOST_MOVES):
-            move = layer.best_move() if layer.skew > GOOD_SKEW else None
-            if move is None or new[move.rank] >= layout.spare:
-                break
-            layer.apply(move)
-            new[move.rank] += 1
-            moves += 1
-        after += layer.skew
-        loads = [total + count for total, count in zip(loads, new, strict=True)]
-        planned.append([sorted(set(held)) for held in layer.placement])
-    sets = len(current)
-    return MapPlan(planned, before / sets, after / sets, moves, max(loads))
+    for _ in range(MOST_MOVES):
+        move = layer.best_move() if layer.skew > GOOD_SKEW else None
+        if move is None or loads[move.rank] >= layout.spare:
+            break
+        layer.apply(move)
+        loads[move.rank] += 1
+    planned = [sorted(set(held)) for held in layer.placement]
+    return SetPlan(planned, before, layer.skew, loads)
+
+
+def join_sets(plans: Sequence[SetPlan]) -> MapPlan:
+    """Return the map that the plans of all sets make."""
+    totals = [sum(loads) for loads in zip(*(plan.loads for plan in plans), strict=True)]
+    return MapPlan(
+        [plan.placement for plan in plans],
+        sum(plan.skew_before for plan in plans) / len(plans),
+        sum(plan.skew_after for plan in plans) / len(plans),
+        sum(totals),
+        max(totals),
+    )
+
+
+def plan_map(
+    current: ExpertMap, counts: Sequence[Sequence[float]], layout: ExpertLayout
+) -> MapPlan:
+    """Return a map for what was chosen lately, by set."""
+    pairs = zip(current, counts, strict=True)
+    return join_sets([plan_set(placed, chosen, layout) for placed, chosen in pairs])
 
 
 def _padded(placement: Placement, chosen: Sequence[float], places: int) -> Placement:
--- a/src/cyclamenyoke/daemon/expert_steward.py
+++ b/src/cyclamenyoke/daemon/expert_steward.py
@@ -22,7 +22,13 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
-from cyclamenyoke.core.expert_maps import ExpertMap, MapPlan, first_map, plan_map
+from cyclamenyoke.core.expert_maps import (
+    ExpertMap,
+    MapPlan,
+    first_map,
+    join_sets,
+    plan_set,
+)
 from cyclamenyoke.core.fleet import Endpoint, Fleet
 from cyclamenyoke.core.routes import ExpertLayout, GatewayConfig, Service
 from cyclamenyoke.core.units import MILLISECOND, SECOND
@@ -259,7 +265,12 @@
         current = await self._current_map(group, layout)
         if current is None:
             return
-        plan = plan_map(current, chosen, layout)
+        plans = []
+        for placement, counts in zip(current, chosen, strict=True):
+            plans.append(plan_set(placement, counts, layout))
+            # Requests of this node go on between two sets.
+            await asyncio.sleep(0)
+        plan = join_sets(plans)
         self._metrics.gauge("expert_skew", plan.skew_before, group=group.name)
         if plan.is_worth_it and self._clock.now() < self._locked_until:
             await self._switch(group, plan, layout)
