Spare the ranks of a broken group after the word of one gateway

Cause: a crash of one engine breaks its group of eight; each rejects all requests and names the engine at fault. The bound on passed-over endpoints, meant for suspicions, kept half of the service in use though it was broken. Ruled out: full engines (load 3 to 5 of 6), the crash itself (one of 16). Change: such a rejection spares the endpoint for a second on all nodes, outside that bound, unless nothing else is left. Orders to ranks are asked again after 0.12 s, and a switch that was let go is not finished again from an old report.

--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -25,6 +25,10 @@
 MOST_PASSED_OVER = 0.34
 """Share of a service's endpoints that may be passed over: one of three."""
 
+BROKEN_TIME = 1 * SECOND
+"""Seconds for which an endpoint is spared after it said that its group is broken; then
+one request of any node finds out. A group takes longer than that to form again."""
+
 ACCUSERS = 2
 """Peers whose circuits must be open for this node to pass over an endpoint, too."""
 
@@ -35,11 +39,13 @@
 
     :param requests: requests under way, by endpoint.
     :param suspects: endpoints whose circuit is open there.
+    :param broken: endpoints that told it that their group is broken.
     """
 
     heard_at: float
     requests: Mapping[str, int] = field(default_factory=dict)
     suspects: frozenset[str] = frozenset()
+    broken: frozenset[str] = frozenset()
 
 
 class Balancer:
@@ -55,6 +61,7 @@
         self._own: Counter[str] = Counter()
         self._peers: dict[str, PeerLoad] = {}
         self._circuits: dict[str, Circuit] = {}
+        self._broken_until: dict[str, float] = {}
 
     @property
     def own_requests(self) -> dict[str, int]:
@@ -70,6 +77,13 @@
             if circuit.state is not CircuitState.CLOSED
         )
 
+    def broken(self, now: float) -> frozenset[str]:
+        """Return the endpoints that told this node that their group is broken."""
+        ended = [id_ for id_, until in self._broken_until.items() if until <= now]
+        for id_ in ended:
+            del self._broken_until[id_]
+        return frozenset(self._broken_until)
+
     def load(self, endpoint: Endpoint) -> int:
         """Return the requests under way at an endpoint, as far as known."""
         return self.load_of(endpoint.id)
@@ -133,6 +147,11 @@
         """Note that an endpoint failed a request."""
         self._circuit(endpoint).on_failure(now, is_certain)
 
+    def on_broken(self, endpoint: str, now: float) -> None:
+        """Note that an endpoint runs nothing since its group is broken."""
+        self.on_nothing(endpoint)
+        self._broken_until[endpoint] = now + BROKEN_TIME
+
     def on_gone(self, endpoints: Iterable[str]) -> None:
         """Forget the circuits of endpoints that are gone or started anew."""
         for id_ in endpoints:
@@ -144,9 +163,12 @@
         requests: Mapping[str, int],
         suspects: Iterable[str],
         now: float,
+        broken: Iterable[str] = (),
     ) -> None:
         """Take a peer's word on its requests."""
-        self._peers[node] = PeerLoad(now, requests, frozenset(suspects))
+        self._peers[node] = PeerLoad(
+            now, requests, frozenset(suspects), frozenset(broken)
+        )
 
     def _forget_silent(self, now: float) -> None:
         oldest = now - PEER_LOAD_LIFETIME
@@ -159,6 +181,8 @@
         Passing over many would send all requests to the few that are left, and under
         a load that is too high for all each would look faulty in turn.
         """
+        broken = self.broken(now).union(*(peer.broken for peer in self._peers.values()))
+        endpoints = [each for each in endpoints if each.id not in broken] or endpoints
         accusers = Counter(
             id_ for peer in self._peers.values() for id_ in peer.suspects
         )
--- a/src/cyclamenyoke/core/delivery.py
+++ b/src/cyclamenyoke/core/delivery.py
@@ -20,6 +20,8 @@
     """No byte of the request left this node."""
     REJECTED = "rejected"
     """The endpoint promises that it has not run the request."""
+    BROKEN_GROUP = "broken_group"
+    """Rejected since another rank of the endpoint's group is down; not run."""
     MISDIRECTED = "misdirected"
     """Another endpoint answers at the address; not run there."""
     FAILED = "failed"
@@ -28,8 +30,10 @@
     """The answer broke off, was spoiled, or never came; it may have run."""
 
 
-_NOT_RUN = frozenset({End.NOT_SENT, End.REJECTED, End.MISDIRECTED})
-_COUNTED = frozenset({End.REJECTED, End.FAILED, End.LOST, End.ANSWERED})
+_NOT_RUN = frozenset({End.NOT_SENT, End.REJECTED, End.BROKEN_GROUP, End.MISDIRECTED})
+_COUNTED = frozenset(
+    {End.REJECTED, End.BROKEN_GROUP, End.FAILED, End.LOST, End.ANSWERED}
+)
 
 
 class Verdict(enum.Enum):
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -31,6 +31,8 @@
         negative without one.
     :param requests: its requests under way, by endpoint.
     :param waiting: its requests that wait for an endpoint, by service.
+    :param suspects: endpoints whose circuits are open there.
+    :param broken: endpoints that said lately that their group is broken.
     """
 
     ip: str
@@ -48,6 +50,7 @@
     requests: dict[str, int]
     waiting: dict[str, int]
     suspects: tuple[str, ...]
+    broken: tuple[str, ...]
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/daemon/expert_steward.py
+++ b/src/cyclamenyoke/daemon/expert_steward.py
@@ -184,6 +184,7 @@
         self._busy_since: dict[str, float] = {}
         self._samples: dict[str, Sample] = {}
         self._maps: dict[str, KnownMaps] = {}
+        self._let_go: dict[str, int] = {}
 
     async def run(self) -> None:
         """Watch the load and fit maps until cancelled."""
@@ -501,6 +502,7 @@
         while self._clock.now() < give_up_at:
             result = await self._control.go(guard, group.epoch, step)
             if result is not OrderResult.UNKNOWN:
+                self._let_go[group.name] = step
                 return
             await asyncio.sleep(ORDER_PAUSE)
         self._log.warning("held pass not let go", group=group.name, step=step)
@@ -521,6 +523,9 @@
     async def _finish(self, group: Group) -> None:
         """Go forward with a pass that is held."""
         held = group.held
+        if held is not None and held[1] <= self._let_go.get(group.name, -1):
+            # The report is older than the order to go on.
+            return
         version = group.agreed(lambda report: report.prepared)
         if held is None:
             return
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -423,7 +423,7 @@
                     scope.reschedule(loop.time() + self._silence(course))
                     event = await exchange.receive()
                     end = await self._on_event(course, answer, event)
-                    if end is End.REJECTED or end is End.MISDIRECTED:
+                    if isinstance(event, NotRun):
                         await self._skip_rest(exchange)
                     if end is not None:
                         return end
@@ -453,7 +453,9 @@
                 return End.LOST
             case NotRun():
                 course.detail = f"endpoint answered {event.status}"
-                return End.MISDIRECTED if event.is_misdirected else End.REJECTED
+                if event.is_misdirected:
+                    return End.MISDIRECTED
+                return End.BROKEN_GROUP if event.is_group_broken else End.REJECTED
         return None
 
     async def _skip_rest(self, exchange: Exchange) -> None:
@@ -552,7 +554,7 @@
         retry_after = course.retry_after
         if refusal is Refusal.NOT_RUN and retry_after is None:
             ends = {attempt.end for attempt in delivery.attempts}
-            is_full = End.REJECTED in ends
+            is_full = ends == {End.REJECTED}
             retry_after = FULL_RETRY if is_full else UNAVAILABLE_RETRY
         reply.refuse(refusal, retry_after)
         return refusal.value
@@ -565,6 +567,7 @@
             End.LOST: lambda: self._balancer.on_failure(endpoint, now),
             End.MISDIRECTED: lambda: self._balancer.on_failure(endpoint, now, True),
             End.REJECTED: lambda: self._balancer.on_nothing(endpoint),
+            End.BROKEN_GROUP: lambda: self._balancer.on_broken(endpoint, now),
         }
         actions[end]()
 
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -222,6 +222,7 @@
             requests=self._balancer.own_requests,
             waiting=self.waiting(),
             suspects=tuple(self._balancer.suspects),
+            broken=tuple(self._balancer.broken(now)),
         )
         self._exchange.send(news, ips)
         self._metrics.gauge("exchange_sent_bytes", self._exchange.sent_bytes)
@@ -230,7 +231,7 @@
         now = self._clock.now()
         if not self._peers.on_news(news, now):
             return
-        self._balancer.on_peer(news.ip, news.requests, news.suspects, now)
+        self._balancer.on_peer(news.ip, news.requests, news.suspects, now, news.broken)
         self._belief.on_peer(news, now)
         self.on_peer()
 
--- a/src/cyclamenyoke/platform/engines.py
+++ b/src/cyclamenyoke/platform/engines.py
@@ -20,6 +20,7 @@
     DEADLINE,
     ENGINE_ID,
     EVENT_STREAM,
+    FAULTY_ENGINE,
     KEEP_ALIVE,
     LAST_EVENT_ID,
     NOT_EXECUTED,
@@ -105,8 +106,15 @@
         self._idle_timeout = _idle_timeout(head)
         if head.get(NOT_EXECUTED) is not None or head.status == MISDIRECTED:
             engine = head.get(ENGINE_ID)
-            is_other = engine is not None and engine.decode() != self._endpoint.id
-            return NotRun(head.status, head.status == MISDIRECTED and is_other)
+            is_other = (
+                engine is not None and engine.decode("latin-1") != self._endpoint.id
+            )
+            faulty = head.get(FAULTY_ENGINE)
+            return NotRun(
+                head.status,
+                head.status == MISDIRECTED and is_other,
+                faulty is not None and faulty.decode("latin-1") != self._endpoint.id,
+            )
         if head.get(CONTENT_ENCODING) is not None:
             return AnswerLost("the body is encoded")
         is_success = head.status in SUCCESS
--- a/src/cyclamenyoke/platform/ranks.py
+++ b/src/cyclamenyoke/platform/ranks.py
@@ -22,8 +22,9 @@
     RankReport,
 )
 
-ANSWER_TIME = 250 * MILLISECOND
-"""Seconds after which a call of a rank counts as unanswered: some fifty round trips."""
+ANSWER_TIME = 120 * MILLISECOND
+"""Seconds after which a call of a rank counts as unanswered: some twenty round trips.
+A group may rest meanwhile."""
 
 MOST_CONNECTIONS = 4
 """Connections to one rank for reports and orders."""
--- a/src/cyclamenyoke/platform/wire.py
+++ b/src/cyclamenyoke/platform/wire.py
@@ -12,6 +12,8 @@
 PRIORITY = b"X-Request-Priority"
 EXPECTED_WEIGHTS = b"X-Expect-Version"
 NOT_EXECUTED = b"x-not-executed"
+# The engine at fault for a rejection, which may be another rank of the group.
+FAULTY_ENGINE = b"at-server"
 SIGNATURE = b"x-response-signature"
 LAST_EVENT_ID = b"Last-Event-Id"
 # Prompt tokens, then the most output tokens.
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -50,10 +50,13 @@
     """The endpoint promises that the request has not run.
 
     :param is_misdirected: whether another endpoint answered at the address.
+    :param is_group_broken: whether another rank of the endpoint's group is at fault,
+        so that the endpoint runs nothing for now.
     """
 
     status: int
     is_misdirected: bool
+    is_group_broken: bool
 
 
 EngineEvent = AnswerHead | AnswerData | AnswerEnd | AnswerLost | NotRun
--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -32,6 +32,8 @@
 
     ANSWER = "answer"
     REJECT = "reject"
+    BROKEN_GROUP = "broken_group"
+    """Rejects since another rank of its group is down."""
     MISDIRECT = "misdirect"
     FAIL = "fail"
     TRUNCATE = "truncate"
@@ -192,6 +194,10 @@
         if behaviour is Behaviour.MISDIRECT or target != self._id:
             writer.write(self._head(request, 421, ["X-Instance-Id: other"], b""))
             return
+        if behaviour is Behaviour.BROKEN_GROUP:
+            fields = ["X-Not-Executed: 1", "At-Server: another"]
+            writer.write(self._head(request, 503, fields, b""))
+            return
         if behaviour is Behaviour.REJECT:
             writer.write(self._head(request, 503, ["X-Not-Executed: 1"], b""))
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -130,6 +130,7 @@
         "requests": {},
         "waiting": {},
         "suspects": (),
+        "broken": (),
     }
     return PeerNews(**{**fields, **changes})
 
@@ -168,3 +169,20 @@
     for number in range(1, 4):
         peers.on_news(news(f"10.0.0.{number}"), NOW)
     assert len(peers.addresses(NOW + 5)) == 3
+
+
+def test_half_a_service_is_spared_while_its_group_is_broken():
+    """Unlike a suspicion, the word of the endpoint itself counts for all of a group."""
+    balancer = balancer_of("a", "b", "c", "d")
+    balancer.on_broken("a", NOW)
+    balancer.on_peer("p", {}, [], NOW, ["b"])
+    assert {choose(balancer) for _ in range(6)} == {"c", "d"}
+    balancer.on_peer("p", {}, [], NOW + 1, [])
+    assert "a" in {choose(balancer, NOW + 1.1) for _ in range(6)}
+
+
+def test_service_that_is_broken_as_a_whole_is_still_tried():
+    balancer = balancer_of("a", "b")
+    balancer.on_broken("a", NOW)
+    balancer.on_broken("b", NOW)
+    assert choose(balancer) is not None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -351,3 +351,13 @@
 
         await site.until(names_both)
         assert KEY
+
+
+async def test_engine_of_a_broken_group_is_spared_after_its_first_word():
+    async with running_site(engines=2) as site:
+        broken = site.engines["i-llm-0"]
+        broken.script.extend([Behaviour.BROKEN_GROUP] * 20)
+        node = site.gateways[0][1]
+        answers = [await site.post(node, "/stream/a") for _ in range(6)]
+        assert all(answer.is_whole for answer in answers)
+        assert len(broken.state.arrived) <= 1
