Let a leaving node hold up no follower of the reader

Ruled out: engines (load 4 to 5 of 6, none gone), the store (no call failed). Change: a leaving node reads for nobody and is passed over by the others; all nodes follow the load, so that a follower begins at once. Test: a leaving node neither reads nor holds up another.

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -71,9 +71,11 @@
     """All other nodes that are known.
 
     :param ip: of this node.
+    :param is_leaving: whether this node is about to stop.
     """
 
     ip: str
+    is_leaving: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
 
     @property
@@ -139,8 +141,13 @@
 
     def is_reader(self, now: float, reads_store: bool) -> bool:
         """Tell whether this node reads the platform's list for all."""
-        able = [news.ip for news in self.live(now) if news.reads_store]
-        return reads_store and all(self.ip < ip for ip in able)
+        able = [
+            news.ip
+            for news in self.live(now)
+            if news.reads_store and not news.is_leaving
+        ]
+        is_able = reads_store and not self.is_leaving
+        return is_able and all(self.ip < ip for ip in able)
 
     def choose(self, count: int, random: Random) -> list[str]:
         """Return some nodes to write to."""
--- a/src/cyclamenyoke/daemon/expert_steward.py
+++ b/src/cyclamenyoke/daemon/expert_steward.py
@@ -191,11 +191,18 @@
         while True:
             await asyncio.sleep(LOOK_TIME)
             config = self._config()
-            if config is None or not self._is_wanted():
+            if config is None:
                 continue
-            for service in config.services.values():
-                if service.layout is not None and self._is_pressed(service.name):
-                    await self._serve(service, service.layout)
+            # Followed on every node, so that a follower need not wait to see it.
+            pressed = [
+                (service, service.layout)
+                for service in config.services.values()
+                if service.layout is not None and self._is_pressed(service.name)
+            ]
+            if not self._is_wanted():
+                continue
+            for service, layout in pressed:
+                await self._serve(service, layout)
 
     def _is_pressed(self, service: str) -> bool:
         """Tell whether a service has been loaded for a while."""
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -81,7 +81,6 @@
         self._exchange: PeerExchange | None = None
         self._lease = 0
         self._has_news = asyncio.Event()
-        self._is_leaving = False
         self.waiting: Callable[[], dict[str, int]] = dict
         self.on_peer: Callable[[], None] = lambda: None
         peers.learn(settings.seeds, clock.now())
@@ -92,7 +91,7 @@
 
     def leave(self) -> None:
         """Tell peers at once that this node stops."""
-        self._is_leaving = True
+        self._peers.is_leaving = True
         self._send(self._peers.ips)
 
     async def run(self) -> None:
@@ -213,7 +212,7 @@
             data_centre=self._settings.data_centre,
             callers=self._settings.callers or "",
             is_ready=self._belief.is_complete,
-            is_leaving=self._is_leaving,
+            is_leaving=self._peers.is_leaving,
             reads_store=self._belief.reads_store,
             config_version=self._belief.config_version,
             list_age=self._belief.list_age(),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -186,3 +186,11 @@
     balancer.on_broken("a", NOW)
     balancer.on_broken("b", NOW)
     assert choose(balancer) is not None
+
+
+def test_leaving_node_reads_for_nobody_and_holds_up_no_follower():
+    peers = Peers("10.0.0.2")
+    peers.on_news(news("10.0.0.1", is_leaving=True), NOW)
+    assert peers.is_reader(NOW, True)
+    peers.is_leaving = True
+    assert not peers.is_reader(NOW, True)
