Tell the newer list by the store's revision, not by its age

The logs show nodes whose list was never older than 0.5 s and that still took the engine for usable: each hand-over of a list's age adds its time on the way, so nodes that repeated an old list to each other made it look newer than the reader's next one, and passed that over. Ruled out: the store (no call failed), a silent reader (it read at 26.49 s), lost datagrams alone (three nodes read for themselves and knew). Change: lists carry the store's revision; only a higher one counts as newer, and only then is the age taken over. Test: test_nodes_that_repeat_an_old_list_do_not_make_it_newer_than_the_readers; the earlier code has no revision to pass, its age rule is the one described above.

--- a/src/cyclamenyoke/adapters/peer_exchange.py
+++ b/src/cyclamenyoke/adapters/peer_exchange.py
@@ -38,11 +38,13 @@
     :param config: the configuration as the operator wrote it; empty without one.
     :param config_revision: of the store.
     :param list_age: seconds since the list was read; negative without one.
+    :param list_revision: of the store when it was read.
     """
 
     config: bytes
     config_revision: int
     list_age: float
+    list_revision: int
     endpoints: list[Endpoint]
 
 
--- a/src/cyclamenyoke/core/fleet.py
+++ b/src/cyclamenyoke/core/fleet.py
@@ -62,6 +62,7 @@
         self._missing_until: dict[str, float] = {}
         self._changes: list[Change] = []
         self._read_at: float | None = None
+        self._revision = 0
         self._failed_at: float | None = None
         self._digest = b""
 
@@ -75,6 +76,15 @@
         """When the list was read on which this belief rests."""
         return self._read_at
 
+    @property
+    def revision(self) -> int:
+        """Of the store when that list was read; tells which belief is newer.
+
+        Ages can't: each hand-over adds its time on the way, and nodes that repeat an
+        old list to each other would make it look ever fresher.
+        """
+        return self._revision
+
     @property
     def digest(self) -> bytes:
         """Equal on two nodes that believe the same."""
@@ -103,14 +113,20 @@
         self._failed_at = now
 
     def on_list(
-        self, endpoints: Iterable[Endpoint], read_at: float, now: float
+        self,
+        endpoints: Iterable[Endpoint],
+        revision: int,
+        read_at: float,
+        now: float,
     ) -> list[Change]:
         """Take a whole list of the platform and return what changed.
 
+        :param revision: of the store when it was read.
         :param read_at: when the read began.
         """
-        if self._read_at is not None and read_at <= self._read_at:
+        if revision < self._revision:
             return []
+        self._revision = revision
         self._read_at = read_at
         listed = {endpoint.id: endpoint for endpoint in endpoints}
         changes = [
@@ -129,14 +145,20 @@
         return changes
 
     def on_news(
-        self, changes: Iterable[Change], digest: bytes, read_at: float, now: float
+        self,
+        changes: Iterable[Change],
+        digest: bytes,
+        revision: int,
+        read_at: float,
+        now: float,
     ) -> bool:
         """Take changes from another node; tell whether both now believe the same.
 
         :param digest: of the other node's belief.
+        :param revision: of the list that the other node relies on.
         :param read_at: when the list was read that the other node relies on.
         """
-        if self._read_at is None or read_at <= self._read_at:
+        if self._read_at is None or revision <= self._revision:
             return digest == self._digest
         if digest != self._digest:
             fresh = [
@@ -147,6 +169,7 @@
             self._apply(fresh)
         if digest != self._digest:
             return False
+        self._revision = revision
         self._read_at = read_at
         return True
 
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -29,6 +29,7 @@
     :param config_version: 0 without a configuration.
     :param list_age: seconds since the read of the list that the node relies on;
         negative without one.
+    :param list_revision: of the store when that list was read.
     :param requests: its requests under way, by endpoint.
     :param waiting: its requests that wait for an endpoint, by service.
     :param suspects: endpoints whose circuits are open there.
@@ -45,6 +46,7 @@
     reads_store: bool
     config_version: int
     list_age: float
+    list_revision: int
     list_digest: bytes
     changes: tuple[Change, ...]
     requests: dict[str, int]
--- a/src/cyclamenyoke/daemon/belief.py
+++ b/src/cyclamenyoke/daemon/belief.py
@@ -154,6 +154,7 @@
             self._current.raw,
             self._current.revision,
             self.list_age(),
+            self._fleet.revision,
             list(self._fleet.endpoints.values()),
         )
 
@@ -166,10 +167,11 @@
             return
         read_at = now - news.list_age
         before = set(self._fleet.endpoints)
-        agrees = self._fleet.on_news(news.changes, news.list_digest, read_at, now)
+        agrees = self._fleet.on_news(
+            news.changes, news.list_digest, news.list_revision, read_at, now
+        )
         self._on_changes(before, [])
-        current = self._fleet.read_at
-        if not agrees and (current is None or read_at > current):
+        if not agrees and news.list_revision > self._fleet.revision:
             self._needs_list = True
 
     async def watch_config(self) -> None:
@@ -233,16 +235,19 @@
 
     async def _read_list_once(self) -> None:
         read_at = self._clock.now()
-        items = await self._store.list(self._decoder.endpoint_prefix)
+        listing = await self._store.list(self._decoder.endpoint_prefix)
         self._on_store_answered()
-        endpoints, unreadable = self._decoder.decode_endpoints(items)
+        endpoints, unreadable = self._decoder.decode_endpoints(listing.items)
         for error in unreadable:
             self._report_once("entry", str(error))
-        self._take_list(endpoints, read_at)
+        self._take_list(endpoints, listing.revision, read_at)
 
-    def _take_list(self, endpoints: list[Endpoint], read_at: float) -> None:
+    def _take_list(
+        self, endpoints: list[Endpoint], revision: int, read_at: float
+    ) -> None:
         before = set(self._fleet.endpoints)
-        changes = self._fleet.on_list(endpoints, read_at, self._clock.now())
+        now = self._clock.now()
+        changes = self._fleet.on_list(endpoints, revision, read_at, now)
         self._on_changes(before, changes)
         self.on_change()
 
@@ -309,17 +314,16 @@
             self._take_config(snapshot.config, snapshot.config_revision)
 
     async def _list_from_peer(self) -> None:
-        now = self._clock.now()
-        age = self.list_age()
+        revision = self._fleet.revision
         fresher = [
             news.ip
-            for news in self._peers.live(now)
-            if news.list_age >= 0 and (age < 0 or news.list_age < age)
+            for news in self._peers.live(self._clock.now())
+            if news.list_age >= 0 and news.list_revision > revision
         ]
         snapshot = await self._fetch(fresher)
         if snapshot is not None and snapshot.list_age >= 0:
             read_at = self._clock.now() - snapshot.list_age
-            self._take_list(snapshot.endpoints, read_at)
+            self._take_list(snapshot.endpoints, snapshot.list_revision, read_at)
 
     async def _fetch(self, ips: list[str]) -> Snapshot | None:
         if self._exchange is None or not ips:
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -143,7 +143,8 @@
 
         Of any two nodes the one that enters last finds the other, and writes to it.
         """
-        keys = [item.key for item in await self._store.list(NODE_PREFIX)]
+        listing = await self._store.list(NODE_PREFIX)
+        keys = [item.key for item in listing.items]
         ips = [key.removeprefix(NODE_PREFIX) for key in keys]
         self._peers.learn(ips, self._clock.now())
         self.announce()
@@ -216,6 +217,7 @@
             reads_store=self._belief.reads_store,
             config_version=self._belief.config_version,
             list_age=self._belief.list_age(),
+            list_revision=self._fleet.revision,
             list_digest=self._fleet.digest,
             changes=tuple(self._fleet.recent_changes(now)),
             requests=self._balancer.own_requests,
--- a/src/cyclamenyoke/platform/store.py
+++ b/src/cyclamenyoke/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 from collections import Counter
-from collections.abc import Sequence
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -20,6 +19,7 @@
     CasConflict,
     KeyValueStore,
     LeaseLost,
+    Listing,
     StoredItem,
     Versioned,
 )
@@ -52,6 +52,7 @@
 class _Range(msgspec.Struct):
     items: list[_Item]
     truncated: bool
+    store_revision: int
 
 
 class _Events(msgspec.Struct):
@@ -114,8 +115,9 @@
         item = _decode(body, _Item)
         return self._note(key, Versioned(item.revision, _value(item)), item)
 
-    async def list(self, prefix: str) -> Sequence[StoredItem]:
+    async def list(self, prefix: str) -> Listing:
         items: list[StoredItem] = []
+        revision = 0
         query = {"prefix": prefix}
         while True:
             status, body = await self._call("GET", "/v1/kv-range", query)
@@ -124,8 +126,10 @@
             items += [
                 StoredItem(item.key, _value(item), item.revision) for item in page.items
             ]
+            # Pages are no snapshot; the list is as old as its first page.
+            revision = revision or page.store_revision
             if not page.truncated or not page.items:
-                return items
+                return Listing(items, revision)
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(self, key: str, after_revision: int, deadline: float) -> Versioned:
--- a/src/cyclamenyoke/ports/platform.py
+++ b/src/cyclamenyoke/ports/platform.py
@@ -39,6 +39,17 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """The keys of a list.
+
+    :param revision: of the whole store when the list was read; only rises.
+    """
+
+    items: Sequence[StoredItem]
+    revision: int
+
+
 class KeyValueStore(ABC):
     """The platform's key-value service."""
 
@@ -72,7 +83,7 @@
         """
 
     @abstractmethod
-    async def list(self, prefix: str) -> Sequence[StoredItem]:
+    async def list(self, prefix: str) -> Listing:
         """Return all keys that begin with a prefix.
 
         Long lists come in pages and are no snapshot.
--- a/tests/test_expert_steward.py
+++ b/tests/test_expert_steward.py
@@ -28,7 +28,6 @@
     CasConflict,
     KeyValueStore,
     LeaseLost,
-    StoredItem,
     Versioned,
 )
 
@@ -81,7 +80,7 @@
         raise NotImplementedError
 
     async def list(self, prefix):
-        return [StoredItem(k, v, r) for k, (r, v, _) in self._values.items()]
+        raise NotImplementedError
 
     async def grant_lease(self, lifetime):
         self._revision += 1
@@ -263,7 +262,7 @@
             Endpoint(f"r{n}", "llm", "127.0.0.1:1", "dc", 6, False, 1)
             for n in range(RANKS)
         ]
-        self.fleet.on_list(self.endpoints, 1.0, 1.0)
+        self.fleet.on_list(self.endpoints, 1, 1.0, 1.0)
         service = Service("llm", "/", 10, None, LAYOUT)
         self.config = GatewayConfig(1, (), {"llm": service}, CallerLimits(), {}, False)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 
 def fleet_of(*ids: str) -> Fleet:
     fleet = Fleet()
-    fleet.on_list([endpoint(id_) for id_ in ids], NOW, NOW)
+    fleet.on_list([endpoint(id_) for id_ in ids], 10, NOW, NOW)
     return fleet
 
 
@@ -25,7 +25,8 @@
 
 def test_leaving_and_missing_endpoints_take_no_new_work():
     fleet = fleet_of("a", "b", "c")
-    fleet.on_list([endpoint("a"), endpoint("b", is_leaving=True)], NOW + 1, NOW + 1)
+    leaving = endpoint("b", is_leaving=True)
+    fleet.on_list([endpoint("a"), leaving], 11, NOW + 1, NOW + 1)
     assert usable(fleet) == ["a"]
     assert set(fleet.endpoints) == {"a", "b"}
 
@@ -33,35 +34,50 @@
 def test_endpoint_that_vanishes_in_an_outage_is_kept_until_it_may_be_back():
     fleet = fleet_of("a", "b")
     fleet.on_list_failed(NOW + 5)
-    fleet.on_list([endpoint("a")], NOW + 5.1, NOW + 5.1)
+    fleet.on_list([endpoint("a")], 11, NOW + 5.1, NOW + 5.1)
     assert usable(fleet) == ["a", "b"]
     after = NOW + 5 + RETURN_TIME
-    fleet.on_list([endpoint("a")], after, after)
+    fleet.on_list([endpoint("a")], 12, after, after)
     assert usable(fleet) == ["a"]
 
 
 def test_older_list_changes_nothing():
     fleet = fleet_of("a")
-    assert fleet.on_list([endpoint("b")], NOW - 1, NOW + 1) == []
+    assert fleet.on_list([endpoint("b")], 9, NOW + 1, NOW + 1) == []
     assert usable(fleet) == ["a"]
 
 
 def test_changes_and_digest_bring_a_peer_to_the_same_belief():
     reader, other = fleet_of("a", "b"), fleet_of("a", "b")
-    reader.on_list([endpoint("a"), endpoint("c")], NOW + 1, NOW + 1)
+    reader.on_list([endpoint("a"), endpoint("c")], 11, NOW + 1, NOW + 1)
     changes = reader.recent_changes(NOW + 1)
-    assert other.on_news(changes, reader.digest, NOW + 1, NOW + 1)
+    assert other.on_news(changes, reader.digest, 11, NOW + 1, NOW + 1)
     assert usable(other) == ["a", "c"]
     assert other.read_at == NOW + 1
 
 
 def test_peer_that_missed_changes_is_told_to_read():
     reader, other = fleet_of("a", "b"), fleet_of("a")
-    reader.on_list([endpoint("a"), endpoint("c")], NOW + 1, NOW + 1)
-    assert not other.on_news([], reader.digest, NOW + 1, NOW + 1)
+    reader.on_list([endpoint("a"), endpoint("c")], 11, NOW + 1, NOW + 1)
+    assert not other.on_news([], reader.digest, 11, NOW + 1, NOW + 1)
     assert other.read_at == NOW
 
 
+def test_nodes_that_repeat_an_old_list_do_not_make_it_newer_than_the_readers():
+    """Each hand-over adds the time on its way to the moment of the read."""
+    reader, one, two = fleet_of("a", "b"), fleet_of("a", "b"), fleet_of("a", "b")
+    for hop in range(1, 50):
+        told = NOW + hop * 0.03
+        one.on_news([], two.digest, two.revision, told, told)
+        two.on_news([], one.digest, one.revision, told + 0.02, told + 0.02)
+    assert one.read_at == two.read_at == NOW
+    leaving = endpoint("b", is_leaving=True)
+    reader.on_list([endpoint("a"), leaving], 11, NOW + 0.5, NOW + 0.5)
+    changes = reader.recent_changes(NOW + 0.5)
+    assert one.on_news(changes, reader.digest, 11, NOW + 0.5, NOW + 2)
+    assert usable(one) == ["a"]
+
+
 def balancer_of(*ids: str) -> Balancer:
     return Balancer(fleet_of(*ids), "dc", Random(1))
 
@@ -125,6 +141,7 @@
         "reads_store": True,
         "config_version": 1,
         "list_age": 0.1,
+        "list_revision": 10,
         "list_digest": b"",
         "changes": (),
         "requests": {},
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -53,7 +53,7 @@
         for number in range(1201):
             platform.put(f"p/{number:05}", b"%d" % number)
         platform.put("q", b"other")
-        items = await store.list("p/")
+        items = (await store.list("p/")).items
         assert [item.value for item in items] == [b"%d" % n for n in range(1201)]
 
 
