Take the age of an unchanged store's list from its reader only

Change: news say whether their node read the list itself; at the same revision only such an age is taken over, so it still can't grow younger by repetition.

--- a/src/cyclamenyoke/core/fleet.py
+++ b/src/cyclamenyoke/core/fleet.py
@@ -63,6 +63,7 @@
         self._changes: list[Change] = []
         self._read_at: float | None = None
         self._revision = 0
+        self._is_first_hand = False
         self._failed_at: float | None = None
         self._digest = b""
 
@@ -85,6 +86,11 @@
         """
         return self._revision
 
+    @property
+    def is_first_hand(self) -> bool:
+        """Whether this node read that list itself."""
+        return self._is_first_hand
+
     @property
     def digest(self) -> bytes:
         """Equal on two nodes that believe the same."""
@@ -118,15 +124,18 @@
         revision: int,
         read_at: float,
         now: float,
+        is_first_hand: bool = True,
     ) -> list[Change]:
         """Take a whole list of the platform and return what changed.
 
         :param revision: of the store when it was read.
         :param read_at: when the read began.
+        :param is_first_hand: whether this node read it itself.
         """
         if revision < self._revision:
             return []
         self._revision = revision
+        self._is_first_hand = is_first_hand
         self._read_at = read_at
         listed = {endpoint.id: endpoint for endpoint in endpoints}
         changes = [
@@ -151,15 +160,23 @@
         revision: int,
         read_at: float,
         now: float,
+        is_first_hand: bool = False,
     ) -> bool:
         """Take changes from another node; tell whether both now believe the same.
 
         :param digest: of the other node's belief.
         :param revision: of the list that the other node relies on.
         :param read_at: when the list was read that the other node relies on.
+        :param is_first_hand: whether the other node read it itself; only then its age
+            counts where the store has not changed.
         """
-        if self._read_at is None or revision <= self._revision:
+        if self._read_at is None or revision < self._revision:
             return digest == self._digest
+        if revision == self._revision:
+            is_same = digest == self._digest
+            if is_same and is_first_hand:
+                self._read_at = max(self._read_at, read_at)
+            return is_same
         if digest != self._digest:
             fresh = [
                 Change(change.id, change.endpoint, now)
@@ -170,6 +187,7 @@
         if digest != self._digest:
             return False
         self._revision = revision
+        self._is_first_hand = False
         self._read_at = read_at
         return True
 
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -30,6 +30,7 @@
     :param list_age: seconds since the read of the list that the node relies on;
         negative without one.
     :param list_revision: of the store when that list was read.
+    :param is_list_first_hand: whether the node read it itself.
     :param requests: its requests under way, by endpoint.
     :param waiting: its requests that wait for an endpoint, by service.
     :param suspects: endpoints whose circuits are open there.
@@ -47,6 +48,7 @@
     config_version: int
     list_age: float
     list_revision: int
+    is_list_first_hand: bool
     list_digest: bytes
     changes: tuple[Change, ...]
     requests: dict[str, int]
--- a/src/cyclamenyoke/daemon/belief.py
+++ b/src/cyclamenyoke/daemon/belief.py
@@ -168,7 +168,12 @@
         read_at = now - news.list_age
         before = set(self._fleet.endpoints)
         agrees = self._fleet.on_news(
-            news.changes, news.list_digest, news.list_revision, read_at, now
+            news.changes,
+            news.list_digest,
+            news.list_revision,
+            read_at,
+            now,
+            news.is_list_first_hand,
         )
         self._on_changes(before, [])
         if not agrees and news.list_revision > self._fleet.revision:
@@ -240,14 +245,18 @@
         endpoints, unreadable = self._decoder.decode_endpoints(listing.items)
         for error in unreadable:
             self._report_once("entry", str(error))
-        self._take_list(endpoints, listing.revision, read_at)
+        self._take_list(endpoints, listing.revision, read_at, True)
 
     def _take_list(
-        self, endpoints: list[Endpoint], revision: int, read_at: float
+        self,
+        endpoints: list[Endpoint],
+        revision: int,
+        read_at: float,
+        is_first_hand: bool,
     ) -> None:
         before = set(self._fleet.endpoints)
         now = self._clock.now()
-        changes = self._fleet.on_list(endpoints, revision, read_at, now)
+        changes = self._fleet.on_list(endpoints, revision, read_at, now, is_first_hand)
         self._on_changes(before, changes)
         self.on_change()
 
@@ -323,7 +332,7 @@
         snapshot = await self._fetch(fresher)
         if snapshot is not None and snapshot.list_age >= 0:
             read_at = self._clock.now() - snapshot.list_age
-            self._take_list(snapshot.endpoints, snapshot.list_revision, read_at)
+            self._take_list(snapshot.endpoints, snapshot.list_revision, read_at, False)
 
     async def _fetch(self, ips: list[str]) -> Snapshot | None:
         if self._exchange is None or not ips:
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -218,6 +218,7 @@
             config_version=self._belief.config_version,
             list_age=self._belief.list_age(),
             list_revision=self._fleet.revision,
+            is_list_first_hand=self._fleet.is_first_hand,
             list_digest=self._fleet.digest,
             changes=tuple(self._fleet.recent_changes(now)),
             requests=self._balancer.own_requests,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -78,6 +78,14 @@
     assert usable(one) == ["a"]
 
 
+def test_age_of_an_unchanged_store_comes_from_its_reader_only():
+    one = fleet_of("a")
+    assert one.on_news([], one.digest, 10, NOW + 1, NOW + 1)
+    assert one.read_at == NOW
+    assert one.on_news([], one.digest, 10, NOW + 1, NOW + 1, is_first_hand=True)
+    assert one.read_at == NOW + 1
+
+
 def balancer_of(*ids: str) -> Balancer:
     return Balancer(fleet_of(*ids), "dc", Random(1))
 
@@ -142,6 +150,7 @@
         "config_version": 1,
         "list_age": 0.1,
         "list_revision": 10,
+        "is_list_first_hand": False,
         "list_digest": b"",
         "changes": (),
         "requests": {},
