--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -1,6 +1,11 @@
 """Starts, stops, outages of the store, and news between gateways."""
 
 import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
 
 import pytest
 
@@ -11,6 +16,7 @@
     caller_headers,
     configuration,
     encode,
+    free_port,
     read_answer,
     route,
     running_site,
@@ -182,3 +188,73 @@
         answer = await call(address, "GET", path, {"Host": "m"})
         assert b"cyclamenyoke_requests_total" in answer.body
         assert b'cyclamenyoke_first_byte_seconds{service="app"' in answer.body
+
+
+def test_faulty_settings_end_the_process_with_all_findings(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text('node = 5\nip = "10.0.0.1"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "cyclamenyoke.daemon.gateway"],
+        env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert done.returncode == 2
+    for field in ("node", "zone", "bounds", "platform"):
+        assert field in done.stderr
+
+
+async def test_faulty_reload_changes_nothing_and_is_told():
+    async with running_site() as site:
+        gateway, node, _ = site.gateways[0]
+        gateway.reload()
+        assert (await site.ask(node, "/lookup/a")).status == 200
+
+
+def test_signals_reload_and_stop_a_process(tmp_path):
+    ip = "127.0.2.1"
+    ports = [free_port(ip) for _ in range(4)]
+    path = tmp_path / "node.toml"
+    path.write_text(
+        f"""
+node = "n"
+ip = "{ip}"
+zone = "z"
+region = "r"
+internal_ports = [{ports[3]}, {ports[3]}]
+[listen]
+front = "{ip}:{ports[0]}"
+ready = "{ip}:{ports[1]}"
+directory = "{ip}:{ports[2]}"
+[bounds]
+drain_ms = 2000
+grace_s = 4
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+retry_budget_slack = 191
+budget_window_s = 10
+[platform]
+address = "127.0.0.1:1"
+"""
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "cyclamenyoke.daemon.gateway"],
+        env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        lines = iter(process.stdout.readline, "")
+        assert any('"started"' in line for line in lines)
+        time.sleep(0.3)
+        process.send_signal(signal.SIGHUP)
+        assert any('"settings reloaded"' in line for line in lines)
+        path.write_text("broken [")
+        assert any('"settings not reloaded"' in line for line in lines)
+        process.send_signal(signal.SIGTERM)
+        assert any('"stopped"' in line for line in lines)
+        assert process.wait(5) == 0
+    finally:
+        process.kill()
+        process.wait()
