--- a/src/cyclamenyoke/adapters/connection_pool.py
+++ b/src/cyclamenyoke/adapters/connection_pool.py
@@ -45,11 +45,6 @@
         self._pools: dict[tuple[str, str], HostPool] = {}
         self.opened = 0
 
-    def has_idle(self, address: str, endpoint: str) -> bool:
-        """Tell whether a kept connection is ready."""
-        pool = self._pools.get((address, endpoint))
-        return pool is not None and self._take_idle(pool, peek=True) is not None
-
     async def acquire(
         self, address: str, endpoint: str, most: int, within: float
     ) -> tuple[HttpConnection, bool]:
@@ -117,13 +112,11 @@
             for connection, _ in expired:
                 connection.close()
 
-    def _take_idle(self, pool: HostPool, peek: bool = False) -> HttpConnection | None:
+    def _take_idle(self, pool: HostPool) -> HttpConnection | None:
         now = self._clock.now()
         while pool.idle:
             connection, keep_until = pool.idle.pop()
             if connection.is_reusable and now < keep_until:
-                if peek:
-                    pool.idle.append((connection, keep_until))
                 return connection
             connection.close()
         return None
--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -132,18 +132,12 @@
         self._is_closed = False
         self._is_tainted = False
         self._buffered = 0
-        self.idle_since = 0.0
 
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent."""
         return not (self._is_closed or self._is_tainted or self._is_own)
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether the connection is gone."""
-        return self._is_closed
-
     def send(
         self, data: bytes, method: bytes, is_own: Callable[[ResponseHead], bool]
     ) -> None:
--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -35,7 +35,6 @@
 WRITE_HIGH_WATER = 64 * KIBIBYTE
 """Bytes that wait for a slow caller before the source of the answer is paused."""
 
-CHUNK_END = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
--- a/src/cyclamenyoke/core/fleet.py
+++ b/src/cyclamenyoke/core/fleet.py
@@ -100,13 +100,6 @@
         """Return the endpoints of a service that take new work."""
         return self._by_service.get(service, [])
 
-    def is_usable(self, endpoint: Endpoint) -> bool:
-        """Tell whether this incarnation still takes new work."""
-        known = self._endpoints.get(endpoint.id)
-        return (
-            known is not None and known.born == endpoint.born and not known.is_leaving
-        )
-
     def recent_changes(self, now: float) -> list[Change]:
         """Return the changes that other nodes may not have heard of."""
         self._changes = [
--- a/src/cyclamenyoke/platform/callers.py
+++ b/src/cyclamenyoke/platform/callers.py
@@ -36,7 +36,6 @@
 
 BEARER = b"bearer "
 JSON = (b"Content-Type", b"application/json")
-JSON_TYPE = "application/json"
 RESOLVE_PATH = "/v1/resolve"
 READINESS_PATH = "/v1/readiness"
 MOST_ADDRESSES = 64
--- a/src/cyclamenyoke/platform/wire.py
+++ b/src/cyclamenyoke/platform/wire.py
@@ -10,7 +10,6 @@
 ENGINE_ID = b"x-instance-id"
 TENANT = b"X-Tenant"
 PRIORITY = b"X-Request-Priority"
-EXPECTED_WEIGHTS = b"X-Expect-Version"
 NOT_EXECUTED = b"x-not-executed"
 # The engine at fault for a rejection, which may be another rank of the group.
 FAULTY_ENGINE = b"at-server"
