Write logs without waiting, apply changed settings, hear nodes whose clock went back

Ruled out: a thread for the logs (a hand-over a line, and it costs processor time). Change: LineWriter keeps lines, hands them over once a turn of the loop, drops ordinary lines before urgent ones and counts them; bounds and seeds are taken over, the names of the others are logged; a word of another start counts once the last one is silent for 0.5 s; the customer's rank, or the route's, orders the waiting line.

--- a/src/cyclamenyoke/adapters/logs.py
+++ b/src/cyclamenyoke/adapters/logs.py
@@ -2,12 +2,15 @@
 
 import logging
 import sys
+from datetime import UTC, datetime
 from typing import Any, TextIO
 
 import msgspec
-from logbook import Logger, StreamHandler, lookup_level
+from logbook import WARNING, Handler, Logger, StreamHandler, lookup_level
 from logbook.compat import RedirectLoggingHandler
 
+from cyclamenyoke.adapters.line_writer import LineWriter
+
 _LINE = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -34,6 +37,47 @@
     """
     handler = StreamHandler(stream, level=lookup_level(level.upper()))
     handler.formatter = _format_line
+    _install(handler)
+
+
+class _LineHandler(Handler):  # type: ignore[misc]
+    """Hands each record to a :class:`LineWriter`."""
+
+    def __init__(self, writer: LineWriter, level: int) -> None:
+        super().__init__(level)
+        self._writer = writer
+
+    def emit(self, record: Any) -> None:
+        line = _format_line(record, self).encode() + b"\n"
+        self._writer.write(line, is_urgent=record.level >= WARNING)
+
+
+def _describe_drops(count: int) -> bytes:
+    """Return the line that tells how many lines are missing before it."""
+    fields = {
+        "time": datetime.now(UTC)
+        .replace(tzinfo=None)
+        .isoformat(timespec="milliseconds"),
+        "level": "warning",
+        "logger": "logs",
+        "message": "log lines dropped",
+        "count": count,
+    }
+    return _LINE.encode(fields) + b"\n"
+
+
+def install_unblocked_logs(level: str, descriptor: int) -> LineWriter:
+    """Send the logs of this process to a descriptor that may stop taking them.
+
+    :param level: the name of the lowest level that is written.
+    :returns: the writer, to be closed at the end of the process.
+    """
+    writer = LineWriter(descriptor, _describe_drops)
+    _install(_LineHandler(writer, lookup_level(level.upper())))
+    return writer
+
+
+def _install(handler: Handler) -> None:
     handler.push_application()
     root = logging.getLogger()
     root.handlers = [RedirectLoggingHandler()]
--- a/src/cyclamenyoke/core/deployment.py
+++ b/src/cyclamenyoke/core/deployment.py
@@ -1,6 +1,10 @@
 """What a gateway is told of itself and of the promises that it has to keep."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
+
+ADOPTED = ("bounds", "seeds")
+"""Settings that take effect while a gateway runs; the others name its sockets and its
+place, which last as long as the process."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,9 +30,9 @@
     stall: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class NodeSettings:
-    """The settings of one gateway process.
+    """The settings of one gateway process, shared by its parts.
 
     :param callers: address for callers' requests.
     :param readiness: address for the platform's check of this node.
@@ -54,3 +58,17 @@
     memory_bytes: int
     file_descriptors: int
     bounds: Bounds
+
+    def adopt(self, renewed: "NodeSettings") -> list[str]:
+        """Take over what may change while the gateway runs.
+
+        :returns: the names of the other settings that differ.
+        """
+        differing = [
+            field.name
+            for field in fields(self)
+            if getattr(self, field.name) != getattr(renewed, field.name)
+        ]
+        for name in ADOPTED:
+            setattr(self, name, getattr(renewed, name))
+        return [name for name in differing if name not in ADOPTED]
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -9,11 +9,15 @@
 from random import Random
 
 from cyclamenyoke.core.fleet import Change
-from cyclamenyoke.core.units import SECOND
+from cyclamenyoke.core.units import MILLISECOND, SECOND
 
 FRESH_TIME = 1 * SECOND
 """Seconds of silence after which a peer is not given out; four missed words."""
 
+REORDER_TIME = 500 * MILLISECOND
+"""Seconds after a node's last word in which an older one may still arrive. Afterwards
+a word of another start of the node counts, whatever its time of day said then."""
+
 FORGET_TIME = 30 * SECOND
 """Seconds of silence after which a peer is no longer written to."""
 
@@ -22,7 +26,7 @@
 class PeerNews:
     """What a node says of itself and of what it believes, in one datagram.
 
-    :param incarnation: rises with each start of the node.
+    :param incarnation: the time of day of the node's start, in microseconds.
     :param sequence: rises with each datagram of an incarnation.
     :param callers: the address for callers' requests; empty without one.
     :param reads_store: whether the node's last call of the store succeeded.
@@ -99,15 +103,23 @@
             return False
         peer = self._peers.setdefault(news.ip, Peer(news.ip, now))
         last = peer.news
-        if last is not None and (news.incarnation, news.sequence) <= (
-            last.incarnation,
-            last.sequence,
-        ):
+        if last is not None and self._is_older(news, last, now - (peer.heard_at or 0)):
             return False
         peer.news = news
         peer.heard_at = now
         return True
 
+    @staticmethod
+    def _is_older(news: PeerNews, last: PeerNews, silence: float) -> bool:
+        """Tell whether a word is older than the last one of the same node.
+
+        The time of day from which incarnations are made may have jumped back between
+        two starts, so it decides only while both starts' words may be on their way.
+        """
+        if news.incarnation == last.incarnation:
+            return news.sequence <= last.sequence
+        return news.incarnation < last.incarnation and silence < REORDER_TIME
+
     def forget_silent(self, now: float) -> None:
         """Drop the nodes that have been silent for long."""
         for ip, peer in list(self._peers.items()):
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -20,7 +20,7 @@
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.calls import InboundCall, Refusal
 from cyclamenyoke.core.delivery import Attempt, Delivery, End, Verdict
-from cyclamenyoke.core.deployment import Bounds
+from cyclamenyoke.core.deployment import NodeSettings
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.invariants import InvariantMonitor
 from cyclamenyoke.core.pass_model import PassModel
@@ -152,7 +152,7 @@
         engines: EngineClient,
         balancer: Balancer,
         peers: Peers,
-        bounds: Bounds,
+        settings: NodeSettings,
         config: Callable[[], GatewayConfig | None],
         list_age: Callable[[], float],
         on_load: Callable[[], None],
@@ -165,7 +165,7 @@
         self._engines = engines
         self._balancer = balancer
         self._peers = peers
-        self._bounds = bounds
+        self._settings = settings
         self._config = config
         self._list_age = list_age
         self._on_load = on_load
@@ -226,6 +226,9 @@
         service = route.pick_service(self._random)
         name = customer.name if customer else None
         course = Course(call, reply, route, service, name, delivery, call.last_event_id)
+        course.priority = route.priority
+        if customer is not None and customer.priority is not None:
+            course.priority = customer.priority
         self._budget(service).on_first_try(self._clock.now())
         outcome = "caller_gone"
         try:
@@ -582,7 +585,7 @@
     def _budget(self, service: str) -> WindowedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._bounds
+            bounds = self._settings.bounds
             budget = WindowedRetryBudget(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
             )
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -15,7 +15,7 @@
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_ingress import HttpRequest, IngressServer, Responder
-from cyclamenyoke.adapters.logs import Log, install_logs
+from cyclamenyoke.adapters.logs import Log, install_unblocked_logs
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.deployment import NodeSettings
@@ -121,7 +121,7 @@
             PlatformEngines(self._clock, self._pool),
             self._balancer,
             self._peers,
-            settings.bounds,
+            settings,
             lambda: self._belief.config,
             self._belief.list_age,
             self._membership.announce,
@@ -144,14 +144,13 @@
             self._metrics,
             self._log,
         )
-        lifetime = min(ADDRESS_LIFETIME, settings.bounds.address_lifetime)
         self._callers = self._server(CallerEdge(self._forwarder.serve))
         self._servers = [
             (settings.callers, self._callers),
             (settings.readiness, self._server(ReadinessEdge(self._is_ready))),
             (
                 settings.directory,
-                self._server(DirectoryEdge(self._addresses, lifetime)),
+                self._server(DirectoryEdge(self._addresses, self._address_lifetime)),
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
@@ -172,11 +171,13 @@
     def reload(self) -> None:
         """Read the settings file again; a faulty one changes nothing."""
         try:
-            load_settings(self._settings_path)
+            renewed = load_settings(self._settings_path)
         except FindingsError as error:
             self._log.error("settings not reloaded", findings=error.show())
             return
-        self._log.info("settings reloaded")
+        waiting = self._settings.adopt(renewed)
+        self._peers.learn(self._settings.seeds, self._clock.now())
+        self._log.info("settings reloaded", at_next_start=waiting)
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -255,6 +256,9 @@
             addresses.append(self._settings.callers)
         return addresses
 
+    def _address_lifetime(self) -> float:
+        return min(ADDRESS_LIFETIME, self._settings.bounds.address_lifetime)
+
     async def _serve_metrics(self, request: HttpRequest, responder: Responder) -> None:
         for call, count in self._store.calls.items():
             self._metrics.gauge("store_calls", count, call=call)
@@ -327,9 +331,12 @@
     try:
         path = Path(os.environ.get(PATH_VARIABLE, ""))
         settings = load_settings(path)
-        install_logs("info", sys.stdout)
+        logs = install_unblocked_logs("info", sys.stdout.fileno())
         gc.freeze()
-        asyncio.run(_serve(settings, path))
+        try:
+            asyncio.run(_serve(settings, path))
+        finally:
+            logs.close()
     except CyclamenyokeError as error:
         print(error.show(), file=sys.stderr)
         sys.exit(error.exit_code)
--- a/src/cyclamenyoke/platform/callers.py
+++ b/src/cyclamenyoke/platform/callers.py
@@ -143,11 +143,13 @@
     """Tells callers where to connect.
 
     :param addresses: returns the addresses of the gateways that take callers.
-    :param lifetime: seconds for which a caller may keep an answer.
+    :param lifetime: returns the seconds for which a caller may keep an answer.
     """
 
     def __init__(
-        self, addresses: Callable[[str, str], list[str]], lifetime: float
+        self,
+        addresses: Callable[[str, str], list[str]],
+        lifetime: Callable[[], float],
     ) -> None:
         self._addresses = addresses
         self._lifetime = lifetime
@@ -164,7 +166,7 @@
         if not addresses:
             responder.respond(HTTPStatus.SERVICE_UNAVAILABLE.value)
             return
-        body = msgspec.json.encode({"addresses": addresses, "ttl_s": self._lifetime})
+        body = msgspec.json.encode({"addresses": addresses, "ttl_s": self._lifetime()})
         responder.respond(HTTPStatus.OK.value, [JSON], body)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -180,6 +180,14 @@
     assert peers.on_news(news("10.0.0.1", 1, incarnation=2), NOW)
 
 
+def test_node_that_starts_again_after_its_clock_went_back_is_heard():
+    peers = Peers("10.0.0.2")
+    assert peers.on_news(news("10.0.0.1", 9, incarnation=7), NOW)
+    assert not peers.on_news(news("10.0.0.1", 1, incarnation=5), NOW + 0.1)
+    assert peers.on_news(news("10.0.0.1", 2, incarnation=5), NOW + 0.6)
+    assert peers.on_news(news("10.0.0.1", 3, incarnation=5), NOW + 0.7)
+
+
 def test_leaving_and_silent_nodes_are_not_given_out():
     peers = Peers("10.0.0.9")
     for number in range(1, 5):
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -1,6 +1,7 @@
 """Starts, stops, outages of the store, and news between gateways."""
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -9,6 +10,7 @@
 
 import pytest
 
+from cyclamenyoke.platform.settings import load_settings
 from cyclamenyoke.standins.platform import Faults
 from site_fixture import (
     HOST,
@@ -212,10 +214,11 @@
         assert (await site.ask(node, "/lookup/a")).status == 200
 
 
-def test_signals_reload_and_stop_a_process(tmp_path):
+def write_settings(path, **bounds) -> str:
+    """Write a settings file of one node; return its callers' address."""
     ip = "127.0.2.1"
     ports = [free_port(ip) for _ in range(4)]
-    path = tmp_path / "node.toml"
+    lines = "\n".join(f"{name} = {value}" for name, value in bounds.items())
     path.write_text(
         f"""
 node = "n"
@@ -234,16 +237,28 @@
 retry_budget_ratio = 0.2
 retry_budget_slack = 191
 budget_window_s = 10
+{lines}
 [platform]
 address = "127.0.0.1:1"
 """
     )
-    process = subprocess.Popen(
+    return f"{ip}:{ports[0]}"
+
+
+def start_process(path) -> subprocess.Popen:
+    """Start a gateway process whose output nobody reads yet."""
+    return subprocess.Popen(
         [sys.executable, "-m", "cyclamenyoke.daemon.gateway"],
         env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
         stdout=subprocess.PIPE,
         text=True,
     )
+
+
+def test_signals_reload_and_stop_a_process(tmp_path):
+    path = tmp_path / "node.toml"
+    write_settings(path)
+    process = start_process(path)
     try:
         lines = iter(process.stdout.readline, "")
         assert any('"started"' in line for line in lines)
@@ -258,3 +273,37 @@
     finally:
         process.kill()
         process.wait()
+
+
+async def test_output_that_nobody_reads_holds_up_no_request(tmp_path):
+    path = tmp_path / "node.toml"
+    callers = write_settings(path)
+    process = start_process(path)
+    try:
+        process.stdout.readline()
+        # Each request leaves a line: far more than a pipe holds.
+        for _ in range(1200):
+            answer = await call(callers, "GET", "/lookup/a", caller_headers())
+            assert answer.status == 503
+    finally:
+        process.kill()
+        process.wait()
+
+
+async def test_settings_that_change_take_effect_and_others_are_named(tmp_path):
+    async with running_site() as site:
+        gateway, node, _ = site.gateways[0]
+        renewed = load_settings_of(tmp_path, ttl_max_s=0.25)
+        left = node.adopt(renewed)
+        assert "callers" in left
+        assert "bounds" not in left
+        answer = await call(node.directory, "GET", "/v1/resolve?name=x&zone=z", {})
+        assert json.loads(answer.body)["ttl_s"] == 0.25
+        assert gateway is not None
+
+
+def load_settings_of(tmp_path, **bounds):
+    """Return the settings of a file with some bounds."""
+    path = tmp_path / "renewed.toml"
+    write_settings(path, **bounds)
+    return load_settings(path)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,133 @@
+"""Logs that no slow or absent reader can hold up."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from cyclamenyoke.adapters.line_writer import MOST_KEPT, LineWriter
+from cyclamenyoke.adapters.logs import Log, install_unblocked_logs
+
+LINE = b"x" * 999 + b"\n"
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def describe(count: int) -> bytes:
+    return b"dropped %d\n" % count
+
+
+def read_all(descriptor: int) -> bytes:
+    os.set_blocking(descriptor, False)
+    data = b""
+    try:
+        while part := os.read(descriptor, 1 << 20):
+            data += part
+    except BlockingIOError:
+        pass
+    return data
+
+
+async def test_reader_that_has_stopped_blocks_nothing_and_drops_are_counted(pipe):
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor, describe)
+    async with asyncio.timeout(2):
+        for _ in range(3 * MOST_KEPT // len(LINE)):
+            writer.write(LINE, is_urgent=False)
+            await asyncio.sleep(0)
+    assert writer.kept <= MOST_KEPT
+    dropped = writer.dropped
+    assert dropped > 0
+    data = b""
+    async with asyncio.timeout(2):
+        while b"dropped" not in data:
+            data += read_all(reader)
+            await asyncio.sleep(0)
+    assert b"dropped %d\n" % dropped in data
+    kept = data.replace(b"dropped %d\n" % dropped, b"")
+    assert kept == LINE * (len(kept) // len(LINE))
+    writer.close()
+
+
+async def test_urgent_lines_find_space_where_ordinary_ones_are_dropped(pipe):
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor, describe)
+    for _ in range(MOST_KEPT // len(LINE)):
+        writer.write(LINE, is_urgent=False)
+    writer.write(b"urgent\n", is_urgent=True)
+    data = b""
+    async with asyncio.timeout(2):
+        while b"urgent" not in data:
+            await asyncio.sleep(0)
+            data += read_all(reader)
+    writer.close()
+
+
+async def test_lines_of_one_turn_are_handed_over_together(pipe, monkeypatch):
+    reader, descriptor = pipe
+    writes = []
+    write = os.write
+    monkeypatch.setattr(
+        "cyclamenyoke.adapters.line_writer.os.write",
+        lambda fd, data: writes.append(data) or write(fd, data),
+    )
+    writer = LineWriter(descriptor, describe)
+    for _ in range(5):
+        writer.write(b"line\n", is_urgent=False)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert writes == [b"line\n" * 5]
+    assert read_all(reader) == b"line\n" * 5
+    writer.close()
+
+
+async def test_reader_that_has_gone_is_borne():
+    reader, descriptor = os.pipe()
+    os.close(reader)
+    writer = LineWriter(descriptor, describe)
+    for _ in range(3):
+        writer.write(LINE, is_urgent=False)
+        await asyncio.sleep(0)
+    assert writer.dropped > 0
+    writer.close()
+    os.close(descriptor)
+
+
+def test_lines_outside_of_a_loop_and_at_the_end_are_written(pipe):
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor, describe)
+    writer.write(b"start\n", is_urgent=False)
+    writer.close()
+    assert read_all(reader) == b"start\n"
+
+
+def test_file_takes_every_line(tmp_path):
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    writer = LineWriter(descriptor, describe)
+    for _ in range(2 * MOST_KEPT // len(LINE)):
+        writer.write(LINE, is_urgent=False)
+    writer.close()
+    os.close(descriptor)
+    assert path.stat().st_size == 2 * MOST_KEPT // len(LINE) * len(LINE)
+
+
+def test_records_are_one_json_object_a_line(pipe):
+    reader, descriptor = pipe
+    writer = install_unblocked_logs("info", descriptor)
+    log = Log("part", node="n")
+    log.debug("left out")
+    log.info("event", value=1)
+    writer.close()
+    (line,) = read_all(reader).splitlines()
+    fields = json.loads(line)
+    assert fields["message"] == "event"
+    assert fields["node"] == "n"
+    assert fields["value"] == 1
