Let a starting gateway's first requests wait for the store's first answers

The list was read after a first pause of 50 ms. Ruled out: refusing connections until the node is ready, which costs the caller a try, too. Change: in the first 250 ms of a process requests wait until configuration and list are known; the list is read at once. With the store away they are refused at that time, and later ones at once.

--- a/src/cyclamenyoke/daemon/belief.py
+++ b/src/cyclamenyoke/daemon/belief.py
@@ -115,6 +115,7 @@
         self._wanted_version = 0
         self._exchange: PeerExchange | None = None
         self._needs_list = False
+        self._completed = asyncio.Event()
         self.on_change: Callable[[], None] = lambda: None
         self.on_config: Callable[[GatewayConfig], None] = lambda config: None
         self.on_gone: Callable[[str], None] = lambda id_: None
@@ -139,6 +140,14 @@
         """Whether this node knows enough to serve."""
         return self._current.config is not None and self._fleet.read_at is not None
 
+    async def wait_complete(self, until: float) -> None:
+        """Wait until this node knows enough to serve, or until a time."""
+        try:
+            async with asyncio.timeout(until - self._clock.now()):
+                await self._completed.wait()
+        except TimeoutError:
+            return
+
     def list_age(self) -> float:
         """Return the age of the list in seconds; negative without one."""
         read_at = self._fleet.read_at
@@ -176,6 +185,7 @@
             news.is_list_first_hand,
         )
         self._on_changes(before, [])
+        self._note_completeness()
         if not agrees and news.list_revision > self._fleet.revision:
             self._needs_list = True
 
@@ -217,12 +227,12 @@
         stale_after = drain / STALE_PER_DRAIN
         patience = stale_after * self._random.uniform(1.0, 1.2)
         while True:
-            await asyncio.sleep(POLL)
             now = self._clock.now()
             age = self.list_age()
             is_stale = age < 0 or age > patience
             is_due = self._peers.is_reader(now, self._reads_store)
             if now < next_read or not (is_due or is_stale or self._needs_list):
+                await asyncio.sleep(POLL)
                 continue
             self._needs_list = False
             patience = stale_after * self._random.uniform(1.0, 1.2)
@@ -258,6 +268,7 @@
         now = self._clock.now()
         changes = self._fleet.on_list(endpoints, revision, read_at, now, is_first_hand)
         self._on_changes(before, changes)
+        self._note_completeness()
         self.on_change()
 
     def _on_changes(self, before: set[str], changes: Sequence[Change]) -> None:
@@ -272,6 +283,10 @@
                 state = "leaving" if change.endpoint.is_leaving else "usable"
             self._log.info("endpoint changed", endpoint=change.id, state=state)
 
+    def _note_completeness(self) -> None:
+        if self.is_complete:
+            self._completed.set()
+
     async def _next_config(self) -> None:
         """Wait for the next configuration, or read the first."""
         key = self._decoder.config_key
@@ -314,6 +329,7 @@
             routes=len(config.routes),
         )
         self.on_config(config)
+        self._note_completeness()
         self.on_change()
 
     async def _config_from_peer(self) -> None:
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1,7 +1,7 @@
 """The course of one request: route, endpoint, attempts, answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -65,6 +65,10 @@
 """Target latencies after which a silent endpoint is given up, for a request that may
 be repeated."""
 
+START_PATIENCE = 250 * MILLISECOND
+"""Seconds after the start of the process in which requests wait for what the store
+says first: some reads of it. A store that takes longer is away."""
+
 UNAVAILABLE_RETRY = 300 * MILLISECOND
 """Retry-After in seconds where no endpoint is known to work; the time in which the
 list of endpoints may change."""
@@ -155,6 +159,7 @@
         settings: NodeSettings,
         config: Callable[[], GatewayConfig | None],
         list_age: Callable[[], float],
+        wait_informed: Callable[[float], Awaitable[None]],
         on_load: Callable[[], None],
         clock: Clock,
         random: Random,
@@ -168,8 +173,10 @@
         self._settings = settings
         self._config = config
         self._list_age = list_age
+        self._wait_informed = wait_informed
         self._on_load = on_load
         self._clock = clock
+        self._patient_until = clock.now() + START_PATIENCE
         self._random = random
         self._monitor = monitor
         self._metrics = metrics
@@ -193,6 +200,8 @@
 
     async def serve(self, call: InboundCall, reply: Reply) -> None:
         """Answer one request."""
+        if self._list_age() < 0 or self._config() is None:
+            await self._wait_informed(self._patient_until)
         config = self._config()
         if config is None:
             self._refuse(call, reply, Refusal.NO_CONFIG, START_RETRY)
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -124,6 +124,7 @@
             settings,
             lambda: self._belief.config,
             self._belief.list_age,
+            self._belief.wait_complete,
             self._membership.announce,
             self._clock,
             random,
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -54,6 +54,41 @@
         await site.until(lambda: site.is_ready(node), 4)
 
 
+async def ask_when_it_listens(site, node) -> tuple[float, object]:
+    """Ask a node as soon as it takes connections; return seconds and answer."""
+    async with asyncio.timeout(2):
+        while True:
+            begun_at = time.monotonic()
+            try:
+                answer = await site.ask(node, "/lookup/a")
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.001)
+                continue
+            return time.monotonic() - begun_at, answer
+
+
+async def test_request_before_the_first_read_of_the_store_waits_for_it():
+    async with running_site(gateways=0) as site:
+        await set_faults(site, delay=0.05)
+        node = await site.add_gateway(ready=False)
+        _, answer = await ask_when_it_listens(site, node)
+        assert answer.status == 200
+
+
+async def test_request_before_the_first_read_is_refused_soon_if_the_store_is_away():
+    async with running_site(gateways=0) as site:
+        await set_faults(site, delay=3)
+        node = await site.add_gateway(ready=False)
+        seconds, answer = await ask_when_it_listens(site, node)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert seconds < 0.4
+        # Later ones do not wait at all.
+        begun_at = time.monotonic()
+        assert (await site.ask(node, "/lookup/a")).status == 503
+        assert time.monotonic() - begun_at < 0.1
+
+
 async def test_new_version_is_in_force_on_all_nodes_and_old_routes_go():
     async with running_site(gateways=3) as site:
         config = configuration(2)
