Check planned stops in the core, and play gateways against faults in virtual time

Cause: of the named promises, planned stops had no check in the gateway's core, and the randomised run did not drive the gateways' decisions nor the store's faults of the pages. Change: PlannedStop decides when a stopping node closes and checks that nothing is cut before the kill is near. tests/gateway_soak.py runs beliefs, memberships and forwarders of five nodes over a store, engines and an exchange in memory: lost and late writes, entries and leases that lapse, refused and cut nodes, watches that miss versions, kills of some and all, planned stops and leaving engines at any time, jumping clocks, engines that shed, fail, fall silent, break and come back under their id. It checks own whole answers, at most one run, truth of "not run" to the end, deadlines, leaving, configuration, retry budget, planned stops, and nine tenths served when all is calm. Three faults made on purpose are caught.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN = $(VENV)/bin
 SEED ?= 1
 STEPS ?= 100000
+SECONDS_PLAYED ?= 120
 
 .PHONY: demo test check soak bench clean
 
@@ -25,6 +26,7 @@
 
 soak: $(VENV)/.installed
 	PYTHONPATH=tests $(BIN)/python -m soak --seed $(SEED) --steps $(STEPS)
+	PYTHONPATH=tests $(BIN)/python -m gateway_soak --seed $(SEED) --seconds $(SECONDS_PLAYED)
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -22,6 +22,7 @@
 from cyclamenyoke.core.fleet import Endpoint, Fleet
 from cyclamenyoke.core.invariants import CountingMonitor, Promise
 from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.planned_stop import PlannedStop
 from cyclamenyoke.core.routes import GatewayConfig
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.belief import Belief, DocumentDecoder
@@ -47,13 +48,6 @@
 """Seconds for which callers may keep the directory's answer, at most: about the time
 after which a node that died is no longer given out anyway."""
 
-STOP_MARGIN = 0.8 * SECOND
-"""Seconds before the platform's kill at which a stopping process ends."""
-
-STOP_QUIET = 2.5 * SECOND
-"""Seconds for which a stopping process takes late callers at least: the lifetime of an
-answer of the directory and a little more."""
-
 STOP_POLL = 50 * MILLISECOND
 """Seconds between two looks at whether a stop is complete."""
 
@@ -86,7 +80,7 @@
         self._metrics = Metrics()
         self._log = Log("gateway", node=settings.node)
         random = SystemRandom()
-        monitor = CountingMonitor(self._on_breach)
+        monitor = self._monitor = CountingMonitor(self._on_breach)
         self._fleet = Fleet()
         self._peers = Peers(settings.ip)
         self._balancer = Balancer(self._fleet, settings.data_centre, random)
@@ -217,18 +211,16 @@
 
     async def _drain(self) -> None:
         """Serve on until callers have gone, or until the kill is near."""
-        now = self._clock.now()
-        give_up_at = now + self._settings.bounds.grace - STOP_MARGIN
-        quiet_at = min(give_up_at, now + STOP_QUIET)
+        grace = self._settings.bounds.grace
+        plan = PlannedStop.begin(self._clock.now(), grace, self._monitor)
         self._log.info("stopping", connections=self._callers.connections)
         for _, server in self._servers:
             server.is_draining = True
         self._membership.leave()
         await self._membership.end()
-        while (now := self._clock.now()) < give_up_at:
-            if now >= quiet_at and self._callers.busy == 0:
-                break
+        while not plan.may_close(self._clock.now(), self._callers.busy):
             await asyncio.sleep(STOP_POLL)
+        plan.on_close(self._clock.now(), self._callers.busy)
         self._callers.stop_accepting()
         self._log.info("closing", busy=self._callers.busy)
 
--- /dev/null
+++ b/tests/test_gateway_soak.py
@@ -0,0 +1,38 @@
+"""The gateways' randomised run: fixed short ones, and proof that it catches faults."""
+
+import pytest
+
+from cyclamenyoke.core.delivery import Delivery
+from cyclamenyoke.core.planned_stop import PlannedStop
+from cyclamenyoke.daemon import belief
+from gateway_soak import GatewaySoak
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_gateways_keep_the_promises_under_all_faults(seed):
+    world = GatewaySoak(seed).run(40)
+    assert world.breaches == []
+    assert world.outcomes["order answered"] > 100
+
+
+RARE_READS = {"READS_PER_DRAIN": 0.2, "STALE_PER_DRAIN": 0.2}
+"""Reads of the list every ten seconds, where leaving must be known within two."""
+
+MUTANTS = {
+    "takes every request for not run": (
+        *(4, Delivery, {"is_surely_not_run": property(lambda self: True)}, "ran"),
+    ),
+    "closes at once": (
+        *(3, PlannedStop, {"may_close": lambda self, now, busy: True}, "planned_stop"),
+    ),
+    "reads the list rarely": (3, belief, RARE_READS, "gets work"),
+}
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_run_catches_a_fault_of_the_gateway_made_on_purpose(monkeypatch, mutant):
+    seed, target, changes, sign = MUTANTS[mutant]
+    for name, value in changes.items():
+        monkeypatch.setattr(target, name, value)
+    world = GatewaySoak(seed).run(40)
+    assert any(sign in breach for breach in world.breaches), world.breaches
