Let few nodes watch the configuration, and call a store that is away less often

Ruled out: longer watches alone. A change would still cost a call a node. Nodes that reach the store rank before those that do not. Nodes behind the first three repeat failed reads of the list as rarely as the bound on leaving allows; a failed renewal is made again after 3 s.

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -1,7 +1,8 @@
 """The other gateways: who lives, who takes callers, who reads the platform's list.
 
-Nobody is elected. The reader is the first by address among the live nodes whose
-last read succeeded, and a node whose news grows too old reads for itself.
+Nobody is elected. Nodes rank by address among the live ones whose last call of the
+store succeeded: the first reads the list, the first few watch the configuration. A node
+whose news grows too old reads for itself.
 """
 
 from collections import Counter
@@ -159,15 +160,20 @@
             if news.is_ready and not news.is_leaving and news.callers
         ]
 
+    def rank(self, now: float, reads_store: bool) -> int:
+        """Return how many live nodes go before this one in reading the store.
+
+        Those that reach it go before the others; if none does, all rank by address.
+        """
+        live = [news for news in self.live(now) if not news.is_leaving]
+        able = [news for news in live if news.reads_store]
+        if reads_store and not self.is_leaving:
+            return sum(news.ip < self.ip for news in able)
+        return len(able) or sum(news.ip < self.ip for news in live)
+
     def is_reader(self, now: float, reads_store: bool) -> bool:
         """Tell whether this node reads the platform's list for all."""
-        able = [
-            news.ip
-            for news in self.live(now)
-            if news.reads_store and not news.is_leaving
-        ]
-        is_able = reads_store and not self.is_leaving
-        return is_able and all(self.ip < ip for ip in able)
+        return reads_store and not self.is_leaving and not self.rank(now, reads_store)
 
     def choose(self, count: int, random: Random) -> list[str]:
         """Return some nodes to write to."""
--- a/src/cyclamenyoke/daemon/belief.py
+++ b/src/cyclamenyoke/daemon/belief.py
@@ -1,8 +1,8 @@
 """What a gateway believes: the configuration in force and the fleet.
 
-Two tasks read the platform's store. Each node watches the configuration; one node at
-a time reads the list of endpoints for all. What the store does not give comes from
-peers.
+Two tasks read the platform's store, on few nodes: the first nodes by rank watch the
+configuration, the first reads the list of endpoints. The others learn from peers,
+and read for themselves where those fall short.
 """
 
 import asyncio
@@ -24,9 +24,16 @@
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.platform import KeyValueStore, StoredItem
 
+WATCHERS = 3
+"""Nodes that watch the configuration: a call of the store is priced, and with one of
+them cut off and one frozen the third still tells the others."""
+
 WATCH_TIME = 10 * SECOND
-"""Seconds for which one watch of the configuration waits: a call of the store is
-priced, and peers tell of a newer version meanwhile."""
+"""Seconds for which one watch of the configuration waits."""
+
+WATCHES_PER_APPLY = 2
+"""Watches of the first node within the time in which a change must be in force: one
+whose connection has gone silent is noticed by its end."""
 
 FIRST_RETRY = 200 * MILLISECOND
 """Seconds before a failed call of the store is made again; doubled at each failure."""
@@ -44,7 +51,7 @@
 """Seconds between two looks at whether a read is due."""
 
 FETCH_JITTER = 40 * MILLISECOND
-"""Longest random pause before a newer version is fetched, to spread the calls."""
+"""Longest random pause before a newer version is fetched, to spread the transfers."""
 
 
 class DocumentDecoder:
@@ -193,8 +200,12 @@
         """Keep the configuration up to date until cancelled."""
         pause = FIRST_RETRY
         while True:
+            rank = self._peers.rank(self._clock.now(), self._reads_store)
+            if rank >= WATCHERS and self._current.config is not None:
+                await asyncio.sleep(POLL)
+                continue
             try:
-                await self._next_config()
+                await self._next_config(rank)
                 pause = FIRST_RETRY
             except PlatformUnavailable as error:
                 self._on_store_failed(error)
@@ -208,6 +219,9 @@
             await self._newer_seen.wait()
             self._newer_seen.clear()
             await asyncio.sleep(self._random.uniform(0, FETCH_JITTER))
+            if self.config_version >= self._wanted_version:
+                continue
+            await self._config_from_peer()
             if self.config_version >= self._wanted_version:
                 continue
             try:
@@ -216,8 +230,6 @@
                 self._take_config(value.value or b"", value.revision)
             except PlatformUnavailable as error:
                 self._on_store_failed(error)
-            if self.config_version < self._wanted_version:
-                await self._config_from_peer()
 
     async def read_list(self) -> None:
         """Keep the fleet up to date until cancelled."""
@@ -245,6 +257,8 @@
                 self._on_store_failed(error)
                 await self._list_from_peer()
                 pause = min(LONGEST_RETRY, FIRST_RETRY * 2**failures)
+                if self._peers.rank(now, self._reads_store) >= WATCHERS:
+                    pause = patience
                 failures += 1
                 next_read = self._clock.now() + pause
 
@@ -287,13 +301,18 @@
         if self.is_complete:
             self._completed.set()
 
-    async def _next_config(self) -> None:
-        """Wait for the next configuration, or read the first."""
+    async def _next_config(self, rank: int) -> None:
+        """Wait for the next configuration, or read the first.
+
+        :param rank: of this node among those that read the store.
+        """
         key = self._decoder.config_key
         if self._current.config is None:
             value = await self._store.get(key)
         else:
-            deadline = self._clock.now() + WATCH_TIME
+            apply_time = self._settings.bounds.config_apply
+            wait = WATCH_TIME if rank else apply_time / WATCHES_PER_APPLY
+            deadline = self._clock.now() + wait
             value = await self._store.watch(key, self._current.revision, deadline)
         self._on_store_answered()
         if value.value is None:
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -45,6 +45,10 @@
 FANOUT = 24
 """Peers written to at once; news reach hundreds of nodes in two rounds."""
 
+ENTRY_RETRY = 3 * SECOND
+"""Seconds before a failed renewal is made again: some fit in the entry's lifetime, and
+calls of a store that is away are priced."""
+
 RETRY = 500 * MILLISECOND
 """Seconds before a failed call of the store is made again."""
 
@@ -165,7 +169,7 @@
                 continue
             except (PlatformUnavailable, CasConflict) as error:
                 self._log.warning("entry not renewed", error=str(error))
-                pause = RETRY * 2
+                pause = ENTRY_RETRY
             await asyncio.sleep(pause * self._random.uniform(0.75, 1.25))
 
     async def _enter(self) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -200,6 +200,21 @@
     assert peers.on_news(news("10.0.0.1", 1, incarnation=2), NOW)
 
 
+def test_nodes_that_reach_the_store_go_first_in_reading_it():
+    peers = Peers("10.0.0.3")
+    peers.on_news(news("10.0.0.1", reads_store=False), NOW)
+    peers.on_news(news("10.0.0.2"), NOW)
+    peers.on_news(news("10.0.0.4"), NOW)
+    assert peers.rank(NOW, True) == 1
+    assert peers.rank(NOW, False) == 2
+    for ip in ("10.0.0.2", "10.0.0.4"):
+        peers.on_news(news(ip, 2, reads_store=False), NOW)
+    assert peers.rank(NOW, True) == 0
+    # Without anybody who reaches it, all go by address.
+    assert peers.rank(NOW, False) == 2
+    assert peers.rank(NOW + 5, False) == 0
+
+
 def test_node_that_starts_again_after_its_clock_went_back_is_heard():
     peers = Peers("10.0.0.2")
     assert peers.on_news(news("10.0.0.1", 9, incarnation=7), NOW)
