Take from a peer's changes the last state of each endpoint, or none of them

Traced: all nodes knew that it was leaving. A peer's news then carried a further change and, from the last 3 s, both of the engine's, "usable" and "leaving". Each was compared with what was known before any was taken, so "leaving" seemed known and only "usable" was taken. The digests then differed, but the changes had been applied. Ruled out: ages and revisions of lists (each read and each news was printed). Change: of each endpoint the last change counts; changes are taken only if they lead to the peer's digest, otherwise the list is read, as before.

--- a/src/cyclamenyoke/core/fleet.py
+++ b/src/cyclamenyoke/core/fleet.py
@@ -64,7 +64,7 @@
         self._revision = 0
         self._is_first_hand = False
         self._failed_at: float | None = None
-        self._digest = b""
+        self._digest = _digest({})
 
     @property
     def endpoints(self) -> Mapping[str, Endpoint]:
@@ -170,14 +170,18 @@
                 self._read_at = max(self._read_at, read_at)
             return is_same
         if digest != self._digest:
+            # Of an endpoint that changed twice only the last state counts. Changes that
+            # do not lead to the same belief are older or newer than what is known here,
+            # so none of them is taken.
+            latest = {change.id: change.endpoint for change in changes}
             fresh = [
-                Change(change.id, change.endpoint, now)
-                for change in changes
-                if self._endpoints.get(change.id) != change.endpoint
+                Change(id_, endpoint, now)
+                for id_, endpoint in latest.items()
+                if self._endpoints.get(id_) != endpoint
             ]
+            if _digest(_changed(self._endpoints, fresh)) != digest:
+                return False
             self._apply(fresh)
-        if digest != self._digest:
-            return False
         self._revision = revision
         self._is_first_hand = False
         self._read_at = read_at
@@ -194,15 +198,31 @@
             return
         for change in changes:
             self._missing_until.pop(change.id, None)
-            if change.endpoint is None:
-                self._endpoints.pop(change.id, None)
-            else:
-                self._endpoints[change.id] = change.endpoint
+        self._endpoints = _changed(self._endpoints, changes)
         self._changes += changes
         self._by_service = {}
-        digest = hashlib.blake2b(digest_size=8)
-        for _, endpoint in sorted(self._endpoints.items()):
-            digest.update(repr(endpoint).encode())
+        for endpoint in self._endpoints.values():
             if not endpoint.is_leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
-        self._digest = digest.digest()
+        self._digest = _digest(self._endpoints)
+
+
+def _changed(
+    endpoints: Mapping[str, Endpoint], changes: Iterable[Change]
+) -> dict[str, Endpoint]:
+    """Return a belief after some changes."""
+    changed = dict(endpoints)
+    for change in changes:
+        if change.endpoint is None:
+            changed.pop(change.id, None)
+        else:
+            changed[change.id] = change.endpoint
+    return changed
+
+
+def _digest(endpoints: Mapping[str, Endpoint]) -> bytes:
+    """Return a digest that is equal for equal beliefs."""
+    digest = hashlib.blake2b(digest_size=8)
+    for _, endpoint in sorted(endpoints.items()):
+        digest.update(repr(endpoint).encode())
+    return digest.digest()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,6 +51,30 @@
     assert usable(fleet) == ["a"]
 
 
+def test_of_an_endpoint_that_changed_twice_the_last_state_counts():
+    reader, other = fleet_of("a"), fleet_of("a")
+    joined = [endpoint("a"), endpoint("b")]
+    left = [endpoint("a"), endpoint("b", is_leaving=True)]
+    reader.on_list(joined, 11, NOW + 1, NOW + 1)
+    reader.on_list(left, 12, NOW + 2, NOW + 2)
+    other.on_list(left, 12, NOW + 2, NOW + 2)
+    reader.on_list([*left, endpoint("c")], 13, NOW + 2.5, NOW + 2.5)
+    changes = reader.recent_changes(NOW + 2.5)
+    assert other.on_news(changes, reader.digest, 13, NOW + 2.5, NOW + 2.5)
+    assert usable(other) == ["a", "c"]
+
+
+def test_changes_that_lead_to_another_belief_are_not_taken():
+    reader, other = fleet_of("a"), fleet_of("a", "b")
+    leaving = endpoint("b", is_leaving=True)
+    other.on_list([endpoint("a"), leaving], 11, NOW + 1, NOW + 1)
+    reader.on_list([endpoint("a"), endpoint("b"), endpoint("c")], 12, NOW, NOW + 1)
+    changes = reader.recent_changes(NOW + 1)[-1:]
+    assert not other.on_news(changes, b"different", 12, NOW + 1, NOW + 1)
+    assert usable(other) == ["a"]
+    assert other.revision == 11
+
+
 def test_changes_and_digest_bring_a_peer_to_the_same_belief():
     reader, other = fleet_of("a", "b"), fleet_of("a", "b")
     reader.on_list([endpoint("a"), endpoint("c")], 11, NOW + 1, NOW + 1)
