--- a/src/cyclamenyoke/cli/main.py
+++ b/src/cyclamenyoke/cli/main.py
@@ -14,6 +14,7 @@
 from cyclamenyoke import __version__
 from cyclamenyoke.adapters.service_files import collect
 from cyclamenyoke.cli.client import OperatorsClient
+from cyclamenyoke.cli.explain import explain, read_logs
 from cyclamenyoke.cli.lock import read_lock, write_lock
 from cyclamenyoke.cli.reports import burn_report, merge_burn, status_report, table
 from cyclamenyoke.core.config import Service
@@ -148,6 +149,24 @@
     return 0
 
 
+@app.command(name="explain")
+def explain_request(request: str, logs: list[Path], *, json: Flag = False) -> int:
+    """Show the course of one request from the gateways' logs.
+
+    Example: cyclamenyoke explain ccf610df097ece81 gateway-*.log
+
+    :param request: the id of one try; a caller's next try has another.
+    :param logs: files with the standard output of gateways.
+    """
+    steps = explain(request, read_logs(logs))
+    if json:
+        print(_json(steps))
+        return 0
+    rows = [[f"{-step.age:.3f}", step.node, step.what] for step in steps]
+    print(table(["seconds", "node", "what"], rows))
+    return 0
+
+
 @config_app.command(name="show")
 def show_config(*, entry: Entries, key: Key) -> int:
     """Show every service in force, as JSON."""
