--- /dev/null
+++ b/benchmarks/gateway_control.py
@@ -0,0 +1,115 @@
+"""Calls of the store and bytes between gateways, steady and after an outage.
+
+Beliefs and memberships of many nodes run over a store and an exchange in memory, in
+virtual time, without callers: the figures depend on the number of nodes. The outage
+lasts five seconds, in which calls fail at once.
+
+Run with ``PYTHONPATH=tests python benchmarks/gateway_control.py 13 58 380``.
+"""
+
+import asyncio
+import sys
+from collections import Counter
+from unittest.mock import patch
+
+import looptime
+import msgspec
+
+from cyclamenyoke.adapters.peer_exchange import FORMAT, TAG_SIZE
+from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.ports.platform import Versioned
+from gateway_soak import Node, SoakEngine, SoakExchange, SoakStore, World
+
+ENGINES = 20
+SETTLED, OUTAGE_AT, BACK_AT, END = 12.0, 22.0, 27.0, 37.0
+AFTER = 3.0
+"""Seconds after an outage that are told apart from the rest."""
+
+UDP_HEADERS = 28
+"""Bytes of IP and UDP headers of a datagram."""
+
+
+class CountingStore(SoakStore):
+    """Counts calls by second."""
+
+    calls: Counter[int] = Counter()
+
+    async def _pass(self) -> None:
+        type(self).calls[int(asyncio.get_running_loop().time())] += 1
+        await super()._pass()
+
+    async def watch(self, key, after_revision, deadline):
+        # One call, however often the model looks.
+        await self._pass()
+        while True:
+            revision, value, _ = self._world.values[key]
+            if revision > after_revision or self._world.clock.now() >= deadline:
+                return Versioned(max(revision, after_revision), value)
+            await asyncio.sleep(0.1)
+            if self._world.down:
+                raise PlatformUnavailable("watch was cut")
+
+
+class CountingExchange(SoakExchange):
+    """Counts bytes by second."""
+
+    sent: Counter[int] = Counter()
+
+    def send(self, news, ips):
+        size = len(FORMAT) + TAG_SIZE + len(msgspec.msgpack.encode(news)) + UDP_HEADERS
+        second = int(asyncio.get_running_loop().time())
+        type(self).sent[second] += size * len(ips)
+        super().send(news, ips)
+
+
+async def _play(nodes: int) -> None:
+    world = World(1)
+    CountingExchange.world = world
+    for number in range(ENGINES):
+        engine = SoakEngine(f"i-{number:010x}", "llm", f"10.1.0.{number}:8002")
+        world.engines[engine.address] = engine
+        world.put(f"servers/{engine.id}", engine.entry())
+    world.publish()
+    running = [Node(world, number) for number in range(1, nodes + 1)]
+    await asyncio.sleep(OUTAGE_AT)
+    world.down = "refuses"
+    await asyncio.sleep(BACK_AT - OUTAGE_AT)
+    world.down = ""
+    await asyncio.sleep(END - BACK_AT)
+    for node in running:
+        node.kill()
+    await asyncio.sleep(0.1)
+
+
+def _rate(counts: Counter[int], begin: float, end: float) -> float:
+    total = sum(counts[second] for second in range(int(begin), int(end)))
+    return total / (end - begin)
+
+
+def main() -> None:
+    """Print a row for each number of nodes."""
+    print("nodes  calls/s: start  steady  outage  after  bytes/s a node: steady  after")
+    for nodes in map(int, sys.argv[1:]):
+        CountingStore.calls, CountingExchange.sent = Counter(), Counter()
+        loop = looptime.new_event_loop(start=0)
+        asyncio.set_event_loop(loop)
+        with (
+            patch("gateway_soak.SoakStore", CountingStore),
+            patch("cyclamenyoke.daemon.membership.PeerExchange", CountingExchange),
+        ):
+            loop.run_until_complete(_play(nodes))
+        calls, sent = CountingStore.calls, CountingExchange.sent
+        steady_bytes = _rate(sent, SETTLED, OUTAGE_AT) / nodes
+        after_bytes = _rate(sent, BACK_AT, BACK_AT + AFTER) / nodes
+        print(
+            f"{nodes:5}  {_rate(calls, 0, AFTER):14.1f}"
+            f"  {_rate(calls, SETTLED, OUTAGE_AT):6.1f}"
+            f"  {_rate(calls, OUTAGE_AT, BACK_AT):6.1f}"
+            f"  {_rate(calls, BACK_AT, BACK_AT + AFTER):5.1f}"
+            f"  {steady_bytes:22.0f}  {after_bytes:5.0f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
