Drop what the forwarder never used, and decide about surges in one place

The forwarder kept three things that nothing fed or asked: the longest good pause by service, so the bound of the pass model always gave all slots while a factor was learned at every event; the teller of first tries from later ones, never called, so `elapsed` was 0 in every line; a cache for both. The rule for a surge stood in the forwarder and again in the test that checks it, the bounds of Retry-After stood twice, and what finding room counts was taken back in two places. PassModel and Freshness stay in the core with their tests. Measured: linter, types and the tests of admission, gateway, fleet, layout and explain pass, their assertions untouched.

--- a/src/cyclamenyoke/core/admission.py
+++ b/src/cyclamenyoke/core/admission.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from cyclamenyoke.core.fair_share import Scarcity
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.invariants import InvariantMonitor, Promise
 from cyclamenyoke.core.units import MILLISECOND, SECOND
@@ -32,7 +33,6 @@
 FIRST_DURATION = 1 * SECOND
 """Assumed duration of a request before any has ended."""
 
-
 LEARNED_DEADLINES = 64
 """Requests of a route whose deadlines are remembered, the newest."""
 
@@ -82,22 +82,6 @@
     tried: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Scarcity:
-    """The state of a service for one decision.
-
-    :param surging: customers that hold much more than others while slots are scarce;
-        empty while they are not.
-    :param share: part of the requests under way that is theirs.
-    """
-
-    surging: frozenset[str] = frozenset()
-    share: float = 0.0
-
-
-PLENTY = Scarcity()
-
-
 @dataclass(frozen=True, slots=True)
 class Room:
     """The request may go to an endpoint."""
@@ -199,7 +183,7 @@
                 return Room(endpoint)
         wait = self.predicted_wait(ticket.service, ticket.customer)
         if now + wait > ticket.wait_until:
-            return TurnAway(min(LONGEST_RETRY, max(SHORTEST_RETRY, wait)))
+            return _turn_away(wait)
         line.tickets.append(ticket)
         return Wait()
 
@@ -220,8 +204,7 @@
                 if now >= ticket.wait_until:
                     line.tickets.remove(ticket)
                     wait = self.predicted_wait(service, ticket.customer)
-                    wait = min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
-                    yield ticket, TurnAway(wait)
+                    yield ticket, _turn_away(wait)
                     continue
                 endpoint = self._find_room(ticket, now)
                 if endpoint is None:
@@ -254,3 +237,8 @@
 
     def _line(self, service: str) -> Line:
         return self._lines.setdefault(service, Line())
+
+
+def _turn_away(wait: float) -> TurnAway:
+    """Return a refusal that tells a predicted wait within the bounds of Retry-After."""
+    return TurnAway(min(LONGEST_RETRY, max(SHORTEST_RETRY, wait)))
--- a/src/cyclamenyoke/core/fair_share.py
+++ b/src/cyclamenyoke/core/fair_share.py
@@ -7,7 +7,9 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 RESERVE_SHARE = 0.05
 """Part of a service's slots that is left to customers that do not surge. Under a surge
@@ -23,6 +25,22 @@
 part is usual."""
 
 
+@dataclass(frozen=True, slots=True)
+class Scarcity:
+    """The state of a service for one decision.
+
+    :param surging: customers that hold much more than others while slots are scarce;
+        empty while they are not.
+    :param share: part of the requests under way that is theirs.
+    """
+
+    surging: frozenset[str] = frozenset()
+    share: float = 0.0
+
+
+PLENTY = Scarcity()
+
+
 def is_scarce(free: int, slots: int) -> bool:
     """Tell whether only the last slots of a service are free.
 
@@ -48,3 +66,16 @@
     share = max(SURGE_SHARE, SURGE_FACTOR / len(requests))
     bound = share * sum(requests.values())
     return frozenset(name for name, count in requests.items() if count > bound)
+
+
+def scarcity_of(under_way: Counter[str], waiting: Counter[str]) -> Scarcity:
+    """Return the state of a service whose slots are scarce.
+
+    :param under_way: requests at the service, by customer.
+    :param waiting: requests that wait for it at any node, by customer.
+    """
+    surging = surging_customers(under_way + waiting)
+    if not surging:
+        return PLENTY
+    held = sum(under_way[each] for each in surging)
+    return Scarcity(surging, held / max(1, under_way.total()))
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -10,11 +10,8 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.admission import (
     LATE_SHARE,
-    PLENTY,
     Admission,
-    Freshness,
     Room,
-    Scarcity,
     Ticket,
     TurnAway,
     Wait,
@@ -23,7 +20,7 @@
 from cyclamenyoke.core.calls import InboundCall, Refusal
 from cyclamenyoke.core.delivery import Attempt, Delivery, End, Verdict
 from cyclamenyoke.core.deployment import NodeSettings
-from cyclamenyoke.core.fair_share import is_scarce, surging_customers
+from cyclamenyoke.core.fair_share import PLENTY, Scarcity, is_scarce, scarcity_of
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.invariants import InvariantMonitor
 from cyclamenyoke.core.pass_model import PassModel, PauseRatio
@@ -31,7 +28,6 @@
 from cyclamenyoke.core.retry import WindowedRetryBudget
 from cyclamenyoke.core.routes import (
     Customer,
-    EngineModel,
     GatewayConfig,
     Repeat,
     Route,
@@ -111,7 +107,6 @@
     """One request under way.
 
     :param last_event_id: the last event that went to the caller.
-    :param elapsed: seconds since the caller's first try when this one arrived.
     :param failure: an endpoint's own failure, to pass on if nothing better comes.
     """
 
@@ -125,7 +120,6 @@
     failure: tuple[AnswerHead, bytes] | None = None
     is_head_sent: bool = False
     priority: int = 0
-    elapsed: float = 0.0
     detail: str = ""
     retry_after: float | None = None
     waited: float = 0.0
@@ -186,10 +180,7 @@
         self._log = log
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
-        self._passes: dict[str, PassModel] = {}
-        self._gaps: dict[str, float] = {}
         self._pauses: dict[str, PauseRatio] = {}
-        self._freshness = Freshness()
         self._waiting: dict[Ticket, asyncio.Future[Room | TurnAway]] = {}
         self._admission = Admission(
             self._find_room,
@@ -301,8 +292,7 @@
             except asyncio.CancelledError:
                 if decided.done() and isinstance(room := decided.result(), Room):
                     self._balancer.on_nothing(room.endpoint.id)
-                    self._balancer.on_done(room.endpoint.id)
-                    self._balancer.on_customer(ticket.service, ticket.customer, -1)
+                    self._leave_endpoint(course, room.endpoint)
                 raise
             finally:
                 del self._waiting[ticket]
@@ -328,7 +318,7 @@
             course.customer or "",
             course.priority,
             arrived_at,
-            arrived_at - course.elapsed + route.target_latency - answer_time,
+            arrived_at + route.target_latency - answer_time,
             now + LATE_SHARE * min(patience, left),
             delivery.tried,
         )
@@ -351,15 +341,12 @@
     def _find_room(self, ticket: Ticket, now: float) -> Endpoint | None:
         config = self._config()
         service = config.services.get(ticket.service) if config else None
-        gap = self._gaps.get(ticket.service, 0.0)
         reserve = LATE_RESERVE if now >= ticket.on_time_until else 0
 
         def limit(endpoint: Endpoint) -> int:
             if service is None or service.model is None:
                 return PLAIN_LINE * endpoint.slots
-            passes = self._pass_model(service.name, service.model)
-            fitting = passes.limit(endpoint.id, endpoint.slots, gap, now)
-            return max(1, fitting - reserve)
+            return max(1, endpoint.slots - reserve)
 
         endpoint = self._balancer.choose(ticket.service, ticket.tried, now, limit)
         if endpoint is not None:
@@ -368,28 +355,25 @@
             self._balancer.on_customer(ticket.service, ticket.customer, 1)
         return endpoint
 
+    def _leave_endpoint(self, course: Course, endpoint: Endpoint) -> None:
+        """Take back what finding room has counted."""
+        self._balancer.on_done(endpoint.id)
+        self._balancer.on_customer(course.service, course.customer or "", -1)
+
     def _scarcity(self, service: str) -> Scarcity:
         load, slots = self._balancer.service_load(service)
         if not is_scarce(slots - load, slots):
             return PLENTY
-        under_way = self._balancer.customers(service)
         waiting = self._peers.waiting(service, self._clock.now())
         waiting.update(self._admission.waiting.get(service, {}))
-        surging = surging_customers(under_way + waiting)
-        if not surging:
-            return PLENTY
-        held = sum(under_way[each] for each in surging)
-        return Scarcity(surging, held / max(1, under_way.total()))
-
-    def _pass_model(self, service: str, model: EngineModel) -> PassModel:
-        known = self._passes.get(service)
-        if known is None or known.model != model:
-            known = self._passes[service] = PassModel(model)
-        return known
+        return scarcity_of(self._balancer.customers(service), waiting)
 
     def _pass_time(self, service: str) -> float:
-        passes = self._passes.get(service)
-        return passes.balanced_pass(1) if passes else 0.0
+        config = self._config()
+        known = config.services.get(service) if config else None
+        if known is None or known.model is None:
+            return 0.0
+        return PassModel(known.model).balanced_pass(1)
 
     async def _attempt(
         self, course: Course, endpoint: Endpoint, attempt: Attempt, most: int
@@ -425,8 +409,7 @@
                 seconds = self._clock.now() - attempt.sent_at
                 self._admission.on_duration(course.service, seconds)
             course.last_event_at = None
-            balancer.on_done(endpoint.id)
-            balancer.on_customer(course.service, course.customer or "", -1)
+            self._leave_endpoint(course, endpoint)
             self._on_load()
             self.advance()
 
@@ -551,17 +534,11 @@
 
     def _learn_gap(self, course: Course) -> None:
         now = self._clock.now()
-        passes = self._passes.get(course.service)
         before, course.last_event_at = course.last_event_at, now
-        if before is None:
-            return
-        if course.route.target_gap:
-            ratio = (now - before) / course.route.target_gap
-            self._pauses.setdefault(course.service, PauseRatio()).note(ratio, now)
-        if passes is None:
+        if before is None or not course.route.target_gap:
             return
-        id_ = course.delivery.attempts[-1].endpoint
-        passes.on_gap(id_, now - before, self._balancer.load_of(id_), now)
+        ratio = (now - before) / course.route.target_gap
+        self._pauses.setdefault(course.service, PauseRatio()).note(ratio, now)
 
     def _end(self, course: Course, head: AnswerHead, answer: Incoming) -> End:
         """Take the end of an answer that came whole."""
@@ -671,7 +648,6 @@
             outcome=outcome,
             detail=course.detail,
             waited=round(course.waited, 4),
-            elapsed=round(course.elapsed, 3),
             retry_after=course.retry_after,
             seconds=round(self._clock.now() - course.call.arrived_at, 4),
             last_event=course.last_event_id,
--- a/tests/site_fixture.py
+++ b/tests/site_fixture.py
@@ -235,12 +235,17 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to an address."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 async def call(
     address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
 ) -> Answer:
     """Send one request on a new connection."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await connect(address)
     try:
         writer.write(encode(method, path, headers, body))
         async with asyncio.timeout(5):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,16 +7,14 @@
 import pytest
 
 from cyclamenyoke.core.admission import (
-    PLENTY,
     Admission,
     Freshness,
     Room,
-    Scarcity,
     Ticket,
     TurnAway,
     Wait,
 )
-from cyclamenyoke.core.fair_share import is_scarce, surging_customers
+from cyclamenyoke.core.fair_share import PLENTY, Scarcity, is_scarce, scarcity_of
 from cyclamenyoke.core.fleet import Endpoint
 from cyclamenyoke.core.invariants import RaisingMonitor
 from cyclamenyoke.core.pass_model import PassModel
@@ -76,9 +74,7 @@
         if not is_scarce(self.slots - self.used, self.slots):
             return PLENTY
         waiting = Counter(self.admission.waiting.get(service, {}))
-        surging = surging_customers(self.customers + waiting)
-        held = sum(self.customers[each] for each in surging)
-        return Scarcity(surging, held / max(1, self.customers.total()))
+        return scarcity_of(self.customers, waiting)
 
     def _find(self, ticket: Ticket, now: float) -> Endpoint | None:
         if self.used >= self.slots:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
     call,
     caller_headers,
     configuration,
+    connect,
     encode,
     read_answer,
     route,
@@ -63,8 +64,7 @@
 async def test_body_in_chunks_reaches_the_engine_unchanged():
     async with running_site() as site:
         node = site.gateways[0][1]
-        host, _, port = node.callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(node.callers)
         head = encode("PUT", "/order/a", caller_headers())[:-2]
         writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
         writer.write(b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
@@ -265,8 +265,7 @@
         site.publish(config)
         await site.notify()
         await asyncio.sleep(0.1)
-        host, _, port = site.gateways[0][1].callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site.gateways[0][1].callers)
         writer.write(data)
         async with asyncio.timeout(3):
             answer = await read_answer(reader)
@@ -283,8 +282,7 @@
         site.publish(config)
         await site.notify()
         await asyncio.sleep(0.1)
-        host, _, port = site.gateways[0][1].callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site.gateways[0][1].callers)
         writer.write(encode("GET", "/lookup/a", caller_headers()))
         assert (await read_answer(reader)).status == 200
         async with asyncio.timeout(2):
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -17,6 +17,7 @@
     call,
     caller_headers,
     configuration,
+    connect,
     encode,
     free_port,
     read_answer,
@@ -168,8 +169,7 @@
             engine.event_time = 0.15
         (stopping, node, task), (_, other, _) = site.gateways
         await asyncio.sleep(0.5)
-        host, _, port = node.callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(node.callers)
         writer.write(encode("POST", "/stream/a", caller_headers(), b"{}"))
         await asyncio.sleep(0.2)
         stopping.stop()
