--- a/benchmarks/gateway_control.py
+++ b/benchmarks/gateway_control.py
@@ -47,13 +47,13 @@
         type(self).calls[int(asyncio.get_running_loop().time())] += 1
         await super()._simulate_call()
 
-    async def watch(self, key, after_revision, deadline):
+    async def watch(self, key, after, deadline):
         # Counted as one call, although the simulation polls.
         await self._simulate_call()
         while True:
             revision, value, _ = self._env.values[key]
-            if revision > after_revision or self._env.clock.now() >= deadline:
-                return VersionedValue(max(revision, after_revision), value)
+            if revision > after.revision or self._env.clock.now() >= deadline:
+                return VersionedValue(max(revision, after.revision), value, after.era)
             await asyncio.sleep(0.1)
             if self._env.store_outage:
                 raise PlatformUnavailable("store went down during the watch")
--- a/src/cyclamenyoke/adapters/event_stream.py
+++ b/src/cyclamenyoke/adapters/event_stream.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 
+from cyclamenyoke.core.units import KIBIBYTE
+
+MAX_EVENT_BYTES = 256 * KIBIBYTE
+"""Largest event of a stream in bytes."""
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +22,16 @@
     id: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        r"""Whether it carries nothing, as servers send to keep a connection open.
+
+        >>> StreamEvent(None, b": still here\n\n").is_comment
+        True
+        """
+        lines = self.data.split(b"\n")
+        return all(line.startswith(COMMENT) for line in lines if line)
+
 
 class EventSplitter:
     r"""Buffers bytes and returns the events that they complete.
@@ -30,6 +46,11 @@
     def __init__(self) -> None:
         self._pending = b""
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the incomplete event is longer than ``MAX_EVENT_BYTES``."""
+        return len(self._pending) > MAX_EVENT_BYTES
+
     @property
     def pending(self) -> bytes:
         """The start of an event that is still incomplete."""
--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -22,6 +22,11 @@
 READ_HIGH_WATER_BYTES = 256 * KIBIBYTE
 """Unread bytes of a response at which reading from the socket is paused."""
 
+MAX_OVERHEAD_BYTES = 256 * KIBIBYTE
+"""Largest number of bytes that a server may send without any of them being part of a
+body: heads of interim and final responses, and the framing of chunks. It is checked
+after each read, so that one read more than this may be buffered."""
+
 USER_TIMEOUT = 2 * SECOND
 """Seconds for which sent data may stay unacknowledged before the connection fails: a
 few retransmissions within a region."""
@@ -135,6 +140,8 @@
         self._is_closed = False
         self._must_not_reuse = False
         self._buffered_bytes = 0
+        # Bytes received since the request was sent or the last part of a body.
+        self._overhead_bytes = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -156,6 +163,7 @@
         self._matches_request = matches_request
         self._method = method
         self._events.clear()
+        self._overhead_bytes = 0
         if self._transport is None or self._is_closed:
             self._events.append(ResponseFailed("connection is closed"))
             return
@@ -188,10 +196,13 @@
         if self._matches_request is None:
             self._fail_and_close("data received while no request is in progress")
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail_and_close(f"malformed response: {error}")
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail_and_close("response head or framing is too long")
 
     def eof_received(self) -> bool:
         if self._ends_at_close and self._head is not None:
@@ -235,6 +246,7 @@
             self._finish()
 
     def on_body(self, data: bytes) -> None:
+        self._overhead_bytes = 0
         if self._matches_request is None or self._is_skipping:
             return
         self._buffered_bytes += len(data)
--- a/src/cyclamenyoke/adapters/peer_transport.py
+++ b/src/cyclamenyoke/adapters/peer_transport.py
@@ -11,10 +11,11 @@
 
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.peers import PeerUpdate
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MEBIBYTE, SECOND
 from cyclamenyoke.exceptions import AuthenticationError, PlatformUnavailable
 
-FORMAT_VERSION = b"\x01"
+FORMAT_VERSION = b"\x02"
 """First byte of each message. Fields are encoded by position, so any change to the
 fields of a message requires a new version."""
 
@@ -45,46 +46,67 @@
     """The cluster state of a gateway.
 
     :param config: the configuration as the operator wrote it; empty for none.
-    :param config_revision: revision of the configuration in the store.
+    :param config_position: position of the configuration in the store.
     :param list_age: seconds since the endpoint list was read; negative for no list.
-    :param list_revision: revision of the store when the list was read.
+    :param list_position: position of the store when the list was read.
     """
 
     config: bytes
-    config_revision: int
+    config_position: StorePosition
     list_age: float
-    list_revision: int
+    list_position: StorePosition
     endpoints: list[Endpoint]
 
 
+class UnknownKey(AuthenticationError):
+    """The message was authenticated with a key that this node does not have."""
+
+
 class MessageAuthenticator:
-    """Encodes and authenticates messages with a key that all gateways share."""
+    """Encodes and authenticates messages with a key that all gateways share.
+
+    After a change of the key, messages with the one before are still accepted, since
+    the other nodes change theirs a little earlier or later.
+    """
 
     def __init__(self, key: bytes) -> None:
         self._key = key
+        self._previous_key = key
+
+    @property
+    def key(self) -> bytes:
+        """The key with which messages are signed."""
+        return self._key
+
+    def change_key(self, key: bytes) -> None:
+        """Sign messages with another key from now on."""
+        self._previous_key, self._key = self._key, key
 
     def sign(self, message: object) -> bytes:
         """Encode a message with its format version and authentication code."""
         data = msgspec.msgpack.encode(message)
-        return FORMAT_VERSION + self._mac(data) + data
+        return FORMAT_VERSION + _mac(data, self._key) + data
 
     def verify(self, data: bytes, kind: type[T]) -> T:
         """Decode a message after checking its authentication code.
 
+        :raises UnknownKey: when it has the format of a message, but another key.
         :raises AuthenticationError: when the data is not a gateway's valid message.
         """
         if data[:1] != FORMAT_VERSION:
             raise AuthenticationError(f"unknown message format {data[:1]!r}")
         mac, body = data[1 : 1 + MAC_BYTES], data[1 + MAC_BYTES :]
-        if not hmac.compare_digest(mac, self._mac(body)):
-            raise AuthenticationError("authentication code of the message is wrong")
+        keys = (self._key, self._previous_key)
+        if not any(hmac.compare_digest(mac, _mac(body, key)) for key in keys):
+            raise UnknownKey("authentication code of the message is wrong")
         try:
             return msgspec.msgpack.decode(body, type=kind)
         except msgspec.DecodeError as error:
             raise AuthenticationError(f"malformed message: {error}") from error
 
-    def _mac(self, data: bytes) -> bytes:
-        return hashlib.blake2b(data, key=self._key, digest_size=MAC_BYTES).digest()
+
+def _mac(data: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(data, key=key, digest_size=MAC_BYTES).digest()
 
 
 class PeerTransport(asyncio.DatagramProtocol):
@@ -93,6 +115,7 @@
     :param on_update: called with the update in each authentic datagram.
     :param on_rejected: called with the reason when a datagram is rejected or a snapshot
         request is not served.
+    :param on_unknown_key: called when a peer seems to have another key.
     :param snapshot: returns the cluster state of this gateway.
     """
 
@@ -103,6 +126,7 @@
         authenticator: MessageAuthenticator,
         on_update: Callable[[PeerUpdate], None],
         on_rejected: Callable[[str], None],
+        on_unknown_key: Callable[[], None],
         snapshot: Callable[[], Snapshot],
     ) -> None:
         self._ip = ip
@@ -110,6 +134,7 @@
         self._authenticator = authenticator
         self._on_update = on_update
         self._on_rejected = on_rejected
+        self._on_unknown_key = on_unknown_key
         self._snapshot = snapshot
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -187,6 +212,8 @@
             update = self._authenticator.verify(data, PeerUpdate)
         except AuthenticationError as error:
             self._on_rejected(f"datagram from {addr[0]}: {error}")
+            if isinstance(error, UnknownKey):
+                self._on_unknown_key()
             return
         self._on_update(update)
 
--- a/src/cyclamenyoke/core/admission.py
+++ b/src/cyclamenyoke/core/admission.py
@@ -107,7 +107,7 @@
     """The request is rejected.
 
     :param retry_after: predicted seconds until a slot is free, within the bounds of
-        Retry-After.
+        Retry-After, or until the first endpoint accepts requests again.
     """
 
     retry_after: float
@@ -138,6 +138,8 @@
     :param load: returns how many requests from all nodes a service has in flight.
     :param queued_at_peers: returns how many requests for a service are queued at other
         nodes, by customer.
+    :param pause: returns for how many seconds none of a request's endpoints accepts
+        requests, because all of them asked for a pause; 0 if one does.
     :param scarcity: returns whether a service's slots are scarce, and which customers
         surge.
     """
@@ -147,12 +149,14 @@
         find_endpoint: Callable[[AdmissionRequest, float], Endpoint | None],
         load: Callable[[str], int],
         queued_at_peers: Callable[[str], Mapping[str, int]],
+        pause: Callable[[AdmissionRequest, float], float],
         scarcity: Callable[[str], Scarcity],
         monitor: InvariantMonitor,
     ) -> None:
         self._find_endpoint = find_endpoint
         self._load = load
         self._queued_at_peers = queued_at_peers
+        self._pause = pause
         self._scarcity = scarcity
         self._monitor = monitor
         self._queues: dict[str, WaitQueue] = {}
@@ -187,6 +191,9 @@
 
     def decide(self, request: AdmissionRequest, now: float) -> Decision:
         """Admit, enqueue or reject a new request."""
+        pause = self._pause(request, now)
+        if pause:
+            return Rejected(max(MIN_RETRY_AFTER, pause))
         queue = self._queue(request.service)
         scarcity = self._scarcity(request.service)
         may_dispatch = request.customer not in scarcity.surging
@@ -218,6 +225,11 @@
                 request = self._next(queue, scarcity, now)
                 if request is None:
                     break
+                pause = self._pause(request, now)
+                if pause:
+                    queue.requests.remove(request)
+                    yield request, Rejected(max(MIN_RETRY_AFTER, pause))
+                    continue
                 if now >= request.queue_deadline:
                     queue.requests.remove(request)
                     wait = self.predicted_wait(service, request.customer)
--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -13,7 +13,8 @@
 
 from cyclamenyoke.core.circuit_breaker import CircuitBreaker, CircuitState
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
-from cyclamenyoke.core.units import SECOND
+from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
+from cyclamenyoke.core.units import MILLISECOND, SECOND
 
 PEER_LOAD_LIFETIME = 2 * SECOND
 """Seconds for which a peer's last reported load counts without a newer update."""
@@ -36,6 +37,20 @@
 ejects it. With a single known peer, that peer suffices."""
 
 
+REST_REACTION_TIME = 500 * MILLISECOND
+"""Seconds after an endpoint's request for a pause within which requests that were on
+their way to it may still arrive."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rest:
+    """A pause that an incarnation of an endpoint asked this node for."""
+
+    born: int
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class PeerLoad:
     """Load that a peer last reported.
@@ -76,6 +91,7 @@
         self._peer_customers: dict[str, Counter[str]] = {}
         self._breakers: dict[str, CircuitBreaker] = {}
         self._broken_until: dict[str, float] = {}
+        self._rests: dict[str, Rest] = {}
 
     @property
     def own_requests(self) -> dict[str, int]:
@@ -153,7 +169,12 @@
         :param limit: returns how many requests an endpoint may have in flight.
         """
         self._expire_peer_loads(now)
-        usable = self._without_ejected(self._registry.usable(service), now)
+        awake = [
+            each
+            for each in self._registry.usable(service)
+            if self._rest_of(each, now) is None
+        ]
+        usable = self._without_ejected(awake, now)
         with_capacity = [
             each
             for each in usable
@@ -161,9 +182,40 @@
         ]
         return self._least_loaded(with_capacity) if with_capacity else None
 
-    def has_endpoint(self, service: str, tried: frozenset[str]) -> bool:
-        """Return whether a service has an untried endpoint, whatever its load."""
-        return any(each.id not in tried for each in self._registry.usable(service))
+    def available_at(
+        self, service: str, tried: frozenset[str], now: float
+    ) -> float | None:
+        """Return when an untried endpoint accepts requests, whatever its load.
+
+        :returns: ``now``, or the end of the first pause if all untried endpoints asked
+            for one; ``None`` if there is no untried endpoint.
+        """
+        rests = (
+            self._rest_of(each, now)
+            for each in self._registry.usable(service)
+            if each.id not in tried
+        )
+        return min((rest.until if rest else now for rest in rests), default=None)
+
+    def check_send(
+        self, endpoint: Endpoint, now: float, drain: float, monitor: InvariantMonitor
+    ) -> None:
+        """Check that a request may be sent to an endpoint.
+
+        :param drain: seconds after which an endpoint that is leaving gets no requests.
+        """
+        since = self._registry.leaving_since(endpoint)
+        monitor.check(
+            Invariant.LEAVING_ENDPOINT_SPARED,
+            since is None or now <= since + drain,
+            f"request sent to {endpoint.id}, which is leaving",
+        )
+        rest = self._rest_of(endpoint, now)
+        monitor.check(
+            Invariant.RESTING_ENDPOINT_SPARED,
+            rest is None or now <= rest.since + REST_REACTION_TIME,
+            f"request sent to {endpoint.id}, which asked for a pause",
+        )
 
     def on_sent(self, endpoint: str) -> None:
         """Record that a request was sent to an endpoint."""
@@ -196,6 +248,16 @@
         self.on_inconclusive(endpoint)
         self._broken_until[endpoint] = now + BROKEN_GROUP_COOLDOWN
 
+    def on_rest(self, endpoint: Endpoint, duration: float, now: float) -> None:
+        """Record that an endpoint asked this node for a pause.
+
+        :param duration: seconds; a shorter pause does not end a longer one.
+        """
+        before = self._rest_of(endpoint, now)
+        until = max(now + duration, before.until if before else now)
+        since = before.since if before else now
+        self._rests[endpoint.id] = Rest(endpoint.born, since, until)
+
     def reset_breakers(self, endpoints: Iterable[str]) -> None:
         """Discard the circuit breakers of endpoints that were removed or added."""
         for id_ in endpoints:
@@ -262,6 +324,16 @@
             return remaining
         return endpoints
 
+    def _rest_of(self, endpoint: Endpoint, now: float) -> Rest | None:
+        """Return the pause that an endpoint has asked for, if it has not ended."""
+        rest = self._rests.get(endpoint.id)
+        if rest is None:
+            return None
+        if rest.born != endpoint.born or rest.until <= now:
+            del self._rests[endpoint.id]
+            return None
+        return rest
+
     def _allows_request(self, id_: str, now: float) -> bool:
         breaker = self._breakers.get(id_)
         return breaker is None or breaker.allows_request(now)
--- a/src/cyclamenyoke/core/invariants.py
+++ b/src/cyclamenyoke/core/invariants.py
@@ -28,6 +28,11 @@
     """An agent that is draining starts no call."""
     GRACEFUL_SHUTDOWN = "planned_stop_cuts_nothing"
     """A graceful shutdown cuts off no request before its time limit."""
+    LEAVING_ENDPOINT_SPARED = "leaving_endpoint_spared"
+    """A gateway sends no request to an endpoint that it has known to be leaving for
+    longer than the drain time."""
+    RESTING_ENDPOINT_SPARED = "resting_endpoint_spared"
+    """A gateway sends no request to an endpoint that asked it for a pause."""
     CONFIG_NEVER_REVERTS = "config_never_reverts"
     """A node never replaces its configuration by an older one."""
     CUSTOMER_ISOLATION = "isolation"
--- a/src/cyclamenyoke/core/node_settings.py
+++ b/src/cyclamenyoke/core/node_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, fields
 
+from cyclamenyoke.core.endpoint_registry import DEFAULT_REGISTRATION_LIFETIME
+
 RELOADABLE = ("bounds", "seeds")
 """Settings that take effect while a gateway runs. The others, such as its addresses and
 its location, are fixed for the life of the process."""
@@ -44,6 +46,8 @@
     :param seeds: IP addresses of some other nodes, which may be down.
     :param store: address of the platform's key-value store.
     :param capacity: processor share times processor speed, for comparing nodes.
+    :param registration_lifetime: seconds after which the store drops the entry of an
+        endpoint that no longer renews it.
     """
 
     node: str
@@ -61,6 +65,7 @@
     memory_bytes: int
     file_descriptors: int
     bounds: Bounds
+    registration_lifetime: float = DEFAULT_REGISTRATION_LIFETIME
 
     def reload_from(self, reloaded: "NodeSettings") -> list[str]:
         """Apply the reloadable settings of a settings file that was read again.
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from cyclamenyoke.core.endpoint_registry import Change
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
 PEER_TIMEOUT = 1 * SECOND
@@ -38,7 +39,7 @@
     :param config_version: version of its configuration; 0 without one.
     :param list_age: seconds since the list on which the node's state is based was
         read; negative without one.
-    :param list_revision: revision of the store when that list was read.
+    :param list_position: position of the store when that list was read.
     :param is_list_read_directly: whether the node read that list from the store itself.
     :param list_digest: digest of the endpoints that the node knows.
     :param changes: recent changes of these endpoints.
@@ -47,6 +48,8 @@
     :param queued: its queued requests, by service and customer.
     :param suspects: endpoints whose circuit is not closed at the node.
     :param broken: endpoints that recently reported a broken group to the node.
+    :param leaving: id and incarnation of endpoints that are leaving, although the list
+        states that they are ready.
     """
 
     ip: str
@@ -59,7 +62,7 @@
     reads_store: bool
     config_version: int
     list_age: float
-    list_revision: int
+    list_position: StorePosition
     is_list_read_directly: bool
     list_digest: bytes
     changes: tuple[Change, ...]
@@ -68,6 +71,7 @@
     queued: dict[str, dict[str, int]]
     suspects: tuple[str, ...]
     broken: tuple[str, ...]
+    leaving: tuple[tuple[str, int], ...]
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/daemon/cluster_state.py
+++ b/src/cyclamenyoke/daemon/cluster_state.py
@@ -19,6 +19,7 @@
 from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers, PeerUpdate
+from cyclamenyoke.core.store_position import START, StorePosition
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.exceptions import CyclamenyokeError, PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
@@ -89,13 +90,13 @@
     """The configuration in force at this node.
 
     :param raw_config: the value in the store, which is passed on to peers.
-    :param revision: newest store revision of the key that was processed. Invalid
-        values do not change it.
+    :param position: newest store position of the key that was processed, whether its
+        value was valid or not.
     """
 
     config: GatewayConfig | None = None
     raw_config: bytes = b""
-    revision: int = 0
+    position: StorePosition = START
 
 
 class ClusterState:
@@ -138,6 +139,9 @@
         self._target_version = 0
         self._transport: PeerTransport | None = None
         self._is_list_outdated = False
+        # The era of the last list that was read, and when it was first seen.
+        self._era = -1
+        self._era_seen_at = 0.0
         self._synced = asyncio.Event()
         self.on_change: Callable[[], None] = lambda: None
         self.on_config: Callable[[GatewayConfig], None] = lambda config: None
@@ -163,6 +167,10 @@
         """Whether this node has a configuration and an endpoint list."""
         return self._current.config is not None and self._registry.read_at is not None
 
+    def era_age(self, era: int) -> float:
+        """Return for how many seconds this node has read lists of a store's era."""
+        return self._clock.now() - self._era_seen_at if era == self._era else 0.0
+
     async def wait_until_synced(self, until: float) -> None:
         """Wait until ``is_synced`` is true, at most until the given time."""
         try:
@@ -184,17 +192,26 @@
         """Return the configuration and endpoint list for a peer."""
         return Snapshot(
             self._current.raw_config,
-            self._current.revision,
+            self._current.position,
             self.list_age(),
-            self._registry.revision,
+            self._registry.position,
             list(self._registry.endpoints.values()),
         )
 
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint stated that it is leaving, and tell the peers."""
+        now = self._clock.now()
+        if self._registry.mark_leaving(endpoint.id, endpoint.born, now):
+            self._log.info("endpoint changed", endpoint=endpoint.id, state="leaving")
+            self.on_change()
+
     def on_peer_update(self, update: PeerUpdate, now: float) -> None:
         """Apply the endpoint changes of a peer's update, and note newer versions."""
         if update.config_version > self.config_version:
             self._target_version = max(self._target_version, update.config_version)
             self._newer_config_seen.set()
+        for id_, born in update.leaving:
+            self._registry.mark_leaving(id_, born, now)
         if update.list_age < 0:
             return
         read_at = now - update.list_age
@@ -202,14 +219,14 @@
         agrees = self._registry.apply_update(
             update.changes,
             update.list_digest,
-            update.list_revision,
+            update.list_position,
             read_at,
             now,
             update.is_list_read_directly,
         )
         self._on_endpoints_changed(before, [])
         self._update_synced()
-        if not agrees and update.list_revision > self._registry.revision:
+        if not agrees and update.list_position > self._registry.position:
             self._is_list_outdated = True
 
     async def watch_config(self) -> None:
@@ -243,7 +260,7 @@
             try:
                 value = await self._store.get(self._schema.config_key)
                 self._on_store_available()
-                self._apply_config(value.value or b"", value.revision)
+                self._apply_config(value.value or b"", value.position)
             except PlatformUnavailable as error:
                 self._on_store_failed(error)
 
@@ -284,22 +301,24 @@
         read_at = self._clock.now()
         listing = await self._store.list(self._schema.endpoint_prefix)
         self._on_store_available()
+        if listing.era > self._era:
+            self._era, self._era_seen_at = listing.era, self._clock.now()
         endpoints, invalid = self._schema.decode_endpoints(listing.items)
         for error in invalid:
             self._report_once("entry", str(error))
-        self._apply_list(endpoints, listing.revision, read_at, True)
+        self._apply_list(endpoints, listing.position, read_at, True)
 
     def _apply_list(
         self,
         endpoints: list[Endpoint],
-        revision: int,
+        position: StorePosition,
         read_at: float,
         is_read_directly: bool,
     ) -> None:
         before = set(self._registry.endpoints)
         now = self._clock.now()
         changes = self._registry.apply_list(
-            endpoints, revision, read_at, now, is_read_directly
+            endpoints, position, read_at, now, is_read_directly
         )
         self._on_endpoints_changed(before, changes)
         self._update_synced()
@@ -337,38 +356,40 @@
                 WATCH_TIMEOUT if rank else apply_time / WATCH_TIMEOUTS_PER_CONFIG_APPLY
             )
             deadline = self._clock.now() + wait
-            value = await self._store.watch(key, self._current.revision, deadline)
+            value = await self._store.watch(key, self._current.position, deadline)
         self._on_store_available()
         if value.value is None:
-            self._current.revision = max(self._current.revision, value.revision)
+            self._current.position = max(self._current.position, value.position)
             if self._current.config is None:
                 await asyncio.sleep(INITIAL_BACKOFF)
             return
-        self._apply_config(value.value, value.revision)
+        self._apply_config(value.value, value.position)
 
-    def _apply_config(self, raw_config: bytes, revision: int) -> None:
-        if revision <= self._current.revision:
-            return
+    def _apply_config(self, raw_config: bytes, position: StorePosition) -> None:
+        # Advances for any value, since a watch from an older position returns the same
+        # one again at once. Versions alone decide what is in force: a store that was
+        # restored may hold an older one at a later position.
+        self._current.position = max(self._current.position, position)
         try:
             config = self._schema.decode_config(raw_config)
         except CyclamenyokeError as error:
             self._report_once("config", str(error))
             return
         if config.version <= self.config_version:
-            self._current.revision = revision
             return
+        before = self.config_version
+        self._current = ActiveConfig(config, raw_config, self._current.position)
         self._monitor.check(
             Invariant.CONFIG_NEVER_REVERTS,
-            config.version > self.config_version,
-            f"version {config.version} after {self.config_version}",
+            self.config_version > before,
+            f"version {self.config_version} after {before}",
         )
-        before = self.config_version
-        self._current = ActiveConfig(config, raw_config, revision)
         self._log.info(
             "configuration in force",
             version=config.version,
             before=before,
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
             routes=len(config.routes),
         )
         self.on_config(config)
@@ -381,19 +402,19 @@
         )
         snapshot = await self._fetch_snapshot(peers_with_config)
         if snapshot is not None and snapshot.config:
-            self._apply_config(snapshot.config, snapshot.config_revision)
+            self._apply_config(snapshot.config, snapshot.config_position)
 
     async def _fetch_list_from_peer(self) -> None:
-        revision = self._registry.revision
+        position = self._registry.position
         peers_with_newer_list = [
             update.ip
             for update in self._peers.live(self._clock.now())
-            if update.list_age >= 0 and update.list_revision > revision
+            if update.list_age >= 0 and update.list_position > position
         ]
         snapshot = await self._fetch_snapshot(peers_with_newer_list)
         if snapshot is not None and snapshot.list_age >= 0:
             read_at = self._clock.now() - snapshot.list_age
-            self._apply_list(snapshot.endpoints, snapshot.list_revision, read_at, False)
+            self._apply_list(snapshot.endpoints, snapshot.list_position, read_at, False)
 
     async def _fetch_snapshot(self, ips: list[str]) -> Snapshot | None:
         if self._transport is None or not ips:
--- a/src/cyclamenyoke/daemon/config_sync.py
+++ b/src/cyclamenyoke/daemon/config_sync.py
@@ -31,6 +31,7 @@
     Records,
     Transfer,
 )
+from cyclamenyoke.core.store_position import START
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
@@ -117,8 +118,8 @@
         self._log = log
         self._on_change = on_change
         self._push_pending = asyncio.Event()
-        # Store revision of the last index whose blobs were all loaded.
-        self._index_revision = 0
+        # Store position of the last index whose blobs were all loaded.
+        self._index_position = START
         self._is_started = False
         self._exchange_handlers: dict[type, Callable[..., GossipMessage]] = {
             Offer: self._core.on_offer,
@@ -351,8 +352,11 @@
         return False
 
     async def _watch_once(self, deadline: float) -> None:
-        found = await self._store.watch(INDEX_KEY, self._index_revision, deadline)
-        if found.value is None or found.revision <= self._index_revision:
+        found = await self._store.watch(INDEX_KEY, self._index_position, deadline)
+        if found.value is None:
+            self._index_position = max(self._index_position, found.position)
+            return
+        if found.position <= self._index_position:
             return
         index = msgspec.json.decode(found.value, type=ConfigIndex)
         is_config_new = self._config.offer_index(index)
@@ -363,4 +367,4 @@
         if is_config_new:
             self._on_new_config()
         if not self._config.missing:
-            self._index_revision = found.revision
+            self._index_position = found.position
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -47,6 +47,7 @@
     KeyValueStore,
     LeaseExpired,
     RevisionConflict,
+    VersionedValue,
 )
 
 LOCK_KEY = "cyclamenyoke/expert-steward"
@@ -111,8 +112,12 @@
 """Seconds between two attempts of a command."""
 
 VERSIONS_PER_LOCK = 1000
-"""Map versions that one lock holder can assign. They start at the lock's revision times
-this number, so those of a later holder are higher."""
+"""Map versions that one lock holder can assign. They start at the number of the lock,
+which increases with its position in the store, times this number, so those of a later
+holder are higher."""
+
+REVISIONS_PER_ERA = 2**24
+"""More revisions than the store loses when it is restored from an older copy."""
 
 
 @dataclass(slots=True)
@@ -176,6 +181,7 @@
     """Rebalances the experts of all engine groups while this node holds the lock.
 
     :param config: returns the configuration in force.
+    :param era_age: returns for how many seconds this node has known a store's era.
     :param may_hold_lock: returns whether this node may hold the lock, given whether it
         holds it now.
     :param queued: returns a service's requests that are queued at any node.
@@ -190,6 +196,7 @@
         registry: EndpointRegistry,
         balancer: Balancer,
         config: Callable[[], GatewayConfig | None],
+        era_age: Callable[[int], float],
         may_hold_lock: Callable[[bool], bool],
         queued: Callable[[str], int],
         gap_ratio: Callable[[str], float],
@@ -203,6 +210,7 @@
         self._registry = registry
         self._balancer = balancer
         self._config = config
+        self._era_age = era_age
         self._may_hold_lock = may_hold_lock
         self._queued = queued
         self._gap_ratio = gap_ratio
@@ -211,7 +219,8 @@
         self._metrics = metrics
         self._log = log
         self._lease = 0
-        self._lock_revision = 0
+        # The store's era in which the maps of this node were last written.
+        self._maps_era = 0
         self._locked_until = 0.0
         self._renew_lock_at = 0.0
         self._next_lock_check = 0.0
@@ -242,6 +251,7 @@
             ]
             if not self._may_hold_lock(self.holds_lock):
                 await self._release_lock()
+                await self._restore_maps()
                 continue
             for service, layout in loaded:
                 await self._rebalance_service(service, layout)
@@ -280,25 +290,41 @@
                 await self._store.renew_lease(self._lease)
             except LeaseExpired:
                 self._lease = 0
+                self._locked_until = 0.0
             else:
                 self._locked_until = now + LOCK_LIFETIME - LOCK_MARGIN
                 self._renew_lock_at = now + RENEW_INTERVAL
                 return False
         if now < self._next_lock_check:
             return False
-        if (await self._store.get(LOCK_KEY)).value is not None:
+        if not self._is_free(await self._store.get(LOCK_KEY)):
             self._next_lock_check = now + LOCK_POLL_INTERVAL
             return False
         lease = await self._store.grant_lease(LOCK_LIFETIME)
+        # Read again, so that the era is that of the lease.
+        found = await self._store.get(LOCK_KEY)
+        if not self._is_free(found):
+            await self._store.revoke_lease(lease)
+            return False
         value = self._node.encode()
         revision = await self._store.compare_and_swap(LOCK_KEY, 0, value, lease)
-        self._lease, self._lock_revision = lease, revision
-        self._next_version = revision * VERSIONS_PER_LOCK
+        self._lease = lease
+        number = found.era * REVISIONS_PER_ERA + revision
+        self._next_version = number * VERSIONS_PER_LOCK
+        await self._restore_maps()
         self._locked_until = now + LOCK_LIFETIME - LOCK_MARGIN
         self._renew_lock_at = now + RENEW_INTERVAL
-        self._log.info("expert lock acquired", revision=revision)
+        self._log.info("expert lock acquired", era=found.era, revision=revision)
         return True
 
+    def _is_free(self, lock: VersionedValue) -> bool:
+        """Return whether the lock may be acquired.
+
+        A store that was restored has lost the lock of a holder that may not know yet.
+        Its lock counts until the lease would have expired.
+        """
+        return lock.value is None and self._era_age(lock.era) >= LOCK_LIFETIME
+
     async def _rebalance(self, service: str, layout: ExpertLayout) -> None:
         """Sample the selected experts and switch the groups that gain enough."""
         sample = await self._sample(service, layout)
@@ -500,6 +526,28 @@
         await self._store.compare_and_swap(key, stored.revision, value)
         self._maps[group.name] = updated
 
+    async def _restore_maps(self) -> None:
+        """Write the maps that this node knows to a store that may have lost them."""
+        era = self._registry.position.era
+        if era == self._maps_era:
+            return
+        try:
+            for name, known in self._maps.items():
+                await self._restore_map(MAP_PREFIX + name, known)
+        except (PlatformUnavailable, RevisionConflict) as error:
+            self._log.info("expert maps not restored; retrying", error=str(error))
+            return
+        self._maps_era = era
+
+    async def _restore_map(self, key: str, known: StoredMaps) -> None:
+        stored = await self._store.get(key)
+        if stored.value is not None:
+            maps = msgspec.json.decode(stored.value, type=StoredMaps)
+            if max(maps.by_version) >= max(known.by_version):
+                return
+        value = msgspec.json.encode(known)
+        await self._store.compare_and_swap(key, stored.revision, value)
+
     async def _hold_pass(self, group: RankGroup) -> int | None:
         """Hold a future pass at the first rank; return its number."""
         holding_rank = group.ranks[0]
@@ -564,14 +612,32 @@
         self._log.warning(
             "expert map refused", group=group.name, version=version, ranks=rejected
         )
-        for rank in group.ranks:
-            while True:
-                result = await self._control.disarm(rank, version, group.epoch)
-                if result is not CommandResult.UNKNOWN:
-                    break
-                await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+        deadline = self._clock.now() + COMPLETION_TIMEOUT
+        disarmed = await asyncio.gather(
+            *(self._disarm(rank, version, group, deadline) for rank in group.ranks)
+        )
+        if CommandResult.UNKNOWN in disarmed:
+            # A rank may still be armed, so the pass must not start.
+            self._log.warning(
+                "switch left to the next lock holder", group=group.name, step=step
+            )
+            await self._revoke_lock()
+            return
         await self._release_pass(group, group.ranks[0], step)
 
+    async def _disarm(
+        self, rank: Endpoint, version: int, group: RankGroup, deadline: float
+    ) -> CommandResult:
+        while self._clock.now() < deadline:
+            await self._keep_lock()
+            if self._clock.now() >= self._locked_until:
+                break
+            result = await self._control.disarm(rank, version, group.epoch)
+            if result is not CommandResult.UNKNOWN:
+                return result
+            await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+        return CommandResult.UNKNOWN
+
     async def _release_pass(
         self, group: RankGroup, holding_rank: Endpoint, step: int
     ) -> None:
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -36,8 +36,9 @@
     FinalStatus,
     RequestDelivery,
 )
+from cyclamenyoke.core.response_memory import ResponseMemory
 from cyclamenyoke.core.retry_budget import WindowedRetryBudget
-from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
     EngineCall,
@@ -103,6 +104,15 @@
 """Expected number of engine passes from sending a request to its first event: the rest
 of the running pass, the prefill of the prompt and the pass that yields the event."""
 
+RESPONSE_MEMORY_DIVISOR = 8
+"""The process's memory divided by this is the limit for incomplete responses."""
+
+MAX_DISCARDED_BYTES = 64 * KIBIBYTE
+"""Largest body of a rejection that is read, so that its connection can be reused."""
+
+DISCARD_TIMEOUT = 100 * MILLISECOND
+"""Seconds for which the body of a rejection is read."""
+
 SERVER_ERRORS = range(500, 600)
 
 REJECTION_REASONS = {
@@ -124,6 +134,7 @@
     :param waited: seconds spent in the admission queue.
     :param last_event_at: when the current attempt last yielded events; ``None``
         before.
+    :param held_bytes: memory reserved for its responses.
     """
 
     request: InboundRequest
@@ -140,12 +151,18 @@
     retry_after: float | None = None
     waited: float = 0.0
     last_event_at: float | None = None
+    held_bytes: int = 0
 
 
 @dataclass(slots=True)
 class PartialResponse:
-    """The part of an endpoint's response that was received so far."""
+    """The part of an endpoint's response that was received so far.
 
+    :param progress: increases with each part that brings the response forward. Bytes
+        that do not complete an event of a stream, and comments, are no progress.
+    """
+
+    progress: int = 0
     head: EngineResponseHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     body: bytearray = field(default_factory=bytearray)
@@ -167,6 +184,7 @@
         most until the given time.
     :param on_load_change: called when the number of requests in progress or in the
         queue has changed.
+    :param on_leaving: called with an endpoint that stated that it is leaving.
     """
 
     def __init__(
@@ -179,6 +197,7 @@
         list_age: Callable[[], float],
         wait_until_synced: Callable[[float], Awaitable[None]],
         on_load_change: Callable[[], None],
+        on_leaving: Callable[[Endpoint], None],
         clock: Clock,
         random: Random,
         monitor: InvariantMonitor,
@@ -193,12 +212,16 @@
         self._list_age = list_age
         self._wait_until_synced = wait_until_synced
         self._on_load_change = on_load_change
+        self._on_leaving = on_leaving
         self._clock = clock
         self._startup_deadline = clock.now() + STARTUP_SYNC_TIMEOUT
         self._random = random
         self._monitor = monitor
         self._metrics = metrics
         self._log = log
+        self._response_memory = ResponseMemory(
+            settings.memory_bytes // RESPONSE_MEMORY_DIVISOR
+        )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
         self._gap_ratios: dict[str, GapRatio] = {}
@@ -209,6 +232,7 @@
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
             lambda service: peers.queued(service, clock.now()),
+            self._pause,
             self._scarcity,
             monitor,
         )
@@ -283,6 +307,7 @@
         try:
             outcome = await self._try_endpoints(context, config)
         finally:
+            self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
     async def _try_endpoints(
@@ -303,9 +328,10 @@
             ):
                 context.detail = "retry budget exhausted"
                 break
-            if not self._balancer.has_endpoint(
-                context.service, delivery.tried_endpoints
-            ):
+            available_at = self._balancer.available_at(
+                context.service, delivery.tried_endpoints, now
+            )
+            if available_at is None:
                 context.detail = context.detail or "no untried endpoint"
                 break
             endpoint = await self._find_endpoint(context, config)
@@ -347,9 +373,16 @@
         if isinstance(decision, Admitted):
             return decision.endpoint
         context.retry_after = decision.retry_after
-        context.detail = "no room in time"
+        is_paused = self._pause(admission_request, self._clock.now()) > 0
+        context.detail = "all endpoints pause" if is_paused else "no room in time"
         return None
 
+    def _pause(self, admission_request: AdmissionRequest, now: float) -> float:
+        available_at = self._balancer.available_at(
+            admission_request.service, admission_request.tried_endpoints, now
+        )
+        return 0.0 if available_at is None else available_at - now
+
     def _admission_request(self, context: RequestContext) -> AdmissionRequest:
         route, delivery = context.route, context.delivery
         arrived_at = context.request.arrived_at
@@ -441,6 +474,9 @@
         Releases the endpoint at the end.
         """
         balancer = self._balancer
+        balancer.check_send(
+            endpoint, self._clock.now(), self._settings.bounds.drain, self._monitor
+        )
         self._on_load_change()
         engine_call: EngineCall | None = None
         has_outcome = False
@@ -453,7 +489,7 @@
                 context.delivery.deadline,
                 max_connections,
             )
-            outcome = await self._receive(context, engine_call)
+            outcome = await self._receive(context, endpoint, engine_call)
             has_outcome = True
             self._record_health(endpoint.id, outcome)
             return outcome
@@ -512,16 +548,20 @@
             engine_call.release()
 
     async def _receive(
-        self, context: RequestContext, engine_call: EngineCall
+        self, context: RequestContext, endpoint: Endpoint, engine_call: EngineCall
     ) -> AttemptOutcome:
         """Read one response; it is incomplete if the idle timeout expires."""
         loop = asyncio.get_running_loop()
         response = PartialResponse()
+        last_progress = -1
         try:
             async with asyncio.timeout(None) as scope:
                 while True:
-                    scope.reschedule(loop.time() + self._idle_timeout(context))
+                    if response.progress != last_progress:
+                        last_progress = response.progress
+                        scope.reschedule(loop.time() + self._idle_timeout(context))
                     event = await engine_call.receive()
+                    self._on_notice(endpoint, event)
                     outcome = await self._on_event(context, response, event)
                     if isinstance(event, NotExecuted):
                         await self._discard_body(engine_call)
@@ -531,6 +571,23 @@
             context.detail = "endpoint is silent"
             return AttemptOutcome.INCOMPLETE
 
+    def _on_notice(self, endpoint: Endpoint, event: EngineEvent) -> None:
+        """Note what a response states about its endpoint."""
+        match event:
+            case EngineResponseHead() | EngineResponseFailed() | NotExecuted():
+                notice = event.notice
+            case _:
+                return
+        if notice.is_leaving:
+            self._on_leaving(endpoint)
+        if notice.pause:
+            self._balancer.on_rest(endpoint, notice.pause, self._clock.now())
+            self._log.info(
+                "endpoint asked for a pause",
+                endpoint=endpoint.id,
+                seconds=round(notice.pause, 3),
+            )
+
     async def _on_event(
         self, context: RequestContext, response: PartialResponse, event: EngineEvent
     ) -> AttemptOutcome | None:
@@ -538,13 +595,17 @@
         match event:
             case EngineResponseHead():
                 response.head = event
+                response.progress += 1
                 context.delivery.attempts[-1].first_byte_at = self._clock.now()
             case EngineResponseData(data=data) if response.head is not None:
                 if not response.is_stream:
-                    response.body += data
-                elif not await self._forward_events(
-                    context, response.head, response.splitter.feed(data)
-                ):
+                    return self._hold(context, response, data)
+                events = response.splitter.feed(data)
+                if response.splitter.is_event_too_long:
+                    context.detail = "event of the stream is too long"
+                    return AttemptOutcome.INCOMPLETE
+                response.progress += any(not each.is_comment for each in events)
+                if not await self._forward_events(context, response.head, events):
                     return AttemptOutcome.INCOMPLETE
             case EngineResponseEnd() if response.head is not None:
                 return self._complete(context, response.head, response)
@@ -562,10 +623,33 @@
                 )
         return None
 
+    def _hold(
+        self, context: RequestContext, response: PartialResponse, data: bytes
+    ) -> AttemptOutcome | None:
+        """Keep a part of a response that is not a stream, if there is memory for it."""
+        if not self._response_memory.reserve(len(data)):
+            context.detail = "no memory for the response"
+            return AttemptOutcome.INCOMPLETE
+        context.held_bytes += len(data)
+        response.body += data
+        response.progress += 1
+        return None
+
     async def _discard_body(self, engine_call: EngineCall) -> None:
-        """Read the body of a rejection, so that the connection can be reused."""
-        while isinstance(await engine_call.receive(), EngineResponseData):
-            pass
+        """Read the body of a rejection, so that the connection can be reused.
+
+        A body that is long or slow is left, and the connection is closed.
+        """
+        discarded = 0
+        try:
+            async with asyncio.timeout(DISCARD_TIMEOUT):
+                while discarded <= MAX_DISCARDED_BYTES:
+                    event = await engine_call.receive()
+                    if not isinstance(event, EngineResponseData):
+                        return
+                    discarded += len(event.data)
+        except TimeoutError:
+            return
 
     def _idle_timeout(self, context: RequestContext) -> float:
         """Return the seconds for which the endpoint may send nothing from now on."""
@@ -610,7 +694,7 @@
             await context.writer.write(event.data)
             if event.id is not None:
                 context.last_event_id = event.id
-        if events:
+        if any(not event.is_comment for event in events):
             self._record_gap(context)
         return True
 
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -87,7 +87,7 @@
         self._log = Log("gateway", node=settings.node)
         random = SystemRandom()
         monitor = self._monitor = CountingMonitor(self._on_violation)
-        self._registry = EndpointRegistry()
+        self._registry = EndpointRegistry(settings.registration_lifetime)
         self._peers = Peers(settings.ip)
         self._balancer = Balancer(self._registry, settings.data_centre, random)
         self._store = StoreClient(settings.store, self._clock)
@@ -126,6 +126,7 @@
             self._cluster_state.list_age,
             self._cluster_state.wait_until_synced,
             self._membership.announce,
+            self._cluster_state.mark_leaving,
             self._clock,
             random,
             monitor,
@@ -134,10 +135,13 @@
         )
         self._rebalancer = ExpertRebalancer(
             self._store,
-            HttpEngineControl(ConnectionPool(self._clock)),
+            HttpEngineControl(
+                ConnectionPool(self._clock), self._cluster_state.mark_leaving
+            ),
             self._registry,
             self._balancer,
             lambda: self._cluster_state.config,
+            self._cluster_state.era_age,
             self._may_rebalance,
             self._count_queued,
             self._forwarder.gap_ratio,
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -62,6 +62,14 @@
 KEY_RETRY_INTERVAL = 500 * MILLISECOND
 """Seconds before a failed read of the exchange key is retried."""
 
+MAX_REJOIN_JITTER = 300 * MILLISECOND
+"""Longest random delay in seconds before a node writes itself to a restored store, to
+spread the calls of all nodes."""
+
+KEY_CHECK_INTERVAL = 1 * SECOND
+"""Least time in seconds between two checks of the exchange key that messages with an
+unknown key cause."""
+
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
@@ -100,7 +108,12 @@
         self._sequence = 0
         self._transport: PeerTransport | None = None
         self._lease = 0
+        self._authenticator: MessageAuthenticator | None = None
         self._update_pending = asyncio.Event()
+        # The store's era in which this node has registered and checked its key.
+        self._era = 0
+        self._rejoin_needed = asyncio.Event()
+        self._next_key_check = 0.0
         self.queued: Callable[[], dict[str, dict[str, int]]] = dict
         self.on_peer_update: Callable[[], None] = lambda: None
         peers.add_candidates(settings.seeds, clock.now())
@@ -116,13 +129,14 @@
 
     async def run(self) -> None:
         """Register, send and receive updates until cancelled."""
-        authenticator = await self._load_authenticator()
+        self._authenticator = MessageAuthenticator(await self._load_key())
         transport = PeerTransport(
             self._settings.ip,
             self._settings.peer_port,
-            authenticator,
+            self._authenticator,
             self._on_update,
             self._on_rejected,
+            self._on_unknown_key,
             self._cluster_state.snapshot,
         )
         await transport.start()
@@ -132,6 +146,7 @@
             await asyncio.gather(
                 self._send_updates_forever(),
                 self._maintain_registration(),
+                self._rejoin_forever(),
                 self._discover_forever(),
             )
         finally:
@@ -148,14 +163,19 @@
                 "registration not removed; it expires with its lease", error=str(error)
             )
 
-    async def _load_authenticator(self) -> MessageAuthenticator:
-        """Read the key that all nodes share from the store, or create it."""
+    async def _load_key(self) -> bytes:
+        """Read the key that all nodes share from the store, or create it.
+
+        In a store that was restored, the key that this node has is written again.
+        """
         while True:
             try:
                 found = await self._store.get(EXCHANGE_KEY)
+                self._begin_era(found.era)
                 if found.value is not None:
-                    return MessageAuthenticator(found.value)
-                key = secrets.token_bytes(EXCHANGE_KEY_BYTES)
+                    return found.value
+                own = self._authenticator
+                key = own.key if own else secrets.token_bytes(EXCHANGE_KEY_BYTES)
                 await self._store.compare_and_swap(EXCHANGE_KEY, 0, key)
             except RevisionConflict:
                 # Another node wrote its key first; read that one.
@@ -210,6 +230,40 @@
             await self._store.compare_and_swap(key, current.revision, value, lease)
         self._lease = lease
 
+    def _on_unknown_key(self) -> None:
+        now = self._clock.now()
+        if now >= self._next_key_check:
+            self._next_key_check = now + KEY_CHECK_INTERVAL
+            self._rejoin_needed.set()
+
+    def _begin_era(self, era: int) -> bool:
+        """Note the store's era; return whether the store was restored."""
+        if era <= self._era:
+            return False
+        self._log.info("store era begun", era=era, before=self._era)
+        self._era = era
+        # The lease belongs to the era before; its key may be missing.
+        self._lease = 0
+        return True
+
+    async def _rejoin_forever(self) -> None:
+        """Agree on the exchange key again, and register, whenever that is needed."""
+        while True:
+            await self._rejoin_needed.wait()
+            await asyncio.sleep(self._random.uniform(0, MAX_REJOIN_JITTER))
+            self._rejoin_needed.clear()
+            key = await self._load_key()
+            if self._authenticator is not None and key != self._authenticator.key:
+                self._log.warning("exchange key replaced by that of the store")
+                self._authenticator.change_key(key)
+            try:
+                if not self._lease:
+                    await self._register()
+                await self._discover_nodes()
+            except (PlatformUnavailable, RevisionConflict, LeaseExpired) as error:
+                # The registration is retried at its next renewal.
+                self._log.warning("not registered yet; retrying", error=str(error))
+
     async def _discover_forever(self) -> None:
         while True:
             await asyncio.sleep(DISCOVERY_INTERVAL * self._random.uniform(0.75, 1.25))
@@ -230,6 +284,8 @@
             except TimeoutError:
                 pass
             self._update_pending.clear()
+            if self._begin_era(self._registry.position.era):
+                self._rejoin_needed.set()
             ips = self._peers.sample(FANOUT, self._random)
             self._send(ips)
             await asyncio.sleep(SEND_INTERVAL_PER_PEER * max(1, len(ips)))
@@ -250,7 +306,7 @@
             reads_store=self._cluster_state.reads_store,
             config_version=self._cluster_state.config_version,
             list_age=self._cluster_state.list_age(),
-            list_revision=self._registry.revision,
+            list_position=self._registry.position,
             is_list_read_directly=self._registry.is_read_directly,
             list_digest=self._registry.digest,
             changes=tuple(self._registry.recent_changes(now)),
@@ -259,6 +315,7 @@
             queued=self.queued(),
             suspects=tuple(self._balancer.suspects),
             broken=tuple(self._balancer.broken(now)),
+            leaving=tuple(self._registry.leaving),
         )
         self._transport.send(update, ips)
         self._metrics.gauge("exchange_sent_bytes", self._transport.sent_datagram_bytes)
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -14,7 +14,7 @@
 )
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.inbound_request import Header, InboundRequest
-from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.core.units import HOUR, MILLISECOND
 from cyclamenyoke.platform.headers import (
     CONTENT_ENCODING,
     DEADLINE,
@@ -22,9 +22,11 @@
     FAULTY_ENGINE,
     KEEP_ALIVE,
     LAST_EVENT_ID,
+    LEAVING,
     NOT_EXECUTED,
     REQUEST_ID,
     RESPONDING_ENGINE,
+    RETRY_AFTER,
     SIGNATURE,
     TARGET_ENGINE,
     TENANT,
@@ -32,9 +34,11 @@
 )
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
+    NO_NOTICE,
     EngineCall,
     EngineClient,
     EngineEvent,
+    EngineNotice,
     EngineResponseData,
     EngineResponseEnd,
     EngineResponseFailed,
@@ -44,8 +48,12 @@
 )
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 SUCCESS_STATUSES = range(200, 300)
 
+MAX_PAUSE = 1 * HOUR
+"""Longest pause in seconds that an engine may ask for; a longer one is not credible."""
+
 MIN_DEADLINE_MS = 1
 """Smallest deadline in milliseconds; engines reject a deadline of 0."""
 
@@ -59,6 +67,40 @@
     return None
 
 
+def read_notice(head: ResponseHead, engine: str) -> EngineNotice:
+    """Return what a response states about an engine.
+
+    A response of another engine at the same address states nothing about it.
+    """
+    if _is_from_other_engine(head, engine):
+        return NO_NOTICE
+    is_leaving = (head.get(LEAVING) or b"").strip() == b"1"
+    return EngineNotice(is_leaving, _requested_pause(head))
+
+
+def _is_from_other_engine(head: ResponseHead, engine: str) -> bool:
+    responding = head.get(RESPONDING_ENGINE)
+    return responding is not None and responding.decode("latin-1") != engine
+
+
+def _requested_pause(head: ResponseHead) -> float:
+    """Return the seconds for which the engine wants no requests; 0 for none.
+
+    >>> _requested_pause(ResponseHead(503, [(b"Retry-After", b"1.5")]))
+    1.5
+    >>> _requested_pause(ResponseHead(503, [(b"Retry-After", b"soon")]))
+    0.0
+    """
+    stated = head.get(RETRY_AFTER.lower())
+    if head.status != UNAVAILABLE_STATUS or stated is None:
+        return 0.0
+    try:
+        seconds = float(stated)
+    except ValueError:
+        return 0.0
+    return min(seconds, MAX_PAUSE) if seconds > 0 else 0.0
+
+
 class HttpEngineCall(EngineCall):
     """One request on one connection."""
 
@@ -104,28 +146,30 @@
 
     def _on_head(self, head: ResponseHead) -> EngineEvent:
         self._idle_timeout = _idle_timeout(head)
+        notice = read_notice(head, self._endpoint.id)
         if head.get(NOT_EXECUTED) is not None or head.status == MISDIRECTED_STATUS:
-            engine = head.get(RESPONDING_ENGINE)
-            is_other_engine = (
-                engine is not None and engine.decode("latin-1") != self._endpoint.id
-            )
+            is_other_engine = _is_from_other_engine(head, self._endpoint.id)
             faulty = head.get(FAULTY_ENGINE)
             return NotExecuted(
                 head.status,
                 head.status == MISDIRECTED_STATUS and is_other_engine,
                 faulty is not None and faulty.decode("latin-1") != self._endpoint.id,
+                notice,
             )
         if head.get(CONTENT_ENCODING) is not None:
-            return EngineResponseFailed("response has a content encoding")
+            return EngineResponseFailed("response has a content encoding", notice)
         is_success = head.status in SUCCESS_STATUSES
         if is_success and head.get(SIGNATURE) is None:
-            return EngineResponseFailed("successful response without a signature")
+            return EngineResponseFailed(
+                "successful response without a signature", notice
+            )
         content_type = head.get(b"content-type") or b""
         return EngineResponseHead(
             head.status,
             select_end_to_end(head.headers),
             is_success,
             content_type.startswith(EVENT_STREAM_TYPE),
+            notice,
         )
 
 
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -1,7 +1,7 @@
 """HTTP client that reads reports from the ranks of engine groups and sends commands."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any
 
@@ -11,9 +11,14 @@
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
-from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND
+from cyclamenyoke.platform.engine_client import read_notice
 from cyclamenyoke.platform.headers import TARGET_ENGINE
-from cyclamenyoke.platform.json_request import IncompleteResponse, request_json
+from cyclamenyoke.platform.json_request import (
+    IncompleteResponse,
+    JsonResponse,
+    request_json,
+)
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
     EngineControl,
@@ -26,10 +31,14 @@
 """Timeout of a request to a rank in seconds, about twenty round trips. It is short
 because the group may be paused until the rank has responded."""
 
+MAX_RESPONSE_BYTES = 1 * MEBIBYTE
+"""Largest response in bytes that is accepted from a rank; expert counts of a hundred
+thousand numbers fit in it."""
+
 MAX_CONNECTIONS = 4
 """Largest number of connections to one rank, for queries and commands."""
 
-RESULT_BY_STATUS = {
+RESULT_BY_STATUS: Mapping[int, CommandResult] = {
     HTTPStatus.OK: CommandResult.DONE,
     HTTPStatus.ACCEPTED: CommandResult.DONE,
     HTTPStatus.CONFLICT: CommandResult.REJECTED,
@@ -74,10 +83,16 @@
     """HTTP implementation of :class:`EngineControl`.
 
     :param pool: connections to ranks.
+    :param on_leaving: called when a rank's response states that the rank is leaving.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        on_leaving: Callable[[Endpoint], None] = lambda endpoint: None,
+    ) -> None:
         self._pool = pool
+        self._on_leaving = on_leaving
 
     async def report(self, endpoint: Endpoint) -> RankReport:
         body = await self._query(endpoint, "/v1/report")
@@ -145,7 +160,7 @@
         self, endpoint: Endpoint, operation: str, fields: Mapping[str, object]
     ) -> CommandResult:
         try:
-            status, _ = await self._request(
+            response = await self._request(
                 endpoint, "POST", "/v1/order", {"operation": operation, **fields}
             )
         except ConnectionFailed:
@@ -154,23 +169,25 @@
             return CommandResult.UNKNOWN
         except (IncompleteResponse, TimeoutError):
             return CommandResult.UNKNOWN
-        return RESULT_BY_STATUS.get(HTTPStatus(status), CommandResult.UNKNOWN)
+        return RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
 
     async def _query(self, endpoint: Endpoint, path: str) -> bytes:
         try:
-            status, body = await self._request(endpoint, "GET", path)
+            response = await self._request(endpoint, "GET", path)
         except (ConnectionFailed, IncompleteResponse, TimeoutError) as error:
             raise EngineControlError(f"{path} at {endpoint.id}: {error!r}") from error
-        if status != HTTPStatus.OK:
-            raise EngineControlError(f"{path} at {endpoint.id}: status {status}")
-        return body
+        if response.status != HTTPStatus.OK:
+            raise EngineControlError(
+                f"{path} at {endpoint.id}: status {response.status}"
+            )
+        return response.body
 
     async def _request(
         self, endpoint: Endpoint, method: str, path: str, content: object = None
-    ) -> tuple[int, bytes]:
+    ) -> JsonResponse:
         headers = [(TARGET_ENGINE, endpoint.id.encode())]
         async with asyncio.timeout(RESPONSE_TIMEOUT):
-            return await request_json(
+            response = await request_json(
                 self._pool,
                 endpoint.address,
                 endpoint.id,
@@ -178,5 +195,9 @@
                 method,
                 path.encode(),
                 headers,
+                MAX_RESPONSE_BYTES,
                 content,
             )
+        if read_notice(response.head, endpoint.id).is_leaving:
+            self._on_leaving(endpoint)
+        return response
--- a/src/cyclamenyoke/platform/headers.py
+++ b/src/cyclamenyoke/platform/headers.py
@@ -21,6 +21,10 @@
 # Request: ``PROMPT_TOKENS,MAX_OUTPUT_TOKENS``.
 TOKEN_COUNTS = b"x-token-usage"
 RETRY_AFTER = b"Retry-After"
+# Response: "1" if the engine is leaving and takes no new requests.
+LEAVING = b"server-leaving"
+# Response of the store: how often it was restored from an older copy.
+STORE_ERA = b"store-era"
 CONTENT_ENCODING = b"content-encoding"
 KEEP_ALIVE = b"keep-alive"
 AUTHORIZATION = b"authorization"
--- a/src/cyclamenyoke/platform/json_request.py
+++ b/src/cyclamenyoke/platform/json_request.py
@@ -1,5 +1,7 @@
 """A request with a JSON body over a pooled connection."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
@@ -24,7 +26,23 @@
 
 
 class IncompleteResponse(CyclamenyokeError):
-    """The response was truncated; the request may have been executed."""
+    """The response was truncated or too long; the request may have been executed."""
+
+
+@dataclass(frozen=True, slots=True)
+class JsonResponse:
+    """One complete response.
+
+    :param body: the encoded content.
+    """
+
+    head: ResponseHead
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self.head.status
 
 
 async def request_json(
@@ -35,17 +53,19 @@
     method: str,
     target: bytes,
     headers: list[Header],
+    max_response_bytes: int,
     content: object = None,
-) -> tuple[int, bytes]:
-    """Send a request and return status and body of the response.
+) -> JsonResponse:
+    """Send a request and return the response.
 
     There is no timeout for the response; the calling code must set one.
 
     :param endpoint: id of the server, because an address may be reused by another one.
     :param max_connections: limit of this node's connections to the server.
+    :param max_response_bytes: largest body that is accepted.
     :param content: value to encode as the body; ``None`` for an empty body.
     :raises ConnectionFailed: when nothing was sent.
-    :raises IncompleteResponse: when the response is incomplete.
+    :raises IncompleteResponse: when the response is incomplete or too long.
     """
     body = b"" if content is None else msgspec.json.encode(content)
     fields = [(b"Host", address.encode()), *headers]
@@ -59,26 +79,27 @@
     )
     try:
         connection.send(data, method.encode(), lambda head: True)
-        status, response = await _read_response(connection)
+        return await _read_response(connection, max_response_bytes)
     finally:
         if connection.is_reusable:
             pool.release(connection, address, endpoint, ASSUMED_IDLE_TIMEOUT)
         else:
             connection.close()
-    return status, response
 
 
-async def _read_response(connection: HttpConnection) -> tuple[int, bytes]:
-    status = 0
-    parts: list[bytes] = []
+async def _read_response(connection: HttpConnection, max_bytes: int) -> JsonResponse:
+    head = ResponseHead(0, [])
+    body = bytearray()
     while True:
         event = await connection.receive()
         match event:
             case ResponseHead():
-                status = event.status
+                head = event
             case BodyPart():
-                parts.append(event.data)
+                body += event.data
+                if len(body) > max_bytes:
+                    raise IncompleteResponse(f"response exceeds {max_bytes} bytes")
             case ResponseEnd():
-                return status, b"".join(parts)
+                return JsonResponse(head, bytes(body))
             case ResponseFailed():
                 raise IncompleteResponse(event.reason)
--- a/src/cyclamenyoke/platform/settings.py
+++ b/src/cyclamenyoke/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenyoke.core.endpoint_registry import DEFAULT_REGISTRATION_LIFETIME
 from cyclamenyoke.core.node_settings import Bounds, NodeSettings
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND
 from cyclamenyoke.exceptions import Finding, FindingsError
@@ -22,6 +23,10 @@
 name the same port."""
 
 
+HEARTBEATS_PER_REGISTRATION = 3
+"""Heartbeats that an engine misses before the store drops its entry."""
+
+
 class _Listen(msgspec.Struct):
     front: str | None = None
     ready: str | None = None
@@ -61,6 +66,7 @@
     platform: _Platform
     limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: list[str] = []
+    heartbeat_ms: float | None = None
 
 
 _FIELD_TYPES: Mapping[str, Any] = {
@@ -107,6 +113,9 @@
 def _translate(settings: _Settings) -> NodeSettings:
     bounds = settings.bounds
     first_port = settings.internal_ports[0]
+    lifetime = DEFAULT_REGISTRATION_LIFETIME
+    if settings.heartbeat_ms is not None:
+        lifetime = HEARTBEATS_PER_REGISTRATION * settings.heartbeat_ms * MILLISECOND
     return NodeSettings(
         node=settings.node,
         ip=settings.ip,
@@ -132,4 +141,5 @@
             address_lifetime=bounds.ttl_max_s,
             stall=bounds.stall_ms * MILLISECOND,
         ),
+        registration_lifetime=lifetime,
     )
--- a/src/cyclamenyoke/platform/store_client.py
+++ b/src/cyclamenyoke/platform/store_client.py
@@ -11,9 +11,15 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
-from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.core.store_position import StorePosition
+from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.exceptions import PlatformUnavailable
-from cyclamenyoke.platform.json_request import IncompleteResponse, request_json
+from cyclamenyoke.platform.headers import STORE_ERA
+from cyclamenyoke.platform.json_request import (
+    IncompleteResponse,
+    JsonResponse,
+    request_json,
+)
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.key_value_store import (
     KeyList,
@@ -31,6 +37,10 @@
 MAX_WATCH_WAIT = 30 * SECOND
 """Longest watch in seconds that the store accepts."""
 
+MAX_RESPONSE_BYTES = 4 * MEBIBYTE
+"""Largest response in bytes that is accepted. The largest value is one megabyte before
+its encoding, and a page of a list can exceed one megabyte by one value."""
+
 MAX_CONNECTIONS = 16
 """Largest number of connections to the store. Each watch occupies one of them."""
 
@@ -72,15 +82,23 @@
     return f"{path}?{urlencode(query)}".encode() if query else path.encode()
 
 
-def _decode(body: bytes, kind: type[T]) -> T:
+def _decode(response: JsonResponse, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(response.body, type=kind)
     except msgspec.DecodeError as error:
         raise PlatformUnavailable(
             f"cannot decode the store's response: {error}"
         ) from error
 
 
+def _era(response: JsonResponse) -> int:
+    """Return the store's era; 0 if the response does not state it."""
+    stated = (response.head.get(STORE_ERA) or b"0").strip()
+    if not stated.isdigit():
+        raise PlatformUnavailable(f"store era {stated!r} is not a number")
+    return int(stated)
+
+
 def _decode_value(item: _Item) -> bytes:
     try:
         return base64.b64decode(item.value or "", validate=True)
@@ -101,9 +119,13 @@
         self._clock = clock
         self._pool = ConnectionPool(clock)
         self._call_counts: Counter[str] = Counter()
-        # By key: the key's revision, and the store revision through which the key is
-        # known to be unchanged.
-        self._unchanged_through: dict[str, tuple[int, int]] = {}
+        # By key: the position of the key's last change, and the store revision of the
+        # same era through which the key is known to be unchanged.
+        self._unchanged_through: dict[str, tuple[StorePosition, int]] = {}
+        # The newest era that any response stated; 0 before the first one.
+        self._era = 0
+        # By lease id: the era in which the lease was granted.
+        self._lease_eras: dict[int, int] = {}
 
     @property
     def call_counts(self) -> Counter[str]:
@@ -114,62 +136,70 @@
         self._pool.close_endpoint(POOL_KEY)
 
     async def get(self, key: str) -> VersionedValue:
-        status, body = await self._call("GET", "/v1/kv-key", {"key": key})
-        if status == HTTPStatus.NOT_FOUND:
+        response = await self._call("GET", "/v1/kv-key", {"key": key})
+        era = _era(response)
+        if response.status == HTTPStatus.NOT_FOUND:
             return self._record_unchanged(
-                key, VersionedValue(0, None), _decode(body, _Item)
+                key, VersionedValue(0, None, era), _decode(response, _Item)
             )
-        self._require_ok(status, f"get {key!r}")
-        item = _decode(body, _Item)
+        self._require_ok(response, f"get {key!r}")
+        item = _decode(response, _Item)
         return self._record_unchanged(
-            key, VersionedValue(item.revision, _decode_value(item)), item
+            key, VersionedValue(item.revision, _decode_value(item), era), item
         )
 
     async def list(self, prefix: str) -> KeyList:
         items: list[StoredItem] = []
-        revision = 0
+        # Pages are not a consistent snapshot, so the first page sets the position.
+        position: StorePosition | None = None
         query = {"prefix": prefix}
         while True:
-            status, body = await self._call("GET", "/v1/kv-range", query)
-            self._require_ok(status, f"list {prefix!r}")
-            page = _decode(body, _Range)
+            response = await self._call("GET", "/v1/kv-range", query)
+            self._require_ok(response, f"list {prefix!r}")
+            page = _decode(response, _Range)
+            era = _era(response)
+            position = position or StorePosition(era, page.store_revision)
+            if era != position.era:
+                raise PlatformUnavailable(f"list {prefix!r}: store was restored")
             items += [
                 StoredItem(item.key, _decode_value(item), item.revision)
                 for item in page.items
             ]
-            # Pages are not a consistent snapshot, so the first page sets the revision.
-            revision = revision or page.store_revision
             if not page.truncated or not page.items:
-                return KeyList(items, revision)
+                return KeyList(items, position.revision, position.era)
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(
-        self, key: str, after_revision: int, deadline: float
+        self, key: str, after: StorePosition, deadline: float
     ) -> VersionedValue:
         while True:
+            if self._era > after.era:
+                return await self.get(key)
             wait = min(MAX_WATCH_WAIT, max(0.0, deadline - self._clock.now()))
             query = {
                 "prefix": key,
-                "after": str(self._watch_start(key, after_revision)),
+                "after": str(self._watch_start(key, after)),
                 "wait_ms": str(int(wait / MILLISECOND)),
             }
-            status, body = await self._call("GET", "/v1/kv-watch", query, wait=wait)
-            if status == HTTPStatus.GONE:
+            response = await self._call("GET", "/v1/kv-watch", query, wait=wait)
+            if self._era > after.era:
+                continue
+            if response.status == HTTPStatus.GONE:
                 current = await self.get(key)
-                if current.revision != after_revision:
+                if current.position != after:
                     return current
                 continue
-            self._require_ok(status, f"watch {key!r}")
-            page = _decode(body, _Events)
+            self._require_ok(response, f"watch {key!r}")
+            page = _decode(response, _Events)
             # The prefix also matches longer keys, whose events are skipped.
             matching = [item for item in page.events if item.key == key]
             if matching:
                 newest = matching[-1]
                 value = None if newest.deleted else _decode_value(newest)
-                return VersionedValue(newest.revision, value)
-            self._unchanged_through[key] = after_revision, page.store_revision
+                return VersionedValue(newest.revision, value, after.era)
+            self._unchanged_through[key] = after, page.store_revision
             if not page.events:
-                return VersionedValue(after_revision, None)
+                return VersionedValue(after.revision, None, after.era)
 
     async def compare_and_swap(
         self, key: str, expected_revision: int, value: bytes, lease: int = 0
@@ -180,32 +210,54 @@
             "writes": [{"key": key, "value": text, "lease": lease}],
             "deletes": [],
         }
-        status, body = await self._call("POST", "/v1/kv-txn", content=change)
-        if status == HTTPStatus.PRECONDITION_FAILED:
+        response = await self._call("POST", "/v1/kv-txn", content=change)
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
             raise RevisionConflict(
                 f"key {key!r} is not at revision {expected_revision}"
             )
-        if status == HTTPStatus.NOT_FOUND:
+        if response.status == HTTPStatus.NOT_FOUND:
             raise LeaseExpired(f"key {key!r}: lease {lease} has ended")
-        self._require_ok(status, f"write {key!r}")
-        return _decode(body, _Change).revision
+        self._require_ok(response, f"write {key!r}")
+        revision = _decode(response, _Change).revision
+        if lease and self._lease_eras.get(lease) != _era(response):
+            # After a restore the id may belong to another node's lease, which would
+            # keep the key for as long as that node lives.
+            await self._delete(key, revision)
+            raise LeaseExpired(f"key {key!r}: lease {lease} is of an earlier era")
+        return revision
 
     async def grant_lease(self, lifetime: float) -> int:
         content = {"ttl_ms": int(lifetime / MILLISECOND)}
-        status, body = await self._call("POST", "/v1/kv-lease", content=content)
-        self._require_ok(status, "grant lease")
-        return _decode(body, _Lease).lease
+        response = await self._call("POST", "/v1/kv-lease", content=content)
+        self._require_ok(response, "grant lease")
+        lease = _decode(response, _Lease).lease
+        self._lease_eras[lease] = _era(response)
+        return lease
 
     async def renew_lease(self, lease: int) -> None:
-        status, _ = await self._call("POST", f"/v1/kv-keep/{lease}")
-        if status == HTTPStatus.NOT_FOUND:
+        response = await self._call("POST", f"/v1/kv-keep/{lease}")
+        if response.status == HTTPStatus.NOT_FOUND:
+            self._lease_eras.pop(lease, None)
             raise LeaseExpired(f"lease {lease} has ended")
-        self._require_ok(status, f"renew lease {lease}")
+        self._require_ok(response, f"renew lease {lease}")
+        if self._lease_eras.get(lease) != _era(response):
+            self._lease_eras.pop(lease, None)
+            raise LeaseExpired(f"lease {lease} is of an earlier era")
 
     async def revoke_lease(self, lease: int) -> None:
-        status, _ = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
-        if status != HTTPStatus.NOT_FOUND:
-            self._require_ok(status, f"revoke lease {lease}")
+        self._lease_eras.pop(lease, None)
+        response = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        if response.status != HTTPStatus.NOT_FOUND:
+            self._require_ok(response, f"revoke lease {lease}")
+
+    async def _delete(self, key: str, revision: int) -> None:
+        """Delete a key if it is at a revision."""
+        change = {
+            "expected": [{"key": key, "revision": revision}],
+            "writes": [],
+            "deletes": [key],
+        }
+        await self._call("POST", "/v1/kv-txn", content=change)
 
     def _record_unchanged(
         self, key: str, value: VersionedValue, item: _Item
@@ -214,24 +266,26 @@
 
         :returns: the given value.
         """
-        self._unchanged_through[key] = value.revision, item.store_revision
+        self._unchanged_through[key] = value.position, item.store_revision
         return value
 
-    def _watch_start(self, key: str, revision: int) -> int:
+    def _watch_start(self, key: str, after: StorePosition) -> int:
         """Return the store revision from which a watch continues.
 
         The store compacts its history, so it would reject a watch from the revision of
         a key that rarely changes.
         """
-        known_revision, unchanged_through = self._unchanged_through.get(key, (0, 0))
+        known, unchanged_through = self._unchanged_through.get(key, (None, 0))
         return (
-            max(revision, unchanged_through) if known_revision == revision else revision
+            max(after.revision, unchanged_through) if known == after else after.revision
         )
 
     @staticmethod
-    def _require_ok(status: int, operation: str) -> None:
-        if status != HTTPStatus.OK:
-            raise PlatformUnavailable(f"{operation}: unexpected status {status}")
+    def _require_ok(response: JsonResponse, operation: str) -> None:
+        if response.status != HTTPStatus.OK:
+            raise PlatformUnavailable(
+                f"{operation}: unexpected status {response.status}"
+            )
 
     async def _call(
         self,
@@ -241,8 +295,8 @@
         *,
         content: object = None,
         wait: float = 0.0,
-    ) -> tuple[int, bytes]:
-        """Send a request and return status and body of the response.
+    ) -> JsonResponse:
+        """Send a request and return the response.
 
         :param wait: seconds for which the store may block the call, on top of
             ``RESPONSE_TIMEOUT``.
@@ -252,7 +306,7 @@
         target = _encode_path(path, **query or {})
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT + wait):
-                return await request_json(
+                response = await request_json(
                     self._pool,
                     self._address,
                     POOL_KEY,
@@ -260,8 +314,11 @@
                     method,
                     target,
                     [],
+                    MAX_RESPONSE_BYTES,
                     content,
                 )
         except (ConnectionFailed, IncompleteResponse, TimeoutError) as error:
             kind = str(error) or type(error).__name__
             raise PlatformUnavailable(f"{method} {path}: {kind}") from error
+        self._era = max(self._era, _era(response))
+        return response
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -12,6 +12,21 @@
     """No connection could be opened; no byte of the request was sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class EngineNotice:
+    """What a response states about the endpoint rather than about the request.
+
+    :param is_leaving: whether the endpoint is leaving and is to get no new requests.
+    :param pause: seconds for which the endpoint wants no requests from this node.
+    """
+
+    is_leaving: bool = False
+    pause: float = 0.0
+
+
+NO_NOTICE = EngineNotice()
+
+
 @dataclass(frozen=True, slots=True)
 class EngineResponseHead:
     """The status and headers of the endpoint's response.
@@ -24,6 +39,7 @@
     headers: list[Header]
     is_success: bool
     is_event_stream: bool
+    notice: EngineNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +59,7 @@
     """The response was truncated or cannot be trusted; the request may have run."""
 
     reason: str
+    notice: EngineNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +74,7 @@
     status: int
     is_misdirected: bool
     is_group_broken: bool
+    notice: EngineNotice = NO_NOTICE
 
 
 EngineEvent = (
--- a/src/cyclamenyoke/ports/key_value_store.py
+++ b/src/cyclamenyoke/ports/key_value_store.py
@@ -1,13 +1,16 @@
 """The platform's key-value store: values with revisions, lists, watches and leases.
 
 The contract includes failures. Any call may raise :class:`PlatformUnavailable`, and a
-write whose response was lost may have taken effect or may take effect later.
+write whose response was lost may have taken effect or may take effect later. A store
+that is restored from an older copy loses recent writes and leases and begins a new era;
+revisions and leases of an earlier era mean nothing in it.
 """
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.exceptions import CyclamenyokeError
 
 
@@ -27,10 +30,17 @@
         was deleted returns the revision of the deletion instead, unless the store has
         compacted its history.
     :param value: ``None`` for a key that does not exist and for a watch without change.
+    :param era: the store's era when it returned the value.
     """
 
     revision: int
     value: bytes | None
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the value's last change."""
+        return StorePosition(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +57,18 @@
     """The result of a list.
 
     :param revision: revision of the whole store when the first page was read; it never
-        decreases.
+        decreases within an era.
+    :param era: the store's era when it returned the list.
     """
 
     items: Sequence[StoredItem]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position at which the first page was read."""
+        return StorePosition(self.era, self.revision)
 
 
 class KeyValueStore(ABC):
@@ -73,19 +90,20 @@
         :param expected_revision: 0 if the key must not exist.
         :param lease: id of the lease whose end removes the key; 0 for none.
         :raises RevisionConflict: when the key is at another revision.
-        :raises LeaseExpired: when there is no such lease.
+        :raises LeaseExpired: when there is no such lease, or it is of an earlier era.
         :raises PlatformUnavailable: when there is no usable response; the write may
             have taken effect or may take effect later.
         """
 
     @abstractmethod
     async def watch(
-        self, key: str, after_revision: int, deadline: float
+        self, key: str, after: StorePosition, deadline: float
     ) -> VersionedValue:
-        """Return the value once its revision is greater than ``after_revision``.
+        """Return the value once it has changed after a position.
 
-        Without a change, returns ``after_revision`` with ``None`` as the value,
-        possibly before the deadline.
+        Without a change, returns that position with ``None`` as the value, possibly
+        before the deadline. In a new era the current value is returned at once, whether
+        or not it differs.
 
         :param deadline: when to return at the latest, on the client's clock.
         :raises PlatformUnavailable: when there is no usable response.
@@ -112,7 +130,7 @@
     async def renew_lease(self, lease: int) -> None:
         """Restart the lifetime of a lease.
 
-        :raises LeaseExpired: when it has expired or was revoked.
+        :raises LeaseExpired: when it has expired, was revoked or is of an earlier era.
         :raises PlatformUnavailable: when there is no usable response.
         """
 
--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -27,6 +27,13 @@
 """Seconds between the last bytes of a response and the connection reset."""
 
 
+NOT_EXECUTED = "X-Not-Executed: 1"
+HEADER_LINES = b"X-Filler: aaaaaaaaaaaaaaaa\r\n" * 512
+LONG_CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+FIRST_EVENT = b"17\r\nid: 1\ndata: piece 1\n\n\r\n"
+COMMENT_CHUNK = b"4\r\n: .\n\r\n1\r\n\n\r\n"
+
+
 class Behaviour(enum.Enum):
     """How the stand-in handles one request."""
 
@@ -55,10 +62,32 @@
     """Leaves the signature header out."""
     ENCODED = "encoded"
     """Declares a Content-Encoding."""
+    ENDLESS_HEAD = "endless_head"
+    """Sends header lines until the caller closes the connection."""
+    ENDLESS_BODY = "endless_body"
+    """Sends a body until the caller closes the connection."""
+    ENDLESS_EVENT = "endless_event"
+    """Sends a stream with an event that never ends, a few bytes at a time."""
+    COMMENTS = "comments"
+    """Sends a stream with one event, then only comments."""
+    ENDLESS_REJECTION = "endless_rejection"
+    """Rejects the request, with a body that never ends."""
     WRONG_ID = "wrong_id"
     """Sends a late response to another request, then the right one."""
 
 
+ENDLESS = frozenset(
+    {
+        Behaviour.ENDLESS_HEAD,
+        Behaviour.ENDLESS_BODY,
+        Behaviour.ENDLESS_EVENT,
+        Behaviour.COMMENTS,
+        Behaviour.ENDLESS_REJECTION,
+    }
+)
+"""Behaviours that end only when the caller closes the connection."""
+
+
 @dataclass(slots=True)
 class EngineRequest:
     """One received request; header names are in lower case."""
@@ -131,6 +160,8 @@
         self.script: collections.deque[Behaviour] = collections.deque()
         self.keep_alive: int | None = 30
         self.event_interval = EVENT_INTERVAL
+        self.is_leaving = False
+        self.retry_after: str | None = None
         self.state = EngineState()
 
     @property
@@ -171,6 +202,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def add_headers(self) -> list[str]:
+        """Return what every response states about the engine itself."""
+        return ["Server-Leaving: 1"] if self.is_leaving else []
+
     def close_idle(self) -> None:
         """Close all connections, as after an idle timeout."""
         for writer in list(self._writers):
@@ -207,11 +242,17 @@
             writer.write(self._head(request, 421, ["X-Instance-Id: other"], b""))
             return
         if behaviour is Behaviour.BROKEN_GROUP:
-            fields = ["X-Not-Executed: 1", "At-Server: another"]
+            fields = [NOT_EXECUTED, "At-Server: another"]
             writer.write(self._head(request, 503, fields, b""))
             return
         if behaviour is Behaviour.REJECT:
-            writer.write(self._head(request, 503, ["X-Not-Executed: 1"], b""))
+            fields = [NOT_EXECUTED]
+            if self.retry_after is not None:
+                fields.append(f"Retry-After: {self.retry_after}")
+            writer.write(self._head(request, 503, fields, b""))
+            return
+        if behaviour in ENDLESS:
+            await self._respond_without_end(request, behaviour, writer)
             return
         self.state.executed.append(request)
         if behaviour is Behaviour.SILENT:
@@ -223,6 +264,35 @@
             return
         self._respond_plain(request, behaviour, writer)
 
+    async def _respond_without_end(
+        self,
+        request: EngineRequest,
+        behaviour: Behaviour,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send bytes until the caller closes the connection."""
+        stream = ["Content-Type: text/event-stream"]
+        status, fields, start, part, interval = {
+            Behaviour.ENDLESS_HEAD: (200, [], None, HEADER_LINES, 0.0),
+            Behaviour.ENDLESS_BODY: (200, [], b"", LONG_CHUNK, 0.0),
+            Behaviour.ENDLESS_EVENT: (200, stream, b"", b"1\r\nx\r\n", 0.05),
+            Behaviour.COMMENTS: (200, stream, FIRST_EVENT, COMMENT_CHUNK, 0.05),
+            Behaviour.ENDLESS_REJECTION: (503, [NOT_EXECUTED], b"", LONG_CHUNK, 0.0),
+        }[behaviour]
+        if status < 300:
+            self.state.executed.append(request)
+        if start is None:
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+        else:
+            writer.write(self._head(request, status, fields, None) + start)
+        try:
+            while not writer.is_closing():
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(interval)
+        finally:
+            self.state.disconnected += 1
+
     def _respond_plain(
         self,
         request: EngineRequest,
@@ -294,9 +364,9 @@
         fields: list[str],
         body: bytes | None,
     ) -> bytes:
-        lines = [f"HTTP/1.1 {status} Status", *fields]
+        lines = [f"HTTP/1.1 {status} Status", *fields, *self.add_headers()]
         lines.append(f"X-Request-Id: {request.headers.get('x-request-id', '')}")
-        if "X-Not-Executed: 1" not in fields and status != 421:
+        if NOT_EXECUTED not in fields and status != 421:
             lines.append(f"X-Response-Signature: signed-by-{self._id}")
         if self.keep_alive is not None:
             lines.append(f"Keep-Alive: timeout={self.keep_alive}")
--- a/src/cyclamenyoke/standins/platform.py
+++ b/src/cyclamenyoke/standins/platform.py
@@ -1,13 +1,14 @@
 """A stand-in for the platform's key-value store, with the platform's HTTP protocol.
 
 ``POST /v1/faults`` injects faults: outages, rejections, delays, responses lost before
-or after a change, changes applied late and a compacted history. Leases that are not
-renewed expire. ``POST /v1/put`` writes the keys that belong to the platform's operator
-and the engines.
+or after a change, changes applied late, a compacted history, and a restore from an
+older copy. Leases that are not renewed expire. ``POST /v1/put`` writes the keys that
+belong to the platform's operator and the engines.
 """
 
 import asyncio
 import base64
+import copy
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -49,6 +50,8 @@
     :param late: share of transactions that are applied late, while the call hangs.
     :param late_by: seconds until a late transaction is applied.
     :param forget: whether to compact the whole history now.
+    :param back_up: whether to make a copy of the contents now.
+    :param restore: whether to go back to the last copy now.
     """
 
     down: bool = False
@@ -59,6 +62,8 @@
     late: float = 0.0
     late_by: float = 200 * MILLISECOND
     forget: bool = False
+    back_up: bool = False
+    restore: bool = False
 
 
 class Write(msgspec.Struct):
@@ -122,6 +127,7 @@
     :param history: one event per change, oldest first.
     :param compacted_revision: the revision up to which events were dropped.
     :param calls: number of calls, by kind; a watch counts as one.
+    :param era: increases with each restore; every response states it.
     """
 
     values: dict[str, StoredValue] = field(default_factory=dict)
@@ -131,6 +137,16 @@
     faults: Faults = field(default_factory=Faults)
     calls: dict[str, int] = field(default_factory=dict)
     revision: int = 0
+    era: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Backup:
+    """A copy of the contents, without the history."""
+
+    values: dict[str, StoredValue]
+    leases: dict[int, Lease]
+    revision: int
 
 
 def _json(content: object, status: int = 200) -> Response[bytes]:
@@ -147,6 +163,7 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._state = PlatformState()
+        self._backup = Backup({}, {}, 0)
         self._changed = asyncio.Condition()
 
     @property
@@ -174,15 +191,39 @@
             event = {"key": key, "revision": self._state.revision, "deleted": True}
             self._state.history.append(event)
 
+    def back_up(self) -> None:
+        """Copy the contents, for a later restore."""
+        state = self._state
+        self._backup = Backup(
+            dict(state.values), copy.deepcopy(state.leases), state.revision
+        )
+
+    def restore(self) -> None:
+        """Go back to the last copy, and begin a new era.
+
+        Revisions that were assigned since the copy are assigned again.
+        """
+        state, backup = self._state, self._backup
+        state.values = dict(backup.values)
+        state.leases = copy.deepcopy(backup.leases)
+        state.revision = state.compacted_revision = backup.revision
+        state.history.clear()
+        state.era += 1
+
     def application(self) -> Litestar:
         """Return the ASGI application."""
         return Litestar(
             [*self._read_routes(), *self._lease_routes(), *self._write_routes()],
+            after_request=self._state_era,
             openapi_config=None,
             logging_config=None,
             request_max_body_size=MAX_BODY_BYTES,
         )
 
+    def _state_era(self, response: Response[Any]) -> Response[Any]:
+        response.headers["Store-Era"] = str(self._state.era)
+        return response
+
     def _read_routes(self) -> list[HTTPRouteHandler]:
         @get("/v1/kv-key")
         async def read(key: str) -> Response[bytes]:
@@ -258,11 +299,8 @@
 
         @post("/v1/faults", status_code=200)
         async def set_faults(request: Request[Any, Any, Any]) -> Response[bytes]:
-            self._state.faults = msgspec.json.decode(await request.body(), type=Faults)
-            if self._state.faults.forget:
-                self._state.history.clear()
-                self._state.compacted_revision = self._state.revision
-            await self._notify()
+            faults = msgspec.json.decode(await request.body(), type=Faults)
+            await self._inject(faults)
             return _json({})
 
         @post("/v1/put", status_code=200)
@@ -278,6 +316,18 @@
 
         return [transact, calls, set_faults, put]
 
+    async def _inject(self, faults: Faults) -> None:
+        """Put faults into effect; those that happen at once happen here."""
+        self._state.faults = faults
+        if faults.back_up:
+            self.back_up()
+        if faults.restore:
+            self.restore()
+        if faults.forget:
+            self._state.history.clear()
+            self._state.compacted_revision = self._state.revision
+        await self._notify()
+
     async def _admit(self, kind: str) -> bool:
         """Count a call and apply the faults; return whether the call may proceed."""
         calls = self._state.calls
@@ -370,8 +420,11 @@
             ]
 
         def can_respond() -> bool:
-            is_compacted = after < self._state.compacted_revision
-            return bool(events()) or self._state.faults.down or is_compacted
+            return bool(events()) or self._state.faults.down or is_unavailable()
+
+        def is_unavailable() -> bool:
+            """Whether the store has no history from that revision."""
+            return not (self._state.compacted_revision <= after <= self._state.revision)
 
         try:
             async with asyncio.timeout(wait), self._changed:
@@ -380,6 +433,6 @@
             pass
         if self._state.faults.down:
             return self._rejection()
-        if after < self._state.compacted_revision:
+        if is_unavailable():
             return Response(b"", status_code=410)
         return _json({"events": events(), "store_revision": self._state.revision})
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -2,10 +2,10 @@
 
 The daemon's own cluster state, membership and forwarder code runs unchanged. Store,
 engines, gossip and callers are models that inject faults: lost and delayed writes,
-entries that expire during an outage, nodes whose store calls fail, network partitions,
-killed and gracefully stopped nodes, clock jumps, and engines that reject requests,
-crash, stop responding or reset connections. Everything that callers and engines
-observe is checked against the gateway's invariants.
+entries that expire during an outage, a store that is restored from an older copy, nodes
+whose store calls fail, network partitions, killed and gracefully stopped nodes, clock
+jumps, and engines that reject requests, crash, stop responding or reset connections.
+Everything that callers and engines observe is checked against the gateway's invariants.
 
 Run with ``PYTHONPATH=tests python -m gateway_soak --seed 1 --seconds 120``.
 """
@@ -45,6 +45,7 @@
 from cyclamenyoke.ports.engine import (
     EngineCall,
     EngineClient,
+    EngineNotice,
     EngineResponseData,
     EngineResponseEnd,
     EngineResponseFailed,
@@ -75,6 +76,10 @@
 FAULT_FREE_INTERVAL, FAULT_FREE_DURATION = 30.0, 12.0
 """Seconds between the starts of two fault-free periods, and length of each."""
 
+PAUSE, PAUSE_REACTION, MAX_ARRIVALS_IN_PAUSE = 4.0, 0.5, 2
+"""Seconds for which a rejecting engine wants no requests, seconds within which requests
+on their way may still arrive, and how many may arrive after that."""
+
 EVENTS_PER_STREAM = 6
 ROUTES = ("order", "lookup", "stream", "extra")
 NOT_RUN_REASONS = {
@@ -166,6 +171,9 @@
         self.values: dict[str, tuple[int, bytes, int]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 1
+        self.era = 1
+        # Contents, leases and revision of an older copy of the store.
+        self.backup: tuple[dict, dict, int] = {}, {}, 1
         self.store_outage = ""
         self.rejected_ips: set[str] = set()
         self.store_delay_factor = 1.0
@@ -183,6 +191,7 @@
         self.violations: list[str] = []
         self.clock_offset = 0.0
         self.config_version = 0
+        self.config = b""
 
     def put(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Write a key, or delete it if the value is ``None``; return the revision."""
@@ -221,7 +230,8 @@
         config = configuration(self.config_version)
         if has_extra:
             config["routes"].append(route("extra", "safe", "app"))
-        self.put(CONFIG_KEY, json.dumps(config).encode())
+        self.config = json.dumps(config).encode()
+        self.put(CONFIG_KEY, self.config)
         self.published.append((self.clock.now(), self.config_version, has_extra))
 
 
@@ -231,6 +241,7 @@
     def __init__(self, env: Environment, ip: str) -> None:
         self._env = env
         self._ip = ip
+        self._lease_eras: dict[int, int] = {}
 
     async def _simulate_call(self) -> None:
         env = self._env
@@ -244,7 +255,7 @@
     async def get(self, key):
         await self._simulate_call()
         revision, value, _ = self._env.values.get(key, (0, None, 0))
-        return VersionedValue(revision, value)
+        return VersionedValue(revision, value, self._env.era)
 
     async def compare_and_swap(self, key, expected_revision, value, lease=0):
         await self._simulate_call()
@@ -267,16 +278,18 @@
         env = self._env
         if env.values.get(key, (0,))[0] != expected:
             return RevisionConflict(key)
-        if lease and lease not in env.leases:
+        if lease and not self._is_current(lease):
             return LeaseExpired(key)
         return env.put(key, value, lease)
 
-    async def watch(self, key, after_revision, deadline):
+    async def watch(self, key, after, deadline):
         while True:
             await self._simulate_call()
             revision, value, _ = self._env.values.get(key, (0, None, 0))
-            if revision > after_revision or self._env.clock.now() >= deadline:
-                return VersionedValue(max(revision, after_revision), value)
+            if (self._env.era, revision) > after:
+                return VersionedValue(revision, value, self._env.era)
+            if self._env.clock.now() >= deadline:
+                return VersionedValue(after.revision, None, after.era)
             await asyncio.sleep(0.1)
 
     async def list(self, prefix):
@@ -286,18 +299,23 @@
             for key, (revision, value, _) in sorted(self._env.values.items())
             if key.startswith(prefix)
         ]
-        return KeyList(items, self._env.revision)
+        return KeyList(items, self._env.revision, self._env.era)
 
     async def grant_lease(self, lifetime):
         await self._simulate_call()
         self._env.revision += 1
         lease = self._env.revision
         self._env.leases[lease] = self._env.clock.now() + lifetime, lifetime
+        self._lease_eras[lease] = self._env.era
         return lease
 
+    def _is_current(self, lease: int) -> bool:
+        """Return whether a lease exists and was granted in the store's era."""
+        return lease in self._env.leases and self._lease_eras[lease] == self._env.era
+
     async def renew_lease(self, lease):
         await self._simulate_call()
-        if lease not in self._env.leases:
+        if not self._is_current(lease):
             raise LeaseExpired(str(lease))
         lifetime = self._env.leases[lease][1]
         self._env.leases[lease] = self._env.clock.now() + lifetime, lifetime
@@ -350,6 +368,7 @@
     :param drain_started_at: when its entry in the store changed to draining.
     :param fault: what happens to a part of its requests: ``rejects``, ``silent``,
         ``fails`` or ``resets``; empty for none.
+    :param states_leaving: whether its responses state that it is draining.
     """
 
     id: str
@@ -360,6 +379,7 @@
     is_draining: bool = False
     drain_started_at: float | None = None
     fault: str = ""
+    states_leaving: bool = False
 
     def entry(self) -> bytes:
         """Return its registry entry as the store holds it."""
@@ -391,10 +411,40 @@
         observed.service = engine.service
         observed.arrival_times.append(env.clock.now())
         self._check_drain(engine)
+        self._check_notices(engine, observed)
         return SimulatedEngineCall(
             self._serve(engine, request.request_id, observed, last_event_id)
         )
 
+    def _check_notices(self, engine: SimulatedEngine, request: ObservedRequest) -> None:
+        """Check what this node was told by the engine itself, during faults, too."""
+        now, node = self._env.clock.now(), self._node
+        key = engine.id, engine.incarnation
+        told_at = node.told_leaving_at.get(key)
+        if told_at is not None and request.sent_at > told_at + BOUNDS.drain:
+            self._env.report_violation(f"{engine.id} gets work after Server-Leaving")
+        since, arrivals = node.told_pause_at.get(key, (-PAUSE, 0))
+        if since + PAUSE_REACTION < now < since + PAUSE:
+            node.told_pause_at[key] = since, arrivals + 1
+            if arrivals + 1 > MAX_ARRIVALS_IN_PAUSE:
+                self._env.report_violation(f"{engine.id} gets work during its pause")
+
+    def _reject(self, engine: SimulatedEngine) -> NotExecuted:
+        """Return a rejection that asks for a pause, and note it for the check."""
+        now, key = self._env.clock.now(), (engine.id, engine.incarnation)
+        if now >= self._node.told_pause_at.get(key, (-PAUSE, 0))[0] + PAUSE:
+            self._node.told_pause_at[key] = now, 0
+        return NotExecuted(503, False, False, EngineNotice(pause=PAUSE))
+
+    def _notice(self, engine: SimulatedEngine) -> EngineNotice:
+        """Return what a response of an engine states about the engine."""
+        is_leaving = engine.is_draining and engine.states_leaving
+        if is_leaving:
+            self._node.told_leaving_at.setdefault(
+                (engine.id, engine.incarnation), self._env.clock.now()
+            )
+        return EngineNotice(is_leaving=is_leaving)
+
     def _check_drain(self, engine: SimulatedEngine) -> None:
         now = self._env.clock.now()
         late = (
@@ -414,17 +464,17 @@
         random = self._env.random
         draw = random.random()
         if engine.fault == "rejects" and draw < 0.4:
-            yield NotExecuted(503, False, False)
+            yield self._reject(engine)
             return
         request.run_times.append(self._env.clock.now())
         if engine.fault == "silent" and draw < 0.4:
             await asyncio.sleep(3600)
         if engine.fault == "fails" and draw < 0.4:
-            yield EngineResponseHead(500, [], False, False)
+            yield EngineResponseHead(500, [], False, False, self._notice(engine))
             yield EngineResponseEnd()
             return
         is_stream = engine.service == "llm"
-        yield EngineResponseHead(200, [], True, is_stream)
+        yield EngineResponseHead(200, [], True, is_stream, self._notice(engine))
         for number in range(
             (last_event_id or 0) + 1, EVENTS_PER_STREAM + 1 if is_stream else 2
         ):
@@ -465,6 +515,10 @@
         self.started_at = env.clock.now()
         self.is_stopping = False
         self.requests: set[asyncio.Task] = set()
+        # By id and incarnation of an engine: when it told this node that it leaves, and
+        # when it asked this node for a pause, with the number of arrivals since.
+        self.told_leaving_at: dict[tuple[str, int], float] = {}
+        self.told_pause_at: dict[tuple[str, int], tuple[float, int]] = {}
         clock, random, metrics = env.clock, env.random, Metrics()
         log, monitor = Log("soak"), CollectingMonitor(env.violations)
         settings = NodeSettings(
@@ -493,7 +547,7 @@
             SimulatedEngineClient(env, self), balancer, self.peers, settings,
             lambda: self.cluster_state.config, self.cluster_state.list_age,
             self.cluster_state.wait_until_synced, self.membership.announce,
-            clock, random,
+            self.cluster_state.mark_leaving, clock, random,
             monitor, metrics, log,
         )  # fmt: skip
         self.cluster_state.on_change = self.membership.announce
@@ -576,6 +630,7 @@
                 env.nodes[f"10.0.0.{number}"] = Node(env, number)
             work = [
                 self._inject_faults(),
+                self._back_up_store(),
                 self._publish_configs(),
                 self._run_planned_changes(),
                 self._generate_requests(),
@@ -597,6 +652,7 @@
 
     def _add_engine(self, service: str, id_: str) -> None:
         engine = SimulatedEngine(id_, service, f"10.1.0.{next(self.numbers)}:80")
+        engine.states_leaving = self.env.random.random() < 0.5
         self.env.engines[engine.address] = engine
         self.env.put(ENDPOINT_PREFIX + id_, engine.entry())
 
@@ -619,6 +675,7 @@
             self._fail_store, self._lose_store_writes, self._reject_nodes_at_store,
             self._partition_nodes, self._kill_nodes, self._make_engine_faulty,
             self._crash_engine, self._shift_clock, self._expire_engine_entries,
+            self._restore_store,
         ]  # fmt: skip
         while True:
             await asyncio.sleep(random.expovariate(0.8))
@@ -676,6 +733,41 @@
             if engine.is_alive and not engine.is_draining:
                 env.put(ENDPOINT_PREFIX + engine.id, engine.entry())
 
+    async def _restore_store(self) -> None:
+        """Restore the store from an older copy, sometimes twice in a row."""
+        env = self.env
+        env.note_fault(6)
+        for _ in range(env.random.choice([1, 1, 2])):
+            values, leases, revision = env.backup
+            env.store_outage = "rejects"
+            await asyncio.sleep(env.random.uniform(0.1, 1))
+            env.values, env.leases, env.revision = dict(values), dict(leases), revision
+            env.era += 1
+            env.store_outage = ""
+            await asyncio.sleep(env.random.uniform(0, 0.5))
+        await self._write_again()
+
+    async def _write_again(self) -> None:
+        """Write again what the operator and the engines had written."""
+        env = self.env
+        env.put(CONFIG_KEY, env.config)
+        listed = {each.id for each in env.engines.values() if each.is_alive}
+        for key in [key for key in env.values if key.startswith(ENDPOINT_PREFIX)]:
+            if key.removeprefix(ENDPOINT_PREFIX) not in listed:
+                await asyncio.sleep(env.random.uniform(0, 0.1))
+                env.put(key, None)
+        for engine in list(env.engines.values()):
+            await asyncio.sleep(env.random.uniform(0, 0.2))
+            if engine.is_alive:
+                env.put(ENDPOINT_PREFIX + engine.id, engine.entry())
+
+    async def _back_up_store(self) -> None:
+        """Copy the store every few seconds."""
+        env = self.env
+        while True:
+            env.backup = dict(env.values), dict(env.leases), env.revision
+            await asyncio.sleep(env.random.uniform(1, 6))
+
     async def _reject_nodes_at_store(self) -> None:
         env, ips = self.env, set(self._sample_node_ips())
         env.note_fault(5)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -66,10 +66,12 @@
         self.used = 0
         self.customers: Counter[str] = Counter()
         self.queued_at_peers = 0
+        self.pause = 0.0
         self.admission = Admission(
             self._find,
             lambda service: self.used,
             lambda service: {"c": self.queued_at_peers},
+            lambda request, now: self.pause,
             self._scarcity,
             RaisingMonitor(),
         )
@@ -375,3 +377,15 @@
     p95 = int(0.95 * len(others))
     assert others[p95] <= 1.2 * baseline[int(0.95 * len(baseline))]
     assert rejected_count <= 0.01 * sent_count
+
+
+def test_queued_and_new_requests_are_rejected_at_once_while_all_endpoints_pause():
+    service = SimulatedService(slots=1)
+    assert isinstance(service.admission.decide(make_request(), NOW), Admitted)
+    service.admission.on_duration("llm", 0.1)
+    queued = make_request()
+    queued.queue_deadline = NOW + 60
+    assert isinstance(service.admission.decide(queued, NOW), Enqueued)
+    service.pause = 7.0
+    assert list(service.admission.dispatch(NOW)) == [(queued, Rejected(7.0))]
+    assert service.admission.decide(make_request(), NOW) == Rejected(7.0)
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -16,6 +16,7 @@
     GatewayConfig,
     Service,
 )
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.daemon.expert_rebalancer import LOAD_CHECK_INTERVAL, ExpertRebalancer
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
@@ -56,6 +57,21 @@
         self._values: dict[str, tuple[int, bytes, int]] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._revision = 0
+        self._lease_eras: dict[int, int] = {}
+        self.era = 1
+        self.era_seen_at = -100.0
+
+    def era_age(self, era: int) -> float:
+        """Return the seconds for which a node that reads lists has known an era."""
+        return LoopClock().now() - self.era_seen_at if era == self.era else 0.0
+
+    def restore(self) -> None:
+        """Lose everything, and begin a new era that nodes see at once."""
+        self._values.clear()
+        self._leases.clear()
+        self._revision = 0
+        self.era += 1
+        self.era_seen_at = LoopClock().now()
 
     def _expire(self) -> None:
         now = LoopClock().now()
@@ -69,19 +85,19 @@
     async def get(self, key):
         self._expire()
         revision, value, _ = self._values.get(key, (0, None, 0))
-        return VersionedValue(revision, value)
+        return VersionedValue(revision, value, self.era)
 
     async def compare_and_swap(self, key, expected_revision, value, lease=0):
         self._expire()
         if self._values.get(key, (0,))[0] != expected_revision:
             raise RevisionConflict(key)
-        if lease and lease not in self._leases:
+        if lease and not self._is_current(lease):
             raise LeaseExpired(key)
         self._revision += 1
         self._values[key] = self._revision, value, lease
         return self._revision
 
-    async def watch(self, key, after_revision, deadline):
+    async def watch(self, key, after, deadline):
         raise NotImplementedError
 
     async def list(self, prefix):
@@ -90,11 +106,15 @@
     async def grant_lease(self, lifetime):
         self._revision += 1
         self._leases[self._revision] = LoopClock().now() + lifetime, lifetime
+        self._lease_eras[self._revision] = self.era
         return self._revision
 
+    def _is_current(self, lease: int) -> bool:
+        return lease in self._leases and self._lease_eras[lease] == self.era
+
     async def renew_lease(self, lease):
         self._expire()
-        if lease not in self._leases:
+        if not self._is_current(lease):
             raise LeaseExpired(str(lease))
         lifetime = self._leases[lease][1]
         self._leases[lease] = LoopClock().now() + lifetime, lifetime
@@ -261,14 +281,15 @@
         self.random = Random(seed)
         self.ranks = SimulatedRanks(self.random, unanswered_ratio)
         self.store = MemoryStore()
-        self.preferred_node = ""
+        # Names of the nodes that may hold the lock, of one letter each.
+        self.preferred_nodes = ""
         self.gap_ratio = 0.7
         self.registry = EndpointRegistry()
         self.endpoints = [
             Endpoint(f"r{n}", "llm", "127.0.0.1:1", "dc", 6, False, 1)
             for n in range(RANKS)
         ]
-        self.registry.apply_list(self.endpoints, 1, 1.0, 1.0)
+        self.registry.apply_list(self.endpoints, StorePosition(1, 1), 1.0, 1.0)
         service = Service("llm", "/", 10, None, LAYOUT)
         self.config = GatewayConfig(1, (), {"llm": service}, CallerLimits(), {}, False)
 
@@ -283,7 +304,8 @@
             self.registry,
             balancer,
             lambda: self.config,
-            lambda holds_lock: self.preferred_node == name,
+            self.store.era_age,
+            lambda holds_lock: name in self.preferred_nodes,
             lambda service: 0,
             lambda service: self.gap_ratio,
             name,
@@ -296,7 +318,7 @@
 @pytest.mark.looptime
 async def test_maps_follow_expert_load_without_delaying_passes():
     cluster = Cluster(1, unanswered_ratio=0.0)
-    cluster.preferred_node = "a"
+    cluster.preferred_nodes = "a"
     passes = asyncio.create_task(cluster.ranks.run_passes())
     rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
     await asyncio.sleep(30)
@@ -317,8 +339,8 @@
     names = iter("abcdefghijklmnopqrstuvwxyz")
     running = []
     for _ in range(8):
-        cluster.preferred_node = next(names)
-        task = asyncio.create_task(cluster.rebalancer(cluster.preferred_node).run())
+        cluster.preferred_nodes = next(names)
+        task = asyncio.create_task(cluster.rebalancer(cluster.preferred_nodes).run())
         running.append(task)
         await asyncio.sleep(cluster.random.uniform(2, 8))
         if cluster.random.random() < 0.5:
@@ -345,13 +367,13 @@
 async def test_pass_held_by_killed_rebalancer_is_released_within_lease_and_a_second():
     cluster = Cluster(3, unanswered_ratio=0.0)
     passes = asyncio.create_task(cluster.ranks.run_passes())
-    cluster.preferred_node = "a"
+    cluster.preferred_nodes = "a"
     first = asyncio.create_task(cluster.rebalancer("a").run())
     async with asyncio.timeout(30):
         while not any(rank.held for rank in cluster.ranks.ranks):
             await asyncio.sleep(0.0005)
     first.cancel()
-    cluster.preferred_node = "b"
+    cluster.preferred_nodes = "b"
     second = asyncio.create_task(cluster.rebalancer("b").run())
     await asyncio.sleep(6)
     assert max(cluster.ranks.pass_intervals) <= 2.5
@@ -365,7 +387,7 @@
 async def test_lock_moves_at_once_when_its_holder_is_no_longer_preferred():
     cluster = Cluster(4, unanswered_ratio=0.0)
     passes = asyncio.create_task(cluster.ranks.run_passes())
-    cluster.preferred_node = "a"
+    cluster.preferred_nodes = "a"
     first, second = cluster.rebalancer("a"), cluster.rebalancer("b")
     running = [asyncio.create_task(each.run()) for each in (first, second)]
     async with asyncio.timeout(5):
@@ -373,7 +395,7 @@
             await asyncio.sleep(0.01)
     await asyncio.sleep(2)
     assert first.holds_lock and not second.holds_lock
-    cluster.preferred_node = "b"
+    cluster.preferred_nodes = "b"
     # The first one stops at its next load check; the second then takes the lock.
     await asyncio.sleep(2 * LOAD_CHECK_INTERVAL + 0.3)
     assert second.holds_lock and not first.holds_lock
@@ -392,7 +414,7 @@
 async def test_maps_are_not_changed_while_stream_gaps_are_short():
     cluster = Cluster(5, unanswered_ratio=0.0)
     cluster.gap_ratio = 0.5
-    cluster.preferred_node = "a"
+    cluster.preferred_nodes = "a"
     passes = asyncio.create_task(cluster.ranks.run_passes())
     rebalancer = asyncio.create_task(cluster.rebalancer("a", requests=4).run())
     await asyncio.sleep(10)
@@ -430,3 +452,72 @@
     plan = plan_map(initial_map(layout, 8), [[10.0] * 64] * 2, layout)
     assert plan.total_loads == 0
     assert not plan.is_worthwhile
+
+
+def restore_store(cluster: Cluster) -> None:
+    """Restore the store from an empty copy; all nodes learn of it from lists."""
+    cluster.store.restore()
+    position = StorePosition(cluster.store.era, 1)
+    cluster.registry.apply_list(cluster.endpoints, position, 1.0, 1.0)
+
+
+@pytest.mark.looptime
+async def test_two_nodes_never_hold_the_lock_when_the_store_loses_it():
+    cluster = Cluster(6, unanswered_ratio=0.0)
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    cluster.preferred_nodes = "ab"
+    nodes = [cluster.rebalancer("a"), cluster.rebalancer("b")]
+    running = [asyncio.create_task(each.run()) for each in nodes]
+    holders = set()
+    for step in range(3000):
+        await asyncio.sleep(0.01)
+        held_by = [number for number, each in enumerate(nodes) if each.holds_lock]
+        assert len(held_by) <= 1
+        holders.update(held_by)
+        if step % 333 == 332:
+            restore_store(cluster)
+    assert holders == {0, 1}
+    for task in [passes, *running]:
+        task.cancel()
+    await asyncio.gather(passes, *running, return_exceptions=True)
+
+
+@pytest.mark.looptime
+async def test_maps_that_a_restored_store_lost_are_known_to_the_next_holder():
+    cluster = Cluster(7, unanswered_ratio=0.0)
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    cluster.preferred_nodes = "a"
+    running = [
+        asyncio.create_task(cluster.rebalancer(name).run()) for name in ("a", "b")
+    ]
+    async with asyncio.timeout(30):
+        while cluster.ranks.switches < RANKS:
+            await asyncio.sleep(0.01)
+    restore_store(cluster)
+    cluster.preferred_nodes = "b"
+    before = cluster.ranks.switches
+    await asyncio.sleep(20)
+    assert cluster.ranks.switches >= before + RANKS
+    for task in [passes, *running]:
+        task.cancel()
+    await asyncio.gather(passes, *running, return_exceptions=True)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("seed", range(6))
+async def test_no_pass_mixes_maps_while_the_store_is_restored_again_and_again(seed):
+    cluster = Cluster(seed, unanswered_ratio=unanswered_ratio_of(seed))
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    names = "abc"
+    running = [asyncio.create_task(cluster.rebalancer(name).run()) for name in names]
+    for _ in range(10):
+        cluster.preferred_nodes = "".join(cluster.random.sample(names, 2))
+        await asyncio.sleep(cluster.random.uniform(0.2, 6))
+        restore_store(cluster)
+        assert not passes.done(), passes.exception()
+    await asyncio.sleep(10)
+    assert not passes.done(), passes.exception()
+    assert cluster.ranks.switches > 0
+    for task in [passes, *running]:
+        task.cancel()
+    await asyncio.gather(passes, *running, return_exceptions=True)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import resource
 
 import pytest
 
+from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE
 from cyclamenyoke.standins.engine import STREAM_EVENTS, Behaviour
 from site_fixture import (
     API_KEY,
@@ -24,6 +26,15 @@
 )
 
 
+def peak_memory() -> int:
+    """Return the largest resident size of this process so far, in bytes."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIBIBYTE
+
+
+def sum_of_disconnects(site) -> int:
+    return sum(engine.state.disconnected for engine in site.engines.values())
+
+
 def executed_requests(site):
     return [each for engine in site.engines.values() for each in engine.state.executed]
 
@@ -367,3 +378,139 @@
         responses = [await site.post(node, "/stream/a") for _ in range(6)]
         assert all(response.is_complete for response in responses)
         assert len(broken_engine.state.received) <= 1
+
+
+def engine_with_stream(site):
+    return next(engine for id_, engine in site.engines.items() if "llm" in id_)
+
+
+async def test_engine_that_states_that_it_leaves_gets_no_further_requests():
+    async with running_site(gateways=2) as site:
+        first, second = (settings for _, settings, _ in site.gateways)
+        leaving = site.engines["i-app-0"]
+        leaving.is_leaving = True
+        while not leaving.state.received:
+            assert (await site.get(first, "/lookup/a")).status == 200
+        received = len(leaving.state.received)
+        for _ in range(6):
+            assert (await site.get(first, "/lookup/a")).status == 200
+        # Peers are told at once, although the store still lists the engine as ready.
+        await asyncio.sleep(0.2)
+        for _ in range(6):
+            assert (await site.get(second, "/lookup/a")).status == 200
+        assert len(leaving.state.received) == received
+
+
+async def test_engine_that_asks_for_a_pause_gets_nothing_until_it_ends():
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        pausing = site.engines["i-app-0"]
+        pausing.retry_after = "0.8"
+        pausing.script.append(Behaviour.REJECT)
+        while not pausing.state.received:
+            assert (await site.get(node, "/lookup/a")).status == 200
+        asked_at = asyncio.get_running_loop().time()
+        for _ in range(8):
+            assert (await site.get(node, "/lookup/a")).status == 200
+        assert asyncio.get_running_loop().time() < asked_at + 0.7
+        assert len(pausing.state.received) == 1
+        await asyncio.sleep(0.9)
+        for _ in range(8):
+            await site.get(node, "/lookup/a")
+        assert len(pausing.state.received) > 1
+
+
+async def test_caller_is_rejected_at_once_with_the_time_until_an_engine_is_back():
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        for id_, pause in (("i-app-0", "5"), ("i-app-1", "3.5")):
+            site.engines[id_].retry_after = pause
+            site.engines[id_].script.append(Behaviour.REJECT)
+        first = await site.get(node, "/lookup/a")
+        assert first.status == 503
+        started_at = asyncio.get_running_loop().time()
+        second = await site.post(node, "/order/a")
+        assert asyncio.get_running_loop().time() < started_at + 0.1
+        assert second.status == 503
+        assert 3.2 < float(second.headers["retry-after"]) <= 3.5
+        assert sum(len(e.state.received) for e in site.engines.values()) == 2
+
+
+@pytest.mark.parametrize("nonsense", ["", "-3", "soon", "nan", "1e999x"])
+async def test_nonsense_as_retry_after_of_an_engine_is_ignored(nonsense):
+    async with running_site(engines=1) as site:
+        engine = site.engines["i-app-0"]
+        engine.retry_after = nonsense
+        engine.script.append(Behaviour.REJECT)
+        node = site.gateways[0][1]
+        assert (await site.get(node, "/lookup/a")).status == 503
+        assert (await site.get(node, "/lookup/a")).status == 200
+
+
+@pytest.mark.parametrize("behaviour", [Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY])
+async def test_response_without_end_is_given_up_with_bounded_memory(behaviour):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        script_engines(site, "app", behaviour)
+        memory = peak_memory()
+        response = await site.post(node, "/order/a")
+        assert response.status == 502
+        assert peak_memory() < memory + 100 * MEBIBYTE
+        assert len(executed_requests(site)) == 1
+        await site.wait_until(lambda: sum_of_disconnects(site) == 1)
+        assert (await site.get(node, "/lookup/a")).status == 200
+
+
+async def test_many_responses_without_end_share_one_bound_of_memory():
+    callers = 200
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        script_engines(site, "app", *[Behaviour.ENDLESS_BODY] * callers)
+        memory = peak_memory()
+        responses = await asyncio.gather(
+            *(site.get(node, "/lookup/a") for _ in range(callers))
+        )
+        assert {response.status for response in responses} <= {502, 503, 504}
+        # The engines run in this process, too, and buffer what was not yet read.
+        assert peak_memory() < memory + 150 * MEBIBYTE
+
+
+async def test_rejection_without_end_is_taken_at_its_word():
+    async with running_site() as site:
+        script_engines(site, "app", Behaviour.ENDLESS_REJECTION)
+        response = await site.post(site.gateways[0][1], "/order/a")
+        assert response.status == 503
+        assert executed_requests(site) == []
+        await site.wait_until(lambda: sum_of_disconnects(site) >= 1)
+
+
+@pytest.mark.parametrize("behaviour", [Behaviour.ENDLESS_EVENT, Behaviour.COMMENTS])
+async def test_stream_that_only_sends_bytes_now_and_then_is_resumed_elsewhere(
+    behaviour,
+):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        stalled = engine_with_stream(site)
+        while not stalled.state.disconnected:
+            stalled.script.append(behaviour)
+            response = await site.post(node, "/stream/a", deadline=5000)
+            stalled.script.clear()
+        assert response.is_complete
+        events = [e for e in response.body.split(b"\n\n") if e.startswith(b"id")]
+        assert b"\n\n".join(events) + b"\n\n" == COMPLETE_STREAM
+
+
+async def test_slow_but_sound_stream_is_not_cut():
+    async with running_site() as site:
+        stream = route("stream", "streaming", "llm", resumable=True, timeout_ms=6000)
+        site.publish(configuration(2, routes=[{**stream, "target_gap_ms": 120}]))
+        await site.notify_watches()
+        for engine in site.engines.values():
+            engine.event_interval = 0.7
+        await asyncio.sleep(0.2)
+        response = await site.post(
+            site.gateways[0][1], "/stream/a", deadline=8000, request_id="00bb"
+        )
+        assert response.is_complete
+        assert response.body == COMPLETE_STREAM
+        assert len(executed_requests(site)) == 1
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -346,3 +346,118 @@
     path = tmp_path / "renewed.toml"
     write_settings(path, **bounds)
     return load_settings(path)
+
+
+async def restore_store(site) -> None:
+    """Bring the store back from its last copy after a moment's outage."""
+    await set_faults(site, down=True)
+    await asyncio.sleep(0.3)
+    site.platform.restore()
+    await set_faults(site)
+
+
+async def test_restored_store_brings_back_neither_configuration_nor_leaving_engines():
+    async with running_site(gateways=2) as site:
+        site.platform.back_up()
+        new_route = {**configuration(2), "routes": [route("new", "safe", "app")]}
+        site.publish(new_route)
+        leaving = site.engines["i-app-0"]
+        site.platform.put("servers/i-app-0", leaving.entry("app", "draining"))
+        await site.notify_watches()
+        await asyncio.sleep(1.2)
+        await restore_store(site)
+        await asyncio.sleep(1.2)
+        for _ in range(4):
+            for _, node, _ in site.gateways:
+                assert (await site.get(node, "/lookup/a")).status == 404
+                assert (await site.get(node, "/new/a")).status == 200
+        assert leaving.state.received == []
+
+
+async def test_restored_store_is_followed_although_its_revisions_went_back():
+    async with running_site(gateways=2) as site:
+        site.platform.back_up()
+        for number in range(200):
+            site.platform.put("other", b"%d" % number)
+        await asyncio.sleep(1.2)
+        await restore_store(site)
+        site.publish({**configuration(2), "routes": [route("new", "safe", "app")]})
+        added = await site.add_engine("app", "i-app-added")
+        await site.notify_watches()
+        nodes = [node for _, node, _ in site.gateways]
+
+        async def serve_with_added_engine():
+            responses = [await site.get(node, "/new/a") for node in nodes]
+            assert {response.status for response in responses} <= {200, 404}
+            return len(added.state.received) > 4
+
+        await site.wait_until(serve_with_added_engine, 2.5)
+        for node in nodes:
+            assert (await site.get(node, "/new/a")).status == 200
+
+
+async def test_engine_that_the_restored_store_lost_is_used_until_it_registers_again():
+    async with running_site(gateways=2, engines=1) as site:
+        site.platform.back_up()
+        added = await site.add_engine("app", "i-app-added")
+        await asyncio.sleep(1.2)
+        await restore_store(site)
+        await asyncio.sleep(0.8)
+        before = len(added.state.received)
+        for _, node, _ in site.gateways:
+            for _ in range(4):
+                assert (await site.get(node, "/lookup/a")).status == 200
+        assert len(added.state.received) > before
+
+
+async def test_registrations_that_the_restored_store_lost_are_written_again():
+    async with running_site(gateways=0) as site:
+        site.platform.back_up()
+        for _ in range(3):
+            await site.add_gateway()
+        await asyncio.sleep(0.5)
+        await restore_store(site)
+        site.publish(configuration(2))
+        keys = {f"cyclamenyoke/nodes/{node.ip}" for _, node, _ in site.gateways}
+        await site.wait_until(lambda: keys <= set(site.platform.state.values), 2.0)
+
+
+async def test_nodes_with_different_exchange_keys_join_within_a_second():
+    async with running_site(gateways=0) as site:
+        site.platform.back_up()
+        for _ in range(2):
+            await site.add_gateway()
+        await asyncio.sleep(0.5)
+        site.platform.restore()
+        # A node that starts now finds no key and writes its own.
+        site.publish(configuration(1))
+        new_node = await site.add_gateway(wait_until_ready=False)
+        path = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
+
+        async def are_all_listed_by_all():
+            addresses = [node.callers.encode() for _, node, _ in site.gateways]
+            bodies = [
+                (await send_request(node.directory, "GET", path, {"Host": "d"})).body
+                for _, node, _ in site.gateways
+            ]
+            return all(address in body for body in bodies for address in addresses)
+
+        await site.wait_until(lambda: site.is_ready(new_node), 2.0)
+        await site.wait_until(are_all_listed_by_all, 1.5)
+
+
+async def test_node_without_store_access_follows_a_restored_store_through_peers():
+    async with running_site(gateways=2) as site:
+        site.platform.back_up()
+        isolated_gateway, isolated_node, _ = site.gateways[1]
+        await asyncio.sleep(0.6)
+        await isolated_gateway._store.close()
+        isolated_gateway._store._address = "127.0.0.1:1"
+        await restore_store(site)
+        draining = site.engines["i-app-0"]
+        site.platform.put("servers/i-app-0", draining.entry("app", "draining"))
+        await asyncio.sleep(1.8)
+        before = len(draining.state.received)
+        for _ in range(4):
+            assert (await site.get(isolated_node, "/lookup/a")).status == 200
+        assert len(draining.state.received) == before
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.endpoint_registry import EndpointRegistry
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.request_delivery import RequestDelivery
 from cyclamenyoke.daemon import cluster_state
@@ -23,6 +25,16 @@
 """Seeds that are run one after the other until a run detects the bug."""
 
 MUTANTS = {
+    "ignores that engines ask for a pause": (
+        *(Balancer, {"on_rest": lambda self, *arguments: None}, "during its pause"),
+    ),
+    "ignores that engines state that they leave": (
+        *(
+            EndpointRegistry,
+            {"mark_leaving": lambda self, *arguments: False},
+            "after Server-Leaving",
+        ),
+    ),
     "treats every request as not run": (
         *(
             RequestDelivery,
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -81,6 +81,7 @@
     Welcome,
 )
 from cyclamenyoke.core.peers import PeerUpdate
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.daemon.expert_rebalancer import StoredMaps
 from cyclamenyoke.daemon.http_responses import Problem
 from cyclamenyoke.daemon.operators import (
@@ -165,11 +166,15 @@
         Done("r", "r@1", EPOCH),
     ],
     "peer update": PeerUpdate(
-        *("127.0.0.1", 5, 9, "dc-1", "127.0.0.1:80", True, False, True, 4, 0.25, 11),
+        *("127.0.0.1", 5, 9, "dc-1", "127.0.0.1:80", True, False, True, 4, 0.25),
+        StorePosition(1, 11),
         *(True, b"digest", (Change("i-1", ENDPOINT, 3.0), Change("i-2", None, 4.0))),
         *({"i-1": 2}, {"llm": {"siam": 2}}, {"llm": {"siam": 1}}, ("i-3",), ("i-4",)),
+        (("i-5", 17),),
+    ),
+    "snapshot": Snapshot(
+        b"config", StorePosition(1, 8), 0.5, StorePosition(1, 11), [ENDPOINT]
     ),
-    "snapshot": Snapshot(b"config", 8, 0.5, 11, [ENDPOINT]),
     "journal": Journal(
         5.0,
         {
@@ -205,7 +210,7 @@
     for name, document in DOCUMENTS.items():
         texts[name] = msgspec.json.encode(document).decode()
     registry = EndpointRegistry()
-    registry.apply_list([ENDPOINT], 11, 3.0, 3.0)
+    registry.apply_list([ENDPOINT], StorePosition(1, 11), 3.0, 3.0)
     authenticator = MessageAuthenticator(b"key")
     texts["service blob"] = encode_service(SERVICE).decode()
     texts["registry digest"] = registry.digest.hex()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """The store client with compacted history, lost responses and a failing store."""
 
 import asyncio
+import contextlib
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -8,9 +9,14 @@
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.http_server import HttpServer
+from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.platform.store_client import StoreClient
-from cyclamenyoke.ports.key_value_store import LeaseExpired, RevisionConflict
+from cyclamenyoke.ports.key_value_store import (
+    LeaseExpired,
+    RevisionConflict,
+    VersionedValue,
+)
 from cyclamenyoke.standins.platform import Faults, StandInPlatform
 
 CLOCK = BootClock()
@@ -60,13 +66,15 @@
 async def test_watch_returns_a_change_at_once_and_no_value_at_its_deadline():
     async with running_store() as (platform, store):
         revision = platform.put("k", b"one")
-        watch_task = asyncio.create_task(store.watch("k", revision, CLOCK.now() + 5))
+        watch_task = asyncio.create_task(
+            store.watch("k", StorePosition(1, revision), CLOCK.now() + 5)
+        )
         await asyncio.sleep(0.1)
         platform.put("k", b"two")
         await platform._notify()
         assert (await asyncio.wait_for(watch_task, 1)).value == b"two"
         newest = await store.get("k")
-        unchanged = await store.watch("k", newest.revision, CLOCK.now() + 0.2)
+        unchanged = await store.watch("k", newest.position, CLOCK.now() + 0.2)
         assert unchanged.value is None
 
 
@@ -79,7 +87,7 @@
         await set_faults(platform, Faults(forget=True))
         before = sum(store.call_counts.values())
         for _ in range(3):
-            await store.watch("k", revision, CLOCK.now() + 0.1)
+            await store.watch("k", StorePosition(1, revision), CLOCK.now() + 0.1)
         assert sum(store.call_counts.values()) - before <= 5
 
 
@@ -88,7 +96,7 @@
         revision = platform.put("k", b"one")
         platform.put("k", b"two")
         await set_faults(platform, Faults(forget=True))
-        result = await store.watch("k", revision, CLOCK.now() + 1)
+        result = await store.watch("k", StorePosition(1, revision), CLOCK.now() + 1)
         assert result.value == b"two"
 
 
@@ -97,7 +105,7 @@
         revision = platform.put("k", b"one")
         platform.put("k-longer", b"x")
         before = sum(store.call_counts.values())
-        result = await store.watch("k", revision, CLOCK.now() + 0.2)
+        result = await store.watch("k", StorePosition(1, revision), CLOCK.now() + 0.2)
         assert result.value is None
         assert sum(store.call_counts.values()) - before <= 3
 
@@ -129,3 +137,105 @@
             await store.renew_lease(lease)
         with pytest.raises(LeaseExpired):
             await store.compare_and_swap("k", 0, b"one", lease)
+
+
+async def test_values_and_lists_state_the_era():
+    async with running_store() as (platform, store):
+        platform.put("k", b"one")
+        platform.restore()
+        platform.put("k", b"two")
+        assert (await store.get("k")).position == StorePosition(2, 1)
+        assert (await store.get("other")).era == 2
+        assert (await store.list("k")).position == StorePosition(2, 1)
+
+
+async def test_watch_from_a_revision_that_a_restored_store_lost_returns_the_value():
+    async with running_store() as (platform, store):
+        revision = platform.put("k", b"one")
+        platform.back_up()
+        lost = platform.put("k", b"lost")
+        assert (await store.get("k")).revision == lost
+        platform.restore()
+        position = StorePosition(1, lost)
+        found = await store.watch("k", position, CLOCK.now() + 1)
+        assert found == VersionedValue(revision, b"one", 2)
+
+
+async def test_watch_from_a_revision_that_was_assigned_again_returns_the_value():
+    """Without the era, the watch would wait for a revision after the one it knows."""
+    async with running_store() as (platform, store):
+        platform.back_up()
+        known = StorePosition(1, platform.put("k", b"lost"))
+        await store.get("k")
+        platform.restore()
+        platform.put("k", b"again")
+        platform.put("other", b"")
+        started_at = CLOCK.now()
+        found = await store.watch("k", known, started_at + 2)
+        assert found == VersionedValue(1, b"again", 2)
+        # The response to the first watch states the new era.
+        found = await store.watch("k", found.position, CLOCK.now() + 0.2)
+        assert found == VersionedValue(1, None, 2)
+
+
+async def test_lease_of_an_earlier_era_has_ended_even_if_its_id_was_assigned_again():
+    async with running_store() as (platform, store):
+        platform.back_up()
+        lease = await store.grant_lease(10)
+        platform.restore()
+        other_node = StoreClient(store._address, CLOCK)
+        assert await other_node.grant_lease(10) == lease
+        with pytest.raises(LeaseExpired):
+            await store.renew_lease(lease)
+        await other_node.renew_lease(lease)
+        await other_node.close()
+
+
+async def test_write_with_a_lease_of_an_earlier_era_leaves_no_key_behind():
+    async with running_store() as (platform, store):
+        platform.back_up()
+        lease = await store.grant_lease(10)
+        platform.restore()
+        other_node = StoreClient(store._address, CLOCK)
+        assert await other_node.grant_lease(10) == lease
+        with pytest.raises(LeaseExpired):
+            await store.compare_and_swap("k", 0, b"mine", lease)
+        assert (await other_node.get("k")).value is None
+        await other_node.close()
+
+
+async def test_list_that_spans_a_restore_is_not_used():
+    async with running_store() as (platform, store):
+        for number in range(700):
+            platform.put(f"p/{number:05}", b"")
+        platform.back_up()
+        page = platform._page
+
+        def restore_after_first_page(prefix, after):
+            result = page(prefix, after)
+            if after:
+                platform.restore()
+            return result
+
+        platform._page = restore_after_first_page
+        with pytest.raises(PlatformUnavailable, match="restored"):
+            await store.list("p/")
+
+
+async def test_response_of_the_store_without_end_is_not_read_to_the_end():
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(chunk)
+                await writer.drain()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    store = StoreClient(f"{host}:{port}", CLOCK)
+    with pytest.raises(PlatformUnavailable, match="exceeds"):
+        await store.get("k")
+    await store.close()
+    server.close()
