Give maps of large groups time to reach their ranks

A map of 72 ranks is about 10 KB, all 72 go out at once, and the node's link needs a good part of a second for them. So groups of 72 and 96 ranks never changed their map, and the busiest rank had 3.1 times the mean load. Ruled out: rejections by the ranks (83 of 4,704 commands); the planner (skew 2.1 to 0.47 planned); the wait for reports (never reached). Change: preparing has a timeout of its own, 16 ranks at a time; a rejection after an attempt without reply may mean "accepted", which the reports then tell; only ranks that have not yet reported the map are asked again. Conclusion: tests show a slow transfer, a lost reply and the polling.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -16,7 +16,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -96,6 +96,10 @@
 """Seconds between two reads of the ranks' reports while they prepare a map: about one
 pass."""
 
+MAX_PREPARES_IN_FLIGHT = 16
+"""Largest number of ranks to which a map is sent at the same time, so that callers'
+responses are not delayed behind the maps of all ranks on this node's link."""
+
 LEAD_PASSES = 4
 """Passes between the last reported one and the switch: about as many as start before a
 report arrives. A rank rejects a pass that has already started; then a later one is
@@ -469,26 +473,43 @@
         self, group: RankGroup, version: int, plan: MapPlan, layout: ExpertLayout
     ) -> bool:
         """Make all ranks load the map; return whether all report it as prepared."""
+        free_link = asyncio.Semaphore(MAX_PREPARES_IN_FLIGHT)
 
         async def prepare_rank(rank: Endpoint) -> bool:
+            may_be_accepted = False
             for _ in range(MAX_COMMAND_ATTEMPTS):
-                result = await self._control.prepare(
-                    rank, version, group.epoch, plan.expert_map
-                )
-                if result is not CommandResult.UNKNOWN:
-                    return result is CommandResult.DONE
+                async with free_link:
+                    result = await self._control.prepare(
+                        rank, version, group.epoch, plan.expert_map
+                    )
+                if result is CommandResult.REJECTED:
+                    # A rank rejects a version that it has already accepted.
+                    return may_be_accepted
+                if result is CommandResult.DONE:
+                    return True
+                may_be_accepted = True
                 await asyncio.sleep(COMMAND_RETRY_INTERVAL)
             return False
 
-        if not all(await asyncio.gather(*(prepare_rank(rank) for rank in group.ranks))):
+        sending = asyncio.gather(*(prepare_rank(rank) for rank in group.ranks))
+        while not sending.done():
+            await asyncio.wait([sending], timeout=RENEW_INTERVAL)
+            await self._keep_lock()
+        if not all(sending.result()):
             return False
-        deadline = self._clock.now() + PREPARE_TIMEOUT
         await asyncio.sleep(plan.max_loads * layout.load_time)
+        deadline = self._clock.now() + PREPARE_TIMEOUT
+        pending = list(range(len(group.ranks)))
         while self._clock.now() < deadline:
             await self._keep_lock()
-            if await self._refresh(group) and (
-                group.common_value(lambda report: report.prepared_version) == version
-            ):
+            if not await self._refresh(group, pending):
+                return False
+            pending = [
+                number
+                for number in pending
+                if group.reports[number].prepared_version != version
+            ]
+            if not pending:
                 return True
             await asyncio.sleep(PREPARE_POLL_INTERVAL)
         return False
@@ -497,14 +518,22 @@
         if self._clock.now() >= self._renew_lock_at and self._lease:
             await self._hold_lock()
 
-    async def _refresh(self, group: RankGroup) -> bool:
-        """Read all reports; return whether the group still serves in its epoch."""
-        found = await asyncio.gather(*(self._report(rank) for rank in group.ranks))
-        reports = [report for report in found if report is not None]
-        if len(reports) < len(group.ranks):
-            return False
-        group.reports = reports
-        return all(each.epoch == group.epoch and each.is_serving for each in reports)
+    async def _refresh(self, group: RankGroup, numbers: Sequence[int]) -> bool:
+        """Read the reports of some ranks.
+
+        A rank that does not reply keeps its last report.
+
+        :returns: whether the group still serves in its epoch, as far as known.
+        """
+        found = await asyncio.gather(
+            *(self._report(group.ranks[number]) for number in numbers)
+        )
+        for number, report in zip(numbers, found, strict=True):
+            if report is not None:
+                group.reports[number] = report
+        return all(
+            each.epoch == group.epoch and each.is_serving for each in group.reports
+        )
 
     async def _store_maps(
         self, group: RankGroup, version: int, experts: ExpertMap
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -11,7 +11,7 @@
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
-from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND
+from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.platform.engine_client import read_notice
 from cyclamenyoke.platform.headers import TARGET_ENGINE
 from cyclamenyoke.platform.json_request import (
@@ -31,6 +31,11 @@
 """Timeout of a request to a rank in seconds, about twenty round trips. It is short
 because the group may be paused until the rank has responded."""
 
+PREPARE_RESPONSE_TIMEOUT = 2 * SECOND
+"""Timeout in seconds of the command that carries a whole map. With a hundred ranks the
+maps together take a good part of a second over the link of this node, and nothing waits
+for the response."""
+
 MAX_RESPONSE_BYTES = 1 * MEBIBYTE
 """Largest response in bytes that is accepted from a rank; expert counts of a hundred
 thousand numbers fit in it."""
@@ -131,7 +136,9 @@
         self, endpoint: Endpoint, version: int, epoch: int, experts: ExpertMap
     ) -> CommandResult:
         fields = {"version": version, "epoch": epoch, "map": experts}
-        return await self._send_command(endpoint, "prepare", fields)
+        return await self._send_command(
+            endpoint, "prepare", fields, PREPARE_RESPONSE_TIMEOUT
+        )
 
     async def arm(
         self, endpoint: Endpoint, version: int, epoch: int, step: int
@@ -157,11 +164,16 @@
         return await self._send_command(endpoint, "go", {"epoch": epoch, "step": step})
 
     async def _send_command(
-        self, endpoint: Endpoint, operation: str, fields: Mapping[str, object]
+        self,
+        endpoint: Endpoint,
+        operation: str,
+        fields: Mapping[str, object],
+        timeout: float = RESPONSE_TIMEOUT,
     ) -> CommandResult:
+        command = {"operation": operation, **fields}
         try:
             response = await self._request(
-                endpoint, "POST", "/v1/order", {"operation": operation, **fields}
+                endpoint, "POST", "/v1/order", command, timeout
             )
         except ConnectionFailed:
             # Nothing was sent, but an earlier request with the same command may still
@@ -183,10 +195,15 @@
         return response.body
 
     async def _request(
-        self, endpoint: Endpoint, method: str, path: str, content: object = None
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        content: object = None,
+        timeout: float = RESPONSE_TIMEOUT,
     ) -> JsonResponse:
         headers = [(TARGET_ENGINE, endpoint.id.encode())]
-        async with asyncio.timeout(RESPONSE_TIMEOUT):
+        async with asyncio.timeout(timeout):
             response = await request_json(
                 self._pool,
                 endpoint.address,
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -1,10 +1,16 @@
 """Expert map switches with lost and late commands and killed or stale rebalancers."""
 
 import asyncio
+import contextlib
+from collections import Counter
+from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
 
 import pytest
 
+from cyclamenyoke.adapters.clock import BootClock
+from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
@@ -18,6 +24,7 @@
 )
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.daemon.expert_rebalancer import LOAD_CHECK_INTERVAL, ExpertRebalancer
+from cyclamenyoke.platform.engine_control import HttpEngineControl
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
@@ -521,3 +528,79 @@
     for task in [passes, *running]:
         task.cancel()
     await asyncio.gather(passes, *running, return_exceptions=True)
+
+
+@asynccontextmanager
+async def rank_that_replies_after(seconds: float):
+    """Run a rank that accepts every command; yield its endpoint."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(seconds)
+                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    yield Endpoint("r0", "llm", f"{host}:{port}", "dc", 6, False, 1)
+    server.close()
+
+
+async def test_map_that_takes_long_to_transfer_is_not_given_up():
+    """The maps of a hundred ranks need a good part of a second on a node's link."""
+    control = HttpEngineControl(ConnectionPool(BootClock()))
+    async with rank_that_replies_after(0.5) as rank:
+        assert await control.prepare(rank, 1, 1, [[[0]]]) is CommandResult.DONE
+        assert await control.arm(rank, 1, 1, 5) is CommandResult.UNKNOWN
+
+
+@pytest.mark.looptime
+async def test_rank_that_accepted_a_map_without_a_reply_is_not_given_up():
+    cluster = Cluster(8, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    prepare = cluster.ranks.prepare
+    lost = set()
+
+    async def lose_first_reply(endpoint, version, epoch, experts):
+        result = await prepare(endpoint, version, epoch, experts)
+        if endpoint.id not in lost:
+            lost.add(endpoint.id)
+            return CommandResult.UNKNOWN
+        return CommandResult.REJECTED if result is CommandResult.DONE else result
+
+    cluster.ranks.prepare = lose_first_reply
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
+    await asyncio.sleep(6)
+    assert cluster.ranks.switches >= RANKS
+    rebalancer.cancel()
+    passes.cancel()
+    await asyncio.gather(passes, rebalancer, return_exceptions=True)
+
+
+@pytest.mark.looptime
+async def test_ranks_that_have_prepared_a_map_are_not_asked_again():
+    cluster = Cluster(9, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    report, slow_until = cluster.ranks.report, {}
+    asked = Counter()
+
+    async def report_late(endpoint):
+        asked[endpoint.id] += 1
+        found = await report(endpoint)
+        now = LoopClock().now()
+        if endpoint.id == "r3" and found.prepared_version:
+            ready_at = slow_until.setdefault(found.prepared_version, now + 1)
+            return found if now >= ready_at else replace(found, prepared_version=None)
+        return found
+
+    cluster.ranks.report = report_late
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
+    await asyncio.sleep(10)
+    assert cluster.ranks.switches >= RANKS
+    assert asked["r3"] > 2 * asked["r0"]
+    rebalancer.cancel()
+    passes.cancel()
+    await asyncio.gather(passes, rebalancer, return_exceptions=True)
