Renew the expert lock once at a time, and mend directory and log writer

Expert counts of 1,728 numbers timed out after 120 ms, though no pass waits for them. The directory gave out the first 64 of more gateways, so that one node's callers never saw some. Change: the time of the next renewal is set before the call; a renewal without reply leaves the lock until its end. Counts and maps have two seconds. 64 random gateways; 400 for such a target; the log is written while time is left.

--- a/src/cyclamenyoke/adapters/line_writer.py
+++ b/src/cyclamenyoke/adapters/line_writer.py
@@ -9,6 +9,7 @@
 import os
 import select
 import stat
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -88,13 +89,14 @@
     def close(self) -> None:
         """Write the buffered lines.
 
-        If the reader does not accept all of them, wait for it once, for at most
-        ``CLOSE_TIMEOUT``, and write what it accepts then; the rest is lost.
+        Waits for a slow reader for at most ``CLOSE_TIMEOUT``; lines that it has not
+        accepted by then are lost.
         """
         self._stop_watching()
         self._flush()
-        if self._lines:
-            select.select([], [self._descriptor], [], CLOSE_TIMEOUT)
+        deadline = time.monotonic() + CLOSE_TIMEOUT
+        while self._lines and (remaining := deadline - time.monotonic()) > 0:
+            select.select([], [self._descriptor], [], remaining)
             self._flush()
 
     def _flush_scheduled(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -289,16 +289,8 @@
         now = self._clock.now()
         if now < self._locked_until and now < self._renew_lock_at:
             return False
-        if self._lease:
-            try:
-                await self._store.renew_lease(self._lease)
-            except LeaseExpired:
-                self._lease = 0
-                self._locked_until = 0.0
-            else:
-                self._locked_until = now + LOCK_LIFETIME - LOCK_MARGIN
-                self._renew_lock_at = now + RENEW_INTERVAL
-                return False
+        if self._lease and await self._renew_lock():
+            return False
         if now < self._next_lock_check:
             return False
         if not self._is_free(await self._store.get(LOCK_KEY)):
@@ -514,9 +506,28 @@
             await asyncio.sleep(PREPARE_POLL_INTERVAL)
         return False
 
+    async def _renew_lock(self) -> bool:
+        """Renew the lease of the lock; return whether the lock is still held."""
+        now = self._clock.now()
+        # Set first, since commands to many ranks renew the lease on their way.
+        self._renew_lock_at = now + RENEW_INTERVAL
+        try:
+            await self._store.renew_lease(self._lease)
+        except LeaseExpired:
+            self._lease = 0
+            self._locked_until = 0.0
+            return False
+        self._locked_until = now + LOCK_LIFETIME - LOCK_MARGIN
+        return True
+
     async def _keep_lock(self) -> None:
-        if self._clock.now() >= self._renew_lock_at and self._lease:
-            await self._hold_lock()
+        """Renew the lock if that is due; without a reply it is held until its end."""
+        if self._clock.now() < self._renew_lock_at or not self._lease:
+            return
+        try:
+            await self._renew_lock()
+        except PlatformUnavailable as error:
+            self._log.info("expert lock not renewed", error=str(error))
 
     async def _refresh(self, group: RankGroup, numbers: Sequence[int]) -> bool:
         """Read the reports of some ranks.
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -157,7 +157,7 @@
             (
                 settings.directory,
                 self._create_server(
-                    DirectoryHandler(self._addresses, self._address_lifetime)
+                    DirectoryHandler(self._addresses, self._address_lifetime, random)
                 ),
             ),
             (
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from random import Random
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -146,25 +147,35 @@
     :param addresses: returns the addresses of gateways that accept callers, by name and
         data centre.
     :param lifetime: returns the seconds for which a caller may cache a response.
+    :param random: chooses between more addresses than fit in a response.
     """
 
     def __init__(
         self,
         addresses: Callable[[str, str], list[str]],
         lifetime: Callable[[], float],
+        random: Random,
     ) -> None:
         self._addresses = addresses
         self._lifetime = lifetime
+        self._random = random
 
     async def __call__(self, request: HttpRequest, responder: Responder) -> None:
-        target = urlsplit(request.target.decode("latin-1"))
+        try:
+            target = urlsplit(request.target.decode("latin-1"))
+        except ValueError:
+            responder.respond(HTTPStatus.BAD_REQUEST.value)
+            return
         if target.path != RESOLVE_PATH:
             responder.respond(HTTPStatus.NOT_FOUND.value)
             return
         query = parse_qs(target.query)
         data_centre = query.get("zone", [""])[0]
         name = query.get("name", [""])[0]
-        addresses = self._addresses(name, data_centre)[:MAX_ADDRESSES]
+        addresses = self._addresses(name, data_centre)
+        if len(addresses) > MAX_ADDRESSES:
+            # A random choice, so that all gateways of a large fleet get callers.
+            addresses = self._random.sample(addresses, MAX_ADDRESSES)
         if not addresses:
             responder.respond(HTTPStatus.SERVICE_UNAVAILABLE.value)
             return
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -31,10 +31,10 @@
 """Timeout of a request to a rank in seconds, about twenty round trips. It is short
 because the group may be paused until the rank has responded."""
 
-PREPARE_RESPONSE_TIMEOUT = 2 * SECOND
-"""Timeout in seconds of the command that carries a whole map. With a hundred ranks the
-maps together take a good part of a second over the link of this node, and nothing waits
-for the response."""
+TRANSFER_TIMEOUT = 2 * SECOND
+"""Timeout in seconds of a request that carries a whole map or all expert counts. With a
+hundred ranks the maps together take a good part of a second over the link of this node,
+and no pass waits for the response."""
 
 MAX_RESPONSE_BYTES = 1 * MEBIBYTE
 """Largest response in bytes that is accepted from a rank; expert counts of a hundred
@@ -119,7 +119,7 @@
         )
 
     async def expert_counts(self, endpoint: Endpoint, sets: int) -> ExpertCounts:
-        body = await self._query(endpoint, "/v1/picked")
+        body = await self._query(endpoint, "/v1/picked", TRANSFER_TIMEOUT)
         try:
             response = msgspec.json.decode(body, type=_ExpertCountsResponse)
         except msgspec.DecodeError as error:
@@ -136,9 +136,7 @@
         self, endpoint: Endpoint, version: int, epoch: int, experts: ExpertMap
     ) -> CommandResult:
         fields = {"version": version, "epoch": epoch, "map": experts}
-        return await self._send_command(
-            endpoint, "prepare", fields, PREPARE_RESPONSE_TIMEOUT
-        )
+        return await self._send_command(endpoint, "prepare", fields, TRANSFER_TIMEOUT)
 
     async def arm(
         self, endpoint: Endpoint, version: int, epoch: int, step: int
@@ -183,9 +181,11 @@
             return CommandResult.UNKNOWN
         return RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
 
-    async def _query(self, endpoint: Endpoint, path: str) -> bytes:
+    async def _query(
+        self, endpoint: Endpoint, path: str, timeout: float = RESPONSE_TIMEOUT
+    ) -> bytes:
         try:
-            response = await self._request(endpoint, "GET", path)
+            response = await self._request(endpoint, "GET", path, None, timeout)
         except (ConnectionFailed, IncompleteResponse, TimeoutError) as error:
             raise EngineControlError(f"{path} at {endpoint.id}: {error!r}") from error
         if response.status != HTTPStatus.OK:
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -23,7 +24,12 @@
     Service,
 )
 from cyclamenyoke.core.store_position import StorePosition
-from cyclamenyoke.daemon.expert_rebalancer import LOAD_CHECK_INTERVAL, ExpertRebalancer
+from cyclamenyoke.daemon.expert_rebalancer import (
+    LOAD_CHECK_INTERVAL,
+    RENEW_INTERVAL,
+    ExpertRebalancer,
+)
+from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.platform.engine_control import HttpEngineControl
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
@@ -539,7 +545,9 @@
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 await asyncio.sleep(seconds)
-                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+                body = b'{"epoch": 1, "counts": [3, 4]}'
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                writer.write(head + body)
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -547,11 +555,12 @@
     server.close()
 
 
-async def test_map_that_takes_long_to_transfer_is_not_given_up():
+async def test_maps_and_counts_that_take_long_to_transfer_are_not_given_up():
     """The maps of a hundred ranks need a good part of a second on a node's link."""
     control = HttpEngineControl(ConnectionPool(BootClock()))
     async with rank_that_replies_after(0.5) as rank:
         assert await control.prepare(rank, 1, 1, [[[0]]]) is CommandResult.DONE
+        assert (await control.expert_counts(rank, 1)).counts == [[3, 4]]
         assert await control.arm(rank, 1, 1, 5) is CommandResult.UNKNOWN
 
 
@@ -604,3 +613,33 @@
     rebalancer.cancel()
     passes.cancel()
     await asyncio.gather(passes, rebalancer, return_exceptions=True)
+
+
+@pytest.mark.looptime
+async def test_commands_to_all_ranks_renew_the_lock_once_and_survive_a_failed_renewal():
+    """Guards against a renewal by each of the commands that are sent at the same time.
+
+    The store then rejected some of them, and the switch was left with its pass held.
+    """
+    cluster = Cluster(10, unanswered_ratio=0.2)
+    cluster.preferred_nodes = "a"
+    renew, renewals, failures = cluster.store.renew_lease, [], iter([True, False] * 500)
+
+    async def renew_slowly(lease):
+        renewals.append(LoopClock().now())
+        await asyncio.sleep(0.05)
+        if next(failures):
+            raise PlatformUnavailable("no connection")
+        await renew(lease)
+
+    cluster.store.renew_lease = renew_slowly
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
+    await asyncio.sleep(30)
+    assert cluster.ranks.switches >= RANKS
+    gaps = [later - earlier for earlier, later in itertools.pairwise(renewals)]
+    assert min(gaps) >= RENEW_INTERVAL / 2
+    assert not passes.done(), passes.exception()
+    rebalancer.cancel()
+    passes.cancel()
+    await asyncio.gather(passes, rebalancer, return_exceptions=True)
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from cyclamenyoke.core.peers import Peers
 from cyclamenyoke.platform.settings import load_settings
 from cyclamenyoke.standins.platform import Faults
 from site_fixture import (
@@ -461,3 +462,26 @@
         for _ in range(4):
             assert (await site.get(isolated_node, "/lookup/a")).status == 200
         assert len(draining.state.received) == before
+
+
+async def test_malformed_target_does_not_make_the_directory_fail():
+    async with running_site() as site:
+        gateway, node, _ = site.gateways[0]
+        response = await send_request(node.directory, "GET", "//[/", {"Host": "d"})
+        assert response.status == 400
+        assert gateway._metrics.counter("handler_errors") == 0
+
+
+async def test_directory_of_a_large_fleet_gives_out_every_gateway(monkeypatch):
+    fleet = [f"10.0.0.{number}:80" for number in range(100)]
+    monkeypatch.setattr(Peers, "addresses", lambda self, now: list(fleet))
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        path = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
+        given_out = set()
+        for _ in range(30):
+            response = await send_request(node.directory, "GET", path, {"Host": "d"})
+            addresses = json.loads(response.body)["addresses"]
+            assert len(set(addresses)) == len(addresses) == 64
+            given_out.update(addresses)
+        assert given_out >= set(fleet)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import os
+import threading
+import time
 
 import pytest
 
@@ -131,3 +133,22 @@
     assert fields["message"] == "event"
     assert fields["node"] == "n"
     assert fields["value"] == 1
+
+
+async def test_close_waits_for_a_slow_reader_while_time_is_left(pipe):
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor, drop_notice)
+    for _ in range(300):
+        writer.write(LINE, is_urgent=False)
+    received = bytearray()
+
+    def read_slowly():
+        while len(received) < 300 * len(LINE):
+            time.sleep(0.005)
+            received.extend(os.read(reader, 40_000))
+
+    thread = threading.Thread(target=read_slowly, daemon=True)
+    thread.start()
+    writer.close()
+    thread.join(1)
+    assert bytes(received) == LINE * 300
