--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -1,7 +1,8 @@
 """Adapts the expert maps of engine groups to the experts that requests select.
 
 One gateway at a time does this: the holder of a lease in the store. It works only under
-load, because reading counts, loading experts and sending commands have a cost. All
+load, because loading experts and sending commands have a cost. Counts are read before
+that, so that a plan can be made as soon as the load is sustained. All
 ranks of a group must switch to a new map at the same decoding pass, in these steps:
 
 * every rank prepares the map and reports that it has;
@@ -77,6 +78,10 @@
 """Seconds between two reads of expert counts. The selected experts may change within
 seconds, and a map fits only the time right after its sample."""
 
+OBSERVATION_INTERVAL = 1 * SECOND
+"""Seconds between two reads of expert counts of a service that is in use, but not
+loaded. A read has a cost and pauses the group for some milliseconds."""
+
 MIN_GAP_RATIO = 0.55
 """Average ratio of event gaps to the target gap from which a service counts as loaded.
 It leaves time for a switch, which takes about a second: from a ratio of about 0.7,
@@ -172,7 +177,8 @@
 
     :param rank: id of the rank's endpoint.
     :param last: the last counts that were read.
-    :param selections: selections by set and expert; empty without a new sample.
+    :param selections: selections by set and expert; empty if there is no sample that
+        was not yet used.
     """
 
     rank: str = ""
@@ -248,17 +254,19 @@
                 continue
             # Every node tracks the load, so that the next lock holder need not wait
             # until it has been sustained.
-            loaded = [
-                (service, service.layout)
+            services = [
+                (service, service.layout, self._is_loaded(service.name))
                 for service in config.services.values()
-                if service.layout is not None and self._is_loaded(service.name)
+                if service.layout is not None
             ]
             if not self._may_hold_lock(self.holds_lock):
                 await self._release_lock()
                 await self._restore_maps()
                 continue
-            for service, layout in loaded:
-                await self._rebalance_service(service, layout)
+            for service, layout, is_loaded in services:
+                await self._observe(service.name, layout, is_loaded)
+                if is_loaded:
+                    await self._rebalance_service(service, layout)
 
     def _is_loaded(self, service: str) -> bool:
         """Return whether a service has been loaded for a sustained time."""
@@ -281,6 +289,16 @@
             await self._rebalance(service.name, layout)
         except (PlatformUnavailable, RevisionConflict, LeaseExpired) as error:
             self._log.info("experts are not looked after", error=str(error))
+
+    async def _observe(
+        self, service: str, layout: ExpertLayout, is_loaded: bool
+    ) -> None:
+        """Sample the selected experts of a service that is in use."""
+        if not is_loaded and not self._gap_ratio(service):
+            return
+        try:
+            interval = SAMPLE_INTERVAL if is_loaded else OBSERVATION_INTERVAL
+            await self._sample(service, layout, interval)
         except EngineControlError as error:
             self._log.info("expert counts not read", error=str(error))
 
@@ -322,13 +340,15 @@
         return lock.value is None and self._era_age(lock.era) >= LOCK_LIFETIME
 
     async def _rebalance(self, service: str, layout: ExpertLayout) -> None:
-        """Sample the selected experts and switch the groups that gain enough."""
-        sample = await self._sample(service, layout)
-        if not sample.selections:
+        """Switch the groups that gain enough for the experts that were sampled last."""
+        sample = self._samples.get(service)
+        if sample is None or not sample.selections:
             return
+        # Each sample is used once.
+        selections, sample.selections = sample.selections, []
         groups = await self._groups(service)
         rebalancing = (
-            self._rebalance_group(group, sample.selections, layout) for group in groups
+            self._rebalance_group(group, selections, layout) for group in groups
         )
         for failure in await asyncio.gather(*rebalancing, return_exceptions=True):
             if failure is not None:
@@ -355,23 +375,25 @@
         if plan.is_worthwhile and self._clock.now() < self._locked_until:
             await self._switch(group, plan, layout)
 
-    async def _sample(self, service: str, layout: ExpertLayout) -> SelectionSample:
+    async def _sample(
+        self, service: str, layout: ExpertLayout, interval: float
+    ) -> None:
         """Read one rank's counts if they are due.
 
         One rank is enough, because the selections are alike on all ranks.
         """
         sample = self._samples.setdefault(service, SelectionSample())
         now = self._clock.now()
+        if now < sample.read_at + interval:
+            return
         sample.selections = []
-        if now < sample.read_at + SAMPLE_INTERVAL:
-            return sample
         endpoints = self._registry.usable(service)
         candidates = [each for each in endpoints if each.id == sample.rank]
         if not candidates:
             candidates = sorted(endpoints, key=self._balancer.load, reverse=True)
             sample.last = None
         if not candidates:
-            return sample
+            return
         rank = candidates[0]
         counts = await self._control.expert_counts(rank, layout.sets)
         last = sample.last
@@ -383,7 +405,6 @@
             if all(sum(row) > 0 and min(row) >= 0 for row in rows):
                 sample.selections = rows
         sample.rank, sample.last, sample.read_at = rank.id, counts, now
-        return sample
 
     async def _groups(self, service: str) -> list[RankGroup]:
         """Return the groups of which every rank reports and serves."""
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -27,6 +27,7 @@
 from cyclamenyoke.daemon.expert_rebalancer import (
     LOAD_CHECK_INTERVAL,
     RENEW_INTERVAL,
+    SUSTAINED_LOAD_DURATION,
     ExpertRebalancer,
 )
 from cyclamenyoke.exceptions import PlatformUnavailable
@@ -643,3 +644,21 @@
     rebalancer.cancel()
     passes.cancel()
     await asyncio.gather(passes, rebalancer, return_exceptions=True)
+
+
+@pytest.mark.looptime
+async def test_first_map_follows_within_a_second_of_sustained_load():
+    cluster = Cluster(11, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.gap_ratio = 0.4
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a", requests=3).run())
+    await asyncio.sleep(10)
+    assert cluster.ranks.switches == 0
+    cluster.gap_ratio = 0.7
+    async with asyncio.timeout(SUSTAINED_LOAD_DURATION + LOAD_CHECK_INTERVAL + 1):
+        while cluster.ranks.switches < RANKS:
+            await asyncio.sleep(0.01)
+    rebalancer.cancel()
+    passes.cancel()
+    await asyncio.gather(passes, rebalancer, return_exceptions=True)
