Explain entries' lines, and make tests check what they name

Change: attempts that are ids are passed over; "store era begun" is part of a timeline; the late write is applied once; the stream test waits until the engine that breaks off was chosen, and wants exactly one resume after event 2.

--- a/src/cyclamenyoke/cli/explain.py
+++ b/src/cyclamenyoke/cli/explain.py
@@ -20,6 +20,7 @@
     "configuration in force": "version",
     "store lost": "detail",
     "store regained": "",
+    "store era begun": "era",
     "experts are not looked after": "error",
 }
 """Log messages that record the state of a node, with the field shown for each."""
@@ -135,7 +136,7 @@
     # Times of an attempt in seconds: "sent" from the request's arrival, "first" from
     # sending to the first byte of the response, or to the end if there was none.
     duration = final_line.fields.get("seconds", 0.0)
-    for endpoint, outcome, load, sent, first in final_line.fields.get("attempts", ()):
+    for endpoint, outcome, load, sent, first in _attempts(final_line):
         state = "not changed in these logs"
         for line in earlier_lines:
             is_change = line.message == "endpoint changed"
@@ -159,10 +160,15 @@
         attempt[0] == endpoint and attempt[1] != SUCCESS_OUTCOME
         for line in lines
         if abs(line.at - final_line.at) <= FAILURE_WINDOW and line is not final_line
-        for attempt in line.fields.get("attempts", ())
+        for attempt in _attempts(line)
     )
 
 
+def _attempts(line: LogLine) -> list[Any]:
+    """Return the attempts of a gateway's line; an entry's line only has their ids."""
+    return [each for each in line.fields.get("attempts", ()) if isinstance(each, list)]
+
+
 def _summary(fields: dict[str, Any]) -> str:
     """Return the fields that explain the outcome, in the order of use to operators."""
     names = ["outcome", "detail", "route", "path", "customer", "waited", "elapsed"]
--- a/src/cyclamenyoke/standins/platform.py
+++ b/src/cyclamenyoke/standins/platform.py
@@ -388,6 +388,7 @@
         elif draw < faults.lose_before + faults.late:
             asyncio.get_running_loop().call_later(faults.late_by, self._apply, change)
             await asyncio.sleep(HANG_DURATION)
+            return self._rejection()
         response = self._apply(change)
         await self._notify()
         if draw >= 1 - faults.lose_after:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -52,3 +52,23 @@
     line = (LOGS / "old-belief.log").read_text().splitlines()[0]
     path.write_text(f"  0.3 node {line}\n{line[:40]}\nno line\n")
     assert len(read_logs([path])) == 1
+
+
+def test_line_of_an_entry_which_only_names_its_attempts_is_explained(tmp_path):
+    path = tmp_path / "log"
+    fields = {"time": "2026-12-04T10:00:00.000", "message": "request ended"}
+    path.write_text(
+        json.dumps(
+            {
+                **fields,
+                "request": "r1",
+                "attempts": ["entry@1#4"],
+                "outcome": "answered",
+            }
+        )
+        + "\n"
+        + json.dumps({**fields, "request": "r2", "attempts": [["e", "lost", 1, 0, 1]]})
+    )
+    [event] = explain("r1", read_logs([path]))
+    assert event.what == "request ended: outcome answered"
+    assert len(explain("r2", read_logs([path]))) == 2
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,6 @@
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE
 from cyclamenyoke.standins.engine import STREAM_EVENTS, Behaviour
 from site_fixture import (
-    API_KEY,
     HOST,
     caller_headers,
     configuration,
@@ -113,15 +112,15 @@
     async with running_site() as site:
         first, second = (e for i, e in site.engines.items() if "llm" in i)
         first.script.append(Behaviour.TRUNCATE)
-        responses = [
-            await site.post(site.gateways[0][1], "/stream/a") for _ in range(4)
-        ]
+        responses = []
+        while first.script:
+            responses.append(await site.post(site.gateways[0][1], "/stream/a"))
         assert all(response.is_complete for response in responses)
         assert all(response.body == COMPLETE_STREAM for response in responses)
         resumed = [
             each for each in second.state.executed if "last-event-id" in each.headers
         ]
-        assert len(resumed) <= 1
+        assert [each.headers["last-event-id"] for each in resumed] == ["2"]
 
 
 async def test_non_resumable_stream_is_truncated_without_a_proper_end():
@@ -367,7 +366,6 @@
             return set(json.loads(response.body)["addresses"]) == expected
 
         await site.wait_until(lists_both)
-        assert API_KEY
 
 
 async def test_engine_of_broken_group_gets_no_requests_after_first_rejection():
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -330,7 +330,7 @@
 
 async def test_reload_applies_changeable_settings_and_names_the_others(tmp_path):
     async with running_site() as site:
-        gateway, node, _ = site.gateways[0]
+        node = site.gateways[0][1]
         new_settings = write_and_load_settings(tmp_path, ttl_max_s=0.25)
         not_applied = node.reload_from(new_settings)
         assert "callers" in not_applied
@@ -339,7 +339,6 @@
             node.directory, "GET", "/v1/resolve?name=x&zone=z", {}
         )
         assert json.loads(response.body)["ttl_s"] == 0.25
-        assert gateway is not None
 
 
 def write_and_load_settings(tmp_path, **bounds):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -239,3 +239,12 @@
         await store.get("k")
     await store.close()
     server.close()
+
+
+async def test_late_write_of_the_stand_in_is_applied_once(monkeypatch):
+    monkeypatch.setattr("cyclamenyoke.standins.platform.HANG_DURATION", 0.3)
+    async with running_store() as (platform, store):
+        await set_faults(platform, Faults(late=1.0, late_by=0.1))
+        with pytest.raises(PlatformUnavailable):
+            await store.compare_and_swap("k", 0, b"one")
+        assert platform.state.revision == 1
