Turn every unusable YAML file into findings with their place

A control character, a list or mapping as a key, an alias to its own parent, and deep nesting raised instead. Change: each is a finding; the place of an alias is that of its anchor, since the parser keeps no other. Before: run on the code before: ReaderError, TypeError twice, RecursionError twice. After: tests/test_yaml_files.py passes. Conclusion: bad input gives a clear error and the command line goes on.

--- a/src/cyclamenyoke/adapters/yaml_files.py
+++ b/src/cyclamenyoke/adapters/yaml_files.py
@@ -152,36 +152,63 @@
 
 
 def load_document(path: Path) -> Result[YamlDocument, list[Finding]]:
-    """Parse a file; syntax errors and duplicate keys are returned as findings."""
+    """Parse a file; syntax errors and invalid keys are returned as findings."""
     try:
         text = path.read_text(encoding="utf-8")
         root = yaml.compose(text, Loader=yaml.SafeLoader)
-        duplicates = list(_duplicate_keys(root))
-        document = YamlDocument(path, root, yaml.safe_load(text))
+        problems = list(_invalid_nodes(root, ()))
+        if problems:
+            return Failure(
+                [
+                    Finding(str(path), mark.line + 1, mark.column + 1, message)
+                    for mark, message in problems
+                ]
+            )
+        return Success(YamlDocument(path, root, yaml.safe_load(text)))
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark
         line, column = (mark.line + 1, mark.column + 1) if mark else (1, 1)
         return Failure([Finding(str(path), line, column, str(error.problem))])
+    except yaml.reader.ReaderError as error:
+        line, column = _line_and_column(text, error.position)
+        return Failure([Finding(str(path), line, column, error.reason)])
+    except RecursionError:
+        return Failure([Finding(str(path), 1, 1, "nested too deeply")])
     except (OSError, UnicodeDecodeError) as error:
         return Failure([Finding(str(path), 1, 1, f"cannot be read: {error}")])
-    findings = [
-        Finding(str(path), key.start_mark.line + 1, key.start_mark.column + 1, message)
-        for key, message in duplicates
-    ]
-    return Failure(findings) if findings else Success(document)
 
 
-def _duplicate_keys(node: yaml.Node | None) -> Iterator[tuple[yaml.Node, str]]:
+def _line_and_column(text: str, position: int) -> tuple[int, int]:
+    """Return the place of a character, counted from 1."""
+    before = text[:position]
+    return before.count("\n") + 1, position - before.rfind("\n")
+
+
+def _invalid_nodes(
+    node: yaml.Node | None, parents: tuple[yaml.Node, ...]
+) -> Iterator[tuple[yaml.Mark, str]]:
+    """Yield the keys and aliases that a document may not contain, with their places.
+
+    The place of an alias is that of its anchor, the only one that the parser keeps.
+
+    :param parents: the nodes that contain this one.
+    """
+    if node is not None and any(node is parent for parent in parents):
+        yield node.start_mark, "an alias refers to a node that contains it"
+        return
     if isinstance(node, yaml.MappingNode):
         seen: set[str] = set()
         for key, value in node.value:
+            if not isinstance(key, yaml.ScalarNode):
+                yield key.start_mark, "a key is not a text or number"
+                continue
             if key.value in seen:
-                yield key, f"duplicate key {key.value!r}"
+                yield key.start_mark, f"duplicate key {key.value!r}"
             seen.add(str(key.value))
-            yield from _duplicate_keys(value)
+            yield from _invalid_nodes(value, (*parents, node))
     if isinstance(node, yaml.SequenceNode):
         for item in node.value:
-            yield from _duplicate_keys(item)
+            yield from _invalid_nodes(item, (*parents, node))
 
 
 def structure(document: YamlDocument, kind: type[T]) -> Result[T, list[Finding]]:
