Share the setup of the two tests of reassigned leases

Change: one context manager in tests/test_store.py; the assertions are as before. Nothing in src changes.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -178,30 +178,33 @@
         assert found == VersionedValue(1, None, 2)
 
 
-async def test_lease_of_an_earlier_era_has_ended_even_if_its_id_was_assigned_again():
+@asynccontextmanager
+async def lease_assigned_again():
+    """Yield two clients and a lease id of the first that the second has, too."""
     async with running_store() as (platform, store):
         platform.back_up()
         lease = await store.grant_lease(10)
         platform.restore()
         other_node = StoreClient(store._address, CLOCK)
         assert await other_node.grant_lease(10) == lease
+        try:
+            yield store, other_node, lease
+        finally:
+            await other_node.close()
+
+
+async def test_lease_of_an_earlier_era_has_ended_even_if_its_id_was_assigned_again():
+    async with lease_assigned_again() as (store, other_node, lease):
         with pytest.raises(LeaseExpired):
             await store.renew_lease(lease)
         await other_node.renew_lease(lease)
-        await other_node.close()
 
 
 async def test_write_with_a_lease_of_an_earlier_era_leaves_no_key_behind():
-    async with running_store() as (platform, store):
-        platform.back_up()
-        lease = await store.grant_lease(10)
-        platform.restore()
-        other_node = StoreClient(store._address, CLOCK)
-        assert await other_node.grant_lease(10) == lease
+    async with lease_assigned_again() as (store, other_node, lease):
         with pytest.raises(LeaseExpired):
             await store.compare_and_swap("k", 0, b"mine", lease)
         assert (await other_node.get("k")).value is None
-        await other_node.close()
 
 
 async def test_list_that_spans_a_restore_is_not_used():
