Log prompt parts and the end of each attempt

'request done' now has shared_parts, and each attempt its end, events and reason; attempts_lost counts lost attempts by phase. explain shows them.

--- a/src/cyclamenyoke/cli/explain.py
+++ b/src/cyclamenyoke/cli/explain.py
@@ -134,9 +134,10 @@
     """Return each attempt with the last state logged for its endpoint."""
     events = []
     # Times of an attempt in seconds: "sent" from the request's arrival, "first" from
-    # sending to the first byte of the response, or to the end if there was none.
+    # sending to the first byte of the response, or to the end if there was none, and
+    # "ended" from sending to the end. Logs of earlier versions lack the last three.
     duration = final_line.fields.get("seconds", 0.0)
-    for endpoint, outcome, load, sent, first in _attempts(final_line):
+    for endpoint, outcome, load, sent, first, *end in _attempts(final_line):
         state = "not changed in these logs"
         for line in earlier_lines:
             is_change = line.message == "endpoint changed"
@@ -144,6 +145,10 @@
                 state = f"{line.fields['state']} since {final_line.at - line.at:.3f} s"
         description = f"sent to {endpoint} ({state}, {load} requests there): {outcome}"
         description += f" after {first} s"
+        if end:
+            ended, event_count, detail = end
+            description += f", ended after {ended} s and {event_count} events"
+            description += f" ({detail})" if detail else ""
         if outcome != SUCCESS_OUTCOME:
             other_failures = _count_other_failures(endpoint, final_line, lines)
             description += (
@@ -171,9 +176,10 @@
 
 def _summary(fields: dict[str, Any]) -> str:
     """Return the fields that explain the outcome, in the order of use to operators."""
-    names = ["outcome", "detail", "route", "path", "customer", "waited", "elapsed"]
+    names = ["outcome", "detail", "route", "path", "customer", "shared_parts"]
+    names += ["waited", "elapsed"]
     names += ["retry_after", "seconds", "config_version", "list_age"]
     known = ((name, fields.get(name)) for name in names)
     return ", ".join(
-        f"{name} {value}" for name, value in known if value not in ("", None)
+        f"{name} {value}" for name, value in known if value not in ("", None, [])
     )
--- a/src/cyclamenyoke/core/inbound_request.py
+++ b/src/cyclamenyoke/core/inbound_request.py
@@ -37,6 +37,8 @@
         start from the beginning.
     :param prompt_tokens: tokens of the prompt; 0 for a plain request.
     :param output_limit: maximum number of generated tokens; 0 for a plain request.
+    :param shared_parts: ids of the prompt's parts that other requests may share, in the
+        order of the prompt.
     """
 
     request_id: str
@@ -52,3 +54,4 @@
     last_event_id: int | None
     prompt_tokens: int
     output_limit: int
+    shared_parts: tuple[str, ...] = ()
--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -64,6 +64,9 @@
     :param load: known requests in flight at the endpoint when it was chosen.
     :param first_byte_at: when the first part of the response arrived.
     :param outcome: ``None`` while the attempt is in progress.
+    :param events: number of events of a stream that it yielded, without comments.
+    :param ended_at: when it ended; ``None`` before.
+    :param detail: why it did not succeed.
     """
 
     endpoint: str
@@ -71,6 +74,9 @@
     load: int
     first_byte_at: float | None = None
     outcome: AttemptOutcome | None = None
+    events: int = 0
+    ended_at: float | None = None
+    detail: str = ""
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -342,10 +342,21 @@
             attempt.outcome = await self._attempt(
                 context, endpoint, attempt, max_connections
             )
+            self._on_attempt_ended(context, attempt)
             if attempt.outcome is AttemptOutcome.ANSWERED:
                 return "answered"
         return self._send_final_response(context)
 
+    def _on_attempt_ended(self, context: RequestContext, attempt: Attempt) -> None:
+        attempt.ended_at = self._clock.now()
+        if attempt.outcome is AttemptOutcome.ANSWERED:
+            return
+        attempt.detail = context.detail
+        if attempt.outcome is AttemptOutcome.INCOMPLETE:
+            self._metrics.count(
+                "attempts_lost", service=context.service, phase=_lost_phase(attempt)
+            )
+
     async def _find_endpoint(
         self, context: RequestContext, config: GatewayConfig
     ) -> Endpoint | None:
@@ -686,6 +697,7 @@
                 else:
                     context.detail = f"events missing: event {event.id} after {last}"
                 return False
+            context.delivery.attempts[-1].events += not event.is_comment
             if not context.is_head_sent:
                 context.is_head_sent = True
                 context.delivery.is_response_started = True
@@ -826,6 +838,7 @@
             route=context.route.name,
             service=context.service,
             customer=context.customer,
+            shared_parts=context.request.shared_parts,
             outcome=outcome,
             detail=context.detail,
             waited=round(context.waited, 4),
@@ -841,7 +854,17 @@
                     attempt.load,
                     round(attempt.sent_at - context.request.arrived_at, 3),
                     round((attempt.first_byte_at or now) - attempt.sent_at, 3),
+                    round((attempt.ended_at or now) - attempt.sent_at, 3),
+                    attempt.events,
+                    attempt.detail,
                 ]
                 for attempt in context.delivery.attempts
             ],
         )
+
+
+def _lost_phase(attempt: Attempt) -> str:
+    """Return how far the response had come when an attempt was lost, for metrics."""
+    if attempt.first_byte_at is None:
+        return "no_head"
+    return "streaming" if attempt.events else "no_event"
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -14,6 +14,7 @@
     AUTHORIZATION,
     DEADLINE,
     LAST_EVENT_ID,
+    PROMPT_PARTS,
     REQUEST_ID,
     RESERVED_FOR_GATEWAY,
     RETRY_AFTER,
@@ -123,9 +124,20 @@
         last_event_id=last_event_id,
         prompt_tokens=prompt_tokens,
         output_limit=output_limit,
+        shared_parts=_shared_parts(request.get(PROMPT_PARTS)),
     )
 
 
+def _shared_parts(value: bytes | None) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts except the last, which no other caller sends.
+
+    >>> _shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06')
+    """
+    parts = (value or b"").decode("latin-1").split(",")[:-1]
+    return tuple(part.partition(":")[0].strip().lower() for part in parts)
+
+
 def _optional_int(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
--- a/src/cyclamenyoke/platform/headers.py
+++ b/src/cyclamenyoke/platform/headers.py
@@ -20,6 +20,8 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 # Request: ``PROMPT_TOKENS,MAX_OUTPUT_TOKENS``.
 TOKEN_COUNTS = b"x-token-usage"
+# Request: parts of the prompt in order, as comma-separated ``ID:TOKENS``.
+PROMPT_PARTS = b"x-prompt-prefix"
 RETRY_AFTER = b"Retry-After"
 # Response: "1" if the engine is leaving and takes no new requests.
 LEAVING = b"server-leaving"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -72,3 +72,14 @@
     [event] = explain("r1", read_logs([path]))
     assert event.what == "request ended: outcome answered"
     assert len(explain("r2", read_logs([path]))) == 2
+
+
+def test_end_of_each_attempt_and_shared_prompt_parts_are_explained(tmp_path):
+    path = tmp_path / "log"
+    attempt = ["i-1", "lost", 2, 0.001, 0.2, 0.24, 0, "connection closed"]
+    fields = {"time": "2026-12-04T10:00:00.000", "message": "request done"}
+    fields |= {"request": "r1", "attempts": [attempt], "shared_parts": ["5c", "91"]}
+    path.write_text(json.dumps(fields))
+    first, last = explain("r1", read_logs([path]))
+    assert "ended after 0.24 s and 0 events (connection closed)" in first.what
+    assert "shared_parts ['5c', '91']" in last.what
