--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -162,6 +162,8 @@
         self.event_interval = EVENT_INTERVAL
         self.is_leaving = False
         self.retry_after: str | None = None
+        # Parts of prompts on which the engine ends once it begins to write.
+        self.crashing_parts: frozenset[str] = frozenset()
         self.state = EngineState()
 
     @property
@@ -202,6 +204,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether it was stopped or has crashed."""
+        return self._server is None or not self._server.is_serving()
+
+    def _is_crashing(self, request: EngineRequest) -> bool:
+        parts = request.headers.get("x-prompt-prefix", "").split(",")[:-1]
+        return any(part.partition(":")[0] in self.crashing_parts for part in parts)
+
     def add_headers(self) -> list[str]:
         """Return what every response states about the engine itself."""
         return ["Server-Leaving: 1"] if self.is_leaving else []
@@ -332,6 +343,10 @@
     ) -> None:
         head = self._head(request, 200, ["Content-Type: text/event-stream"], None)
         writer.write(head)
+        if self._is_crashing(request):
+            await asyncio.sleep(self.event_interval)
+            await self.stop()
+            return
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, STREAM_EVENTS + 1):
             await asyncio.sleep(self.event_interval)
