Withhold prompt parts under which engines have ended

Cause: a poison message. Ruled out: ends for other reasons (each of the 13 had a request with a head and no event), and repeats alone (ends at 14.3 and 26.3 s were first attempts).

Change: nodes record which shared parts an engine had just begun to write on when it ended, exchange that, and withhold a part after three ends (five if it was written on before) until an answer, an operator or time clears it. A request that may have ended an engine is repeated only on parts that engines have written on. The store keeps what is withheld for the case that all nodes start again.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -80,7 +80,12 @@
 
 @dataclass(slots=True)
 class ResponseEnd:
-    """The response is complete."""
+    """The response is complete.
+
+    :param is_at_close: whether only the end of the connection delimited it.
+    """
+
+    is_at_close: bool = False
 
 
 @dataclass(slots=True)
@@ -88,9 +93,11 @@
     """The response is incomplete, and no more of it will arrive.
 
     :param reason: description of the failure.
+    :param is_closed: whether the server's end of the connection is the reason.
     """
 
     reason: str
+    is_closed: bool = False
 
 
 ResponseEvent = ResponseHead | BodyPart | ResponseEnd | ResponseFailed
@@ -207,13 +214,13 @@
     def eof_received(self) -> bool:
         if self._ends_at_close and self._head is not None:
             self._ends_at_close = False
-            self._finish()
+            self._finish(is_at_close=True)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_closed = True
         reason = f"connection lost: {exc}" if exc else "connection closed"
-        self._fail(reason)
+        self._fail(reason, is_closed=True)
         self._on_closed(self)
 
     # httptools callbacks.
@@ -278,24 +285,24 @@
             and self._method != b"HEAD"
         )
 
-    def _finish(self) -> None:
+    def _finish(self, is_at_close: bool = False) -> None:
         """Complete the response that is being read."""
         self._head = None
         if self._is_skipping:
             self._is_skipping = False
             return
         self._matches_request = None
-        self._push(ResponseEnd())
+        self._push(ResponseEnd(is_at_close))
 
     def _push(self, event: ResponseEvent) -> None:
         self._events.append(event)
         if self._event_available is not None and not self._event_available.done():
             self._event_available.set_result(None)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, is_closed: bool = False) -> None:
         if self._matches_request is not None:
             self._matches_request = None
-            self._push(ResponseFailed(reason))
+            self._push(ResponseFailed(reason, is_closed))
 
     def _fail_and_close(self, reason: str) -> None:
         self._must_not_reuse = True
--- a/src/cyclamenyoke/cli/main.py
+++ b/src/cyclamenyoke/cli/main.py
@@ -16,6 +16,7 @@
 from cyclamenyoke.cli.client import OperatorsClient
 from cyclamenyoke.cli.explain import explain, read_logs
 from cyclamenyoke.cli.lock import read_lock, write_lock
+from cyclamenyoke.cli.quarantine import fetch_quarantine, lift_quarantine
 from cyclamenyoke.cli.reports import burn_report, merge_burn_rates, status_report, table
 from cyclamenyoke.core.config import Service
 from cyclamenyoke.core.units import MILLISECOND
@@ -149,6 +150,30 @@
     return 0
 
 
+@app.command
+def quarantine(node: str, *, lift: str = "", json: Flag = False) -> int:
+    """Show the prompt parts that gateways withhold since they ended engines.
+
+    :param node: IP:PORT of the metrics address of any gateway.
+    :param lift: SERVICE/PART to use again at all gateways.
+    """
+    if lift:
+        service, _, part = lift.rpartition("/")
+        lift_quarantine(node, service, part)
+        print(f"lifted: {lift}")
+        return 0
+    withheld = fetch_quarantine(node)
+    if json:
+        print(_json(withheld))
+        return 0
+    rows = [
+        [each.service, " ".join(each.parts), " ".join(each.engines), each.remaining]
+        for each in withheld
+    ]
+    print(table(["service", "parts", "engines that ended", "seconds left"], rows))
+    return 0
+
+
 @app.command(name="explain")
 def explain_request(request: str, logs: list[Path], *, json: Flag = False) -> int:
     """Show the timeline of one request, from the gateways' logs.
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from cyclamenyoke.core.endpoint_registry import Change
+from cyclamenyoke.core.prompt_quarantine import PartEvidence
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
@@ -50,6 +51,7 @@
     :param broken: endpoints that recently reported a broken group to the node.
     :param leaving: id and incarnation of endpoints that are leaving, although the list
         states that they are ready.
+    :param prompt_evidence: news of prompt parts under which engines have ended.
     """
 
     ip: str
@@ -72,6 +74,7 @@
     suspects: tuple[str, ...]
     broken: tuple[str, ...]
     leaving: tuple[tuple[str, int], ...]
+    prompt_evidence: tuple[PartEvidence, ...]
 
 
 @dataclass(slots=True)
@@ -110,6 +113,14 @@
             if ip != self.ip and ip not in self._peers:
                 self._peers[ip] = Peer(ip, now)
 
+    def is_arrival(self, update: PeerUpdate, now: float) -> bool:
+        """Return whether a node is new, started again or was silent for long."""
+        peer = self._peers.get(update.ip)
+        if peer is None or peer.update is None or peer.received_at is None:
+            return True
+        is_same = peer.update.incarnation == update.incarnation
+        return not is_same or now - peer.received_at > PEER_TIMEOUT
+
     def on_update(self, update: PeerUpdate, now: float) -> bool:
         """Apply a node's update; return whether it is newer than its last one."""
         if update.ip == self.ip:
--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -67,6 +67,7 @@
     :param events: number of events of a stream that it yielded, without comments.
     :param ended_at: when it ended; ``None`` before.
     :param detail: why it did not succeed.
+    :param is_closed_by_endpoint: whether the endpoint's end of the connection ended it.
     """
 
     endpoint: str
@@ -77,6 +78,7 @@
     events: int = 0
     ended_at: float | None = None
     detail: str = ""
+    is_closed_by_endpoint: bool = False
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -26,10 +26,11 @@
     Route,
 )
 from cyclamenyoke.core.inbound_request import InboundRequest, RejectionReason
-from cyclamenyoke.core.invariants import InvariantMonitor
+from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.pass_model import GapRatio, PassModel
 from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.prompt_quarantine import MIN_EVENTS_WRITTEN, PromptQuarantine
 from cyclamenyoke.core.request_delivery import (
     Attempt,
     AttemptOutcome,
@@ -135,6 +136,8 @@
     :param last_event_at: when the current attempt last yielded events; ``None``
         before.
     :param held_bytes: memory reserved for its responses.
+    :param may_have_ended_engine: whether its latest attempt ended with its engine just
+        as that began to write on it.
     """
 
     request: InboundRequest
@@ -152,6 +155,7 @@
     waited: float = 0.0
     last_event_at: float | None = None
     held_bytes: int = 0
+    may_have_ended_engine: bool = False
 
 
 @dataclass(slots=True)
@@ -192,6 +196,7 @@
         engines: EngineClient,
         balancer: Balancer,
         peers: Peers,
+        quarantine: PromptQuarantine,
         settings: NodeSettings,
         config: Callable[[], GatewayConfig | None],
         list_age: Callable[[], float],
@@ -207,6 +212,7 @@
         self._engines = engines
         self._balancer = balancer
         self._peers = peers
+        self._quarantine = quarantine
         self._settings = settings
         self._config = config
         self._list_age = list_age
@@ -320,38 +326,86 @@
         delivery = context.delivery
         max_connections = self._connection_limit(config, context.service)
         while delivery.can_send:
-            now = self._clock.now()
-            if now >= delivery.deadline:
+            if self._clock.now() >= delivery.deadline:
                 break
-            if delivery.sent_attempts and not self._retry_budget(context.service).take(
-                now, self._peers.count(now)
-            ):
-                context.detail = "retry budget exhausted"
-                break
-            available_at = self._balancer.available_at(
-                context.service, delivery.tried_endpoints, now
-            )
-            if available_at is None:
-                context.detail = context.detail or "no untried endpoint"
+            if self._is_withheld(context) or not self._may_try(context):
                 break
             endpoint = await self._find_endpoint(context, config)
             if endpoint is None:
                 break
+            if self._is_withheld(context):
+                self._balancer.on_inconclusive(endpoint.id)
+                self._release_endpoint(context, endpoint)
+                break
             load = self._balancer.load(endpoint) - 1
             attempt = delivery.start_attempt(endpoint.id, load, self._clock.now())
             attempt.outcome = await self._attempt(
                 context, endpoint, attempt, max_connections
             )
-            self._on_attempt_ended(context, attempt)
+            self._on_attempt_ended(context, endpoint, attempt)
             if attempt.outcome is AttemptOutcome.ANSWERED:
                 return "answered"
+            if context.may_have_ended_engine and not self._quarantine.may_repeat(
+                context.service, context.request.shared_parts
+            ):
+                context.detail = "prompt may have ended its engine"
+                break
         return self._send_final_response(context)
 
-    def _on_attempt_ended(self, context: RequestContext, attempt: Attempt) -> None:
-        attempt.ended_at = self._clock.now()
+    def _is_withheld(self, context: RequestContext) -> bool:
+        """Return whether the prompt is quarantined; the caller then learns until when.
+
+        The check and the send are in one turn of the event loop.
+        """
+        now = self._clock.now()
+        until = self._quarantine.withheld_until(
+            context.service, context.request.shared_parts, now
+        )
+        if until is None:
+            return False
+        context.detail = "prompt part is quarantined"
+        context.retry_after = until - now
+        return True
+
+    def _may_try(self, context: RequestContext) -> bool:
+        """Return whether the retry budget and untried endpoints allow an attempt."""
+        delivery, now = context.delivery, self._clock.now()
+        if delivery.sent_attempts and not self._retry_budget(context.service).take(
+            now, self._peers.count(now)
+        ):
+            context.detail = "retry budget exhausted"
+            return False
+        available_at = self._balancer.available_at(
+            context.service, delivery.tried_endpoints, now
+        )
+        if available_at is None:
+            context.detail = context.detail or "no untried endpoint"
+            return False
+        return True
+
+    def _on_attempt_ended(
+        self, context: RequestContext, endpoint: Endpoint, attempt: Attempt
+    ) -> None:
+        now = attempt.ended_at = self._clock.now()
+        service, parts = context.service, context.request.shared_parts
         if attempt.outcome is AttemptOutcome.ANSWERED:
+            if attempt.events or not context.route.is_stream:
+                self._quarantine.on_written(service, parts, now)
             return
         attempt.detail = context.detail
+        context.may_have_ended_engine = self._quarantine.is_evidence(
+            attempt, context.route.is_stream
+        )
+        if context.may_have_ended_engine and parts:
+            self._log.info(
+                "engine ended as it began to write",
+                endpoint=endpoint.id,
+                request=context.request.request_id,
+                service=service,
+                shared_parts=parts,
+            )
+            engine = f"{endpoint.id}@{endpoint.born}"
+            self._quarantine.on_engine_ended(service, parts, engine, now)
         if attempt.outcome is AttemptOutcome.INCOMPLETE:
             self._metrics.count(
                 "attempts_lost", service=context.service, phase=_lost_phase(attempt)
@@ -488,6 +542,13 @@
         balancer.check_send(
             endpoint, self._clock.now(), self._settings.bounds.drain, self._monitor
         )
+        self._monitor.check(
+            Invariant.QUARANTINED_PROMPT_SPARED,
+            not self._quarantine.withheld_until(
+                context.service, context.request.shared_parts, self._clock.now()
+            ),
+            f"request {context.request.request_id} sent though its prompt is withheld",
+        )
         self._on_load_change()
         engine_call: EngineCall | None = None
         has_outcome = False
@@ -619,9 +680,12 @@
                 if not await self._forward_events(context, response.head, events):
                     return AttemptOutcome.INCOMPLETE
             case EngineResponseEnd() if response.head is not None:
+                attempt = context.delivery.attempts[-1]
+                attempt.is_closed_by_endpoint = event.is_at_close
                 return self._complete(context, response.head, response)
             case EngineResponseFailed(reason=reason):
                 context.detail = reason
+                context.delivery.attempts[-1].is_closed_by_endpoint = event.is_closed
                 return AttemptOutcome.INCOMPLETE
             case NotExecuted():
                 context.detail = f"endpoint answered {event.status}"
@@ -708,6 +772,11 @@
                 context.last_event_id = event.id
         if any(not event.is_comment for event in events):
             self._record_gap(context)
+        attempt = context.delivery.attempts[-1]
+        if attempt.events >= MIN_EVENTS_WRITTEN > attempt.events - len(events):
+            self._quarantine.on_written(
+                context.service, context.request.shared_parts, self._clock.now()
+            )
         return True
 
     def _record_gap(self, context: RequestContext) -> None:
@@ -730,6 +799,10 @@
             if response.splitter.pending:
                 context.detail = "stream ended inside an event"
                 return AttemptOutcome.INCOMPLETE
+            is_at_close = context.delivery.attempts[-1].is_closed_by_endpoint
+            if is_at_close and context.last_event_id is None:
+                context.detail = "stream ended without an event"
+                return AttemptOutcome.INCOMPLETE
             if not context.is_head_sent:
                 context.is_head_sent = True
                 context.writer.start(head.status, head.headers)
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -25,11 +25,14 @@
 from cyclamenyoke.core.invariants import CountingMonitor, Invariant
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
 from cyclamenyoke.daemon.expert_rebalancer import ExpertRebalancer
 from cyclamenyoke.daemon.forwarder import Forwarder
 from cyclamenyoke.daemon.membership import Membership
+from cyclamenyoke.daemon.quarantine_api import QuarantineHandler
+from cyclamenyoke.daemon.quarantine_store import LoggingObserver, QuarantineStore
 from cyclamenyoke.exceptions import CyclamenyokeError, FindingsError
 from cyclamenyoke.platform.caller_handlers import (
     CallerHandler,
@@ -92,6 +95,9 @@
         self._balancer = Balancer(self._registry, settings.data_centre, random)
         self._store = StoreClient(settings.store, self._clock)
         self._pool = ConnectionPool(self._clock)
+        self._quarantine = PromptQuarantine(
+            settings.bounds.stall, LoggingObserver(self._log)
+        )
         self._cluster_state = ClusterState(
             settings,
             self._store,
@@ -111,6 +117,7 @@
             self._peers,
             self._registry,
             self._balancer,
+            self._quarantine,
             self._cluster_state,
             self._clock,
             random,
@@ -121,6 +128,7 @@
             HttpEngineClient(self._clock, self._pool),
             self._balancer,
             self._peers,
+            self._quarantine,
             settings,
             lambda: self._cluster_state.config,
             self._cluster_state.list_age,
@@ -150,6 +158,18 @@
             self._metrics,
             self._log,
         )
+        self._quarantine_store = QuarantineStore(
+            self._store,
+            self._quarantine,
+            self._is_list_reader,
+            lambda: self._registry.position.era,
+            self._clock,
+            random,
+            self._log,
+        )
+        self._quarantine_handler = QuarantineHandler(
+            self._quarantine, self._clock, self._log
+        )
         self._caller_server = self._create_server(CallerHandler(self._forwarder.serve))
         self._servers = [
             (settings.callers, self._caller_server),
@@ -162,11 +182,12 @@
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
-                self._create_server(self._serve_metrics),
+                self._create_server(self._serve_operators),
             ),
         ]
         self._stopping = asyncio.Event()
         self._cluster_state.on_change = self._membership.announce
+        self._quarantine.on_change = self._membership.announce
         self._cluster_state.on_config = self._on_config
         self._cluster_state.on_endpoint_removed = self._pool.close_endpoint
         self._membership.queued = lambda: self._forwarder.queued
@@ -201,6 +222,7 @@
             asyncio.create_task(self._run_housekeeping()),
             asyncio.create_task(self._forwarder.poll_queue()),
             asyncio.create_task(self._rebalancer.run()),
+            asyncio.create_task(self._quarantine_store.run()),
             asyncio.create_task(self._watch_settings()),
         ]
         stopping = asyncio.create_task(self._stopping.wait())
@@ -259,9 +281,15 @@
         """
         if not self._is_ready():
             return False
-        reads_store = self._cluster_state.reads_store
-        is_list_reader = self._peers.is_list_reader(self._clock.now(), reads_store)
-        return is_list_reader or (holds_lock and reads_store)
+        return self._is_list_reader() or (
+            holds_lock and self._cluster_state.reads_store
+        )
+
+    def _is_list_reader(self) -> bool:
+        """Return whether this node reads the endpoint list for all nodes."""
+        return self._peers.is_list_reader(
+            self._clock.now(), self._cluster_state.reads_store
+        )
 
     def _count_queued(self, service: str) -> int:
         queued = self._peers.queued(service, self._clock.now())
@@ -278,7 +306,13 @@
     def _address_lifetime(self) -> float:
         return min(MAX_ADDRESS_LIFETIME, self._settings.bounds.address_lifetime)
 
-    async def _serve_metrics(self, request: HttpRequest, responder: Responder) -> None:
+    async def _serve_operators(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        """Serve the metrics, and the quarantine of prompts below its path."""
+        if self._quarantine_handler.handle(request, responder):
+            return
+        self._metrics.gauge("quarantined_parts", self._quarantine_handler.part_count)
         for call, count in self._store.call_counts.items():
             self._metrics.gauge("store_calls", count, call=call)
         self._metrics.gauge("engine_connections_opened", self._pool.opened_count)
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -13,6 +13,7 @@
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers, PeerUpdate
+from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.exceptions import PlatformUnavailable
@@ -88,6 +89,7 @@
         peers: Peers,
         registry: EndpointRegistry,
         balancer: Balancer,
+        quarantine: PromptQuarantine,
         cluster_state: ClusterState,
         clock: Clock,
         random: Random,
@@ -99,6 +101,7 @@
         self._peers = peers
         self._registry = registry
         self._balancer = balancer
+        self._quarantine = quarantine
         self._cluster_state = cluster_state
         self._clock = clock
         self._random = random
@@ -316,14 +319,19 @@
             suspects=tuple(self._balancer.suspects),
             broken=tuple(self._balancer.broken(now)),
             leaving=tuple(self._registry.leaving),
+            prompt_evidence=self._quarantine.news(now),
         )
         self._transport.send(update, ips)
         self._metrics.gauge("exchange_sent_bytes", self._transport.sent_datagram_bytes)
 
     def _on_update(self, update: PeerUpdate) -> None:
         now = self._clock.now()
+        is_arrival = self._peers.is_arrival(update, now)
         if not self._peers.on_update(update, now):
             return
+        if is_arrival:
+            self._quarantine.announce_all(now)
+        self._quarantine.merge(update.prompt_evidence, now)
         self._balancer.on_peer_load(
             update.ip,
             update.requests,
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -126,9 +126,9 @@
                 return EngineResponseData(event.data)
             case ResponseEnd():
                 self._is_complete = True
-                return EngineResponseEnd()
+                return EngineResponseEnd(event.is_at_close)
             case ResponseFailed():
-                return EngineResponseFailed(event.reason)
+                return EngineResponseFailed(event.reason, is_closed=event.is_closed)
 
     def release(self) -> None:
         if self._is_released:
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -51,15 +51,24 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineResponseEnd:
-    """The response is complete."""
+    """The response is complete.
+
+    :param is_at_close: whether only the end of the connection delimited it.
+    """
+
+    is_at_close: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class EngineResponseFailed:
-    """The response was truncated or cannot be trusted; the request may have run."""
+    """The response was truncated or cannot be trusted; the request may have run.
+
+    :param is_closed: whether the connection ended before the response did.
+    """
 
     reason: str
     notice: EngineNotice = NO_NOTICE
+    is_closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -31,6 +31,7 @@
 from cyclamenyoke.core.invariants import InvariantMonitor
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
 from cyclamenyoke.daemon.forwarder import Forwarder
 from cyclamenyoke.daemon.membership import Membership
@@ -527,6 +528,7 @@
         )  # fmt: skip
         registry, self.peers = EndpointRegistry(), Peers(self.ip)
         balancer = Balancer(registry, "dc-1", random)
+        quarantine = PromptQuarantine(BOUNDS.stall)
         store = SimulatedStore(env, self.ip)
         schema = StoreSchema(
             CONFIG_KEY,
@@ -539,18 +541,20 @@
             monitor, metrics, log,
         )  # fmt: skip
         self.membership = Membership(
-            settings, store, self.peers, registry, balancer, self.cluster_state,
-            clock, random,
+            settings, store, self.peers, registry, balancer, quarantine,
+            self.cluster_state, clock, random,
             metrics, log,
         )  # fmt: skip
         self.forwarder = Forwarder(
-            SimulatedEngineClient(env, self), balancer, self.peers, settings,
+            SimulatedEngineClient(env, self), balancer, self.peers, quarantine,
+            settings,
             lambda: self.cluster_state.config, self.cluster_state.list_age,
             self.cluster_state.wait_until_synced, self.membership.announce,
             self.cluster_state.mark_leaving, clock, random,
             monitor, metrics, log,
         )  # fmt: skip
         self.cluster_state.on_change = self.membership.announce
+        quarantine.on_change = self.membership.announce
         self.membership.queued = lambda: self.forwarder.queued
         self.membership.on_peer_update = self.forwarder.dispatch
         self.monitor = monitor
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -227,6 +227,7 @@
         "suspects": (),
         "broken": (),
         "leaving": (),
+        "prompt_evidence": (),
     }
     return PeerUpdate(**{**fields, **changes})
 
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -81,6 +81,7 @@
     Welcome,
 )
 from cyclamenyoke.core.peers import PeerUpdate
+from cyclamenyoke.core.prompt_quarantine import PartEvidence
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.daemon.expert_rebalancer import StoredMaps
 from cyclamenyoke.daemon.http_responses import Problem
@@ -92,6 +93,8 @@
     Status,
 )
 from cyclamenyoke.daemon.publishing import PublishRequest, ServiceEdit
+from cyclamenyoke.daemon.quarantine_api import QuarantinedPrompt
+from cyclamenyoke.daemon.quarantine_store import StoredQuarantine
 
 RECORDED = Path(__file__).parent / "recorded" / "formats.json"
 
@@ -170,7 +173,7 @@
         StorePosition(1, 11),
         *(True, b"digest", (Change("i-1", ENDPOINT, 3.0), Change("i-2", None, 4.0))),
         *({"i-1": 2}, {"llm": {"siam": 2}}, {"llm": {"siam": 1}}, ("i-3",), ("i-4",)),
-        (("i-5", 17),),
+        *((("i-5", 17),), (PartEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0),)),
     ),
     "snapshot": Snapshot(
         b"config", StorePosition(1, 8), 0.5, StorePosition(1, 11), [ENDPOINT]
@@ -199,6 +202,10 @@
     ),
     "config view": ConfigView(INDEX, [SERVICE]),
     "conflict": ConflictBody("reports", "diff"),
+    "stored quarantine": StoredQuarantine(
+        1700000000.5, [PartEvidence("llm", "5c", {"i-6@17": 1.5}, 2.0)]
+    ),
+    "quarantined prompt": QuarantinedPrompt("llm", ["5c"], ["i-6@17"], 599.5),
     "burn rates": BurnRateRow("reports", "siam", 0.9, {"5m": 1.5}, {"5m": 10}),
     "explained": TimelineEvent(0.5, "n", "what"),
 }
