--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -231,6 +231,7 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
         self._gap_ratios: dict[str, GapRatio] = {}
+        self._named_limits: dict[str, float] = {}
         self._pending_decisions: dict[
             AdmissionRequest, asyncio.Future[Admitted | Rejected]
         ] = {}
@@ -650,6 +651,8 @@
                 notice = event.notice
             case _:
                 return
+        if notice.rate_limit != self._named_limits.get(endpoint.id):
+            self._on_limit_change(endpoint, notice.rate_limit)
         if notice.is_leaving:
             self._on_leaving(endpoint)
         if notice.pause:
@@ -660,6 +663,12 @@
                 seconds=round(notice.pause, 3),
             )
 
+    def _on_limit_change(self, endpoint: Endpoint, rate: float | None) -> None:
+        self._named_limits.pop(endpoint.id, None)
+        if rate is not None:
+            self._named_limits[endpoint.id] = rate
+        self._log.info("endpoint limit changed", endpoint=endpoint.id, per_second=rate)
+
     async def _on_event(
         self, context: RequestContext, response: PartialResponse, event: EngineEvent
     ) -> AttemptOutcome | None:
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -1,6 +1,7 @@
 """Sends requests to engines in the platform's format and classifies the responses."""
 
 from collections.abc import Callable
+from math import isfinite
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import (
@@ -24,6 +25,7 @@
     LAST_EVENT_ID,
     LEAVING,
     NOT_EXECUTED,
+    RATE_LIMIT,
     REQUEST_ID,
     RESPONDING_ENGINE,
     RETRY_AFTER,
@@ -75,7 +77,7 @@
     if _is_from_other_engine(head, engine):
         return NO_NOTICE
     is_leaving = (head.get(LEAVING) or b"").strip() == b"1"
-    return EngineNotice(is_leaving, _requested_pause(head))
+    return EngineNotice(is_leaving, _requested_pause(head), _rate_limit(head))
 
 
 def _is_from_other_engine(head: ResponseHead, engine: str) -> bool:
@@ -101,6 +103,20 @@
     return min(seconds, MAX_PAUSE) if seconds > 0 else 0.0
 
 
+def _rate_limit(head: ResponseHead) -> float | None:
+    """Return the limit that a response states, in requests a second.
+
+    >>> _rate_limit(ResponseHead(200, [(b"Server-Limit", b"2.5")]))
+    2.5
+    >>> _rate_limit(ResponseHead(200, [(b"Server-Limit", b"nan")]))
+    """
+    try:
+        rate = float(head.get(RATE_LIMIT) or b"")
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
+
+
 class HttpEngineCall(EngineCall):
     """One request on one connection."""
 
--- a/src/cyclamenyoke/platform/headers.py
+++ b/src/cyclamenyoke/platform/headers.py
@@ -25,6 +25,8 @@
 RETRY_AFTER = b"Retry-After"
 # Response: "1" if the engine is leaving and takes no new requests.
 LEAVING = b"server-leaving"
+# Response: requests a second that the engine takes from all gateways together.
+RATE_LIMIT = b"server-limit"
 # Response of the store: how often it was restored from an older copy.
 STORE_ERA = b"store-era"
 CONTENT_ENCODING = b"content-encoding"
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -18,10 +18,13 @@
 
     :param is_leaving: whether the endpoint is leaving and is to get no new requests.
     :param pause: seconds for which the endpoint wants no requests from this node.
+    :param rate_limit: requests a second that the endpoint takes from all nodes;
+        ``None`` for no limit.
     """
 
     is_leaving: bool = False
     pause: float = 0.0
+    rate_limit: float | None = None
 
 
 NO_NOTICE = EngineNotice()
--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -162,6 +162,7 @@
         self.event_interval = EVENT_INTERVAL
         self.is_leaving = False
         self.retry_after: str | None = None
+        self.rate_limit: float | None = None
         # Parts of prompts on which the engine ends once it begins to write.
         self.crashing_parts: frozenset[str] = frozenset()
         self.state = EngineState()
@@ -215,7 +216,10 @@
 
     def add_headers(self) -> list[str]:
         """Return what every response states about the engine itself."""
-        return ["Server-Leaving: 1"] if self.is_leaving else []
+        fields = ["Server-Leaving: 1"] if self.is_leaving else []
+        if self.rate_limit is not None:
+            fields.append(f"Server-Limit: {self.rate_limit}")
+        return fields
 
     def close_idle(self) -> None:
         """Close all connections, as after an idle timeout."""
