Divide the rate that an engine states among the gateways

What users saw: an engine got more requests than the limit that it had named (13 of 13 at 1.3 a second, 25 of 24 at 3.2).

Cause: nothing read Server-Limit. It is a bound on what all nodes send together, which no node can keep by what it sees itself.

Change: a limit is divided in advance into token buckets of a few nodes, so few that their full buckets at once stay within what the engine bears. Nodes tell each other of limits, silent nodes keep their parts until they must be gone, and those who take parts over start with empty buckets. Placement, queue and fair shares count the lowered capacity; callers are refused at once with the time until the next token.

--- a/src/cyclamenyoke/adapters/peer_transport.py
+++ b/src/cyclamenyoke/adapters/peer_transport.py
@@ -15,7 +15,7 @@
 from cyclamenyoke.core.units import MEBIBYTE, SECOND
 from cyclamenyoke.exceptions import AuthenticationError, PlatformUnavailable
 
-FORMAT_VERSION = b"\x03"
+FORMAT_VERSION = b"\x04"
 """First byte of each message. Fields are encoded by position, so any change to the
 fields of a message requires a new version."""
 
--- a/src/cyclamenyoke/core/admission.py
+++ b/src/cyclamenyoke/core/admission.py
@@ -140,6 +140,8 @@
         nodes, by customer.
     :param pause: returns for how many seconds none of a request's endpoints accepts
         requests, because all of them asked for a pause; 0 if one does.
+    :param limit_wait: returns the seconds until limits of the endpoints let a request
+        through, by its place among those of its service that wait at this node.
     :param scarcity: returns whether a service's slots are scarce, and which customers
         surge.
     """
@@ -150,6 +152,7 @@
         load: Callable[[str], int],
         queued_at_peers: Callable[[str], Mapping[str, int]],
         pause: Callable[[AdmissionRequest, float], float],
+        limit_wait: Callable[[AdmissionRequest, int], float],
         scarcity: Callable[[str], Scarcity],
         monitor: InvariantMonitor,
     ) -> None:
@@ -157,6 +160,7 @@
         self._load = load
         self._queued_at_peers = queued_at_peers
         self._pause = pause
+        self._limit_wait = limit_wait
         self._scarcity = scarcity
         self._monitor = monitor
         self._queues: dict[str, WaitQueue] = {}
@@ -175,6 +179,10 @@
         queue = self._queue(service)
         queue.duration += DURATION_SMOOTHING * (seconds - queue.duration)
 
+    def duration(self, service: str) -> float:
+        """Return the average seconds that a service's requests take."""
+        return self._queue(service).duration
+
     def predicted_wait(self, service: str, customer: str) -> float:
         """Return the seconds until a customer's next request would get a slot."""
         queue = self._queue(service)
@@ -203,7 +211,10 @@
             endpoint = self._find_endpoint(request, now)
             if endpoint is not None:
                 return Admitted(endpoint)
-        wait = self.predicted_wait(request.service, request.customer)
+        wait = max(
+            self.predicted_wait(request.service, request.customer),
+            self._limit_wait(request, len(queue.requests) + 1),
+        )
         if now + wait > request.queue_deadline:
             return _reject(wait)
         queue.requests.append(request)
@@ -232,7 +243,10 @@
                     continue
                 if now >= request.queue_deadline:
                     queue.requests.remove(request)
-                    wait = self.predicted_wait(service, request.customer)
+                    wait = max(
+                        self.predicted_wait(service, request.customer),
+                        self._limit_wait(request, len(queue.requests) + 1),
+                    )
                     yield request, _reject(wait)
                     continue
                 endpoint = self._find_endpoint(request, now)
--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -13,6 +13,7 @@
 
 from cyclamenyoke.core.circuit_breaker import CircuitBreaker, CircuitState
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
@@ -74,12 +75,18 @@
 
     :param data_centre: this node's data centre.
     :param random: breaks ties between equally loaded endpoints.
+    :param limits: the rates that endpoints accept.
     """
 
     def __init__(
-        self, registry: EndpointRegistry, data_centre: str, random: Random
+        self,
+        registry: EndpointRegistry,
+        data_centre: str,
+        random: Random,
+        limits: EngineLimits,
     ) -> None:
         self._registry = registry
+        self._limits = limits
         self._data_centre = data_centre
         self._random = random
         self._own_requests: Counter[str] = Counter()
@@ -140,6 +147,15 @@
         slots = sum(endpoint.slots for endpoint in endpoints)
         return sum(self.load(endpoint) for endpoint in endpoints), slots
 
+    def free_slots(self, service: str, duration: float, now: float) -> tuple[int, int]:
+        """Return a service's free slots and all its slots, as far as limits let them.
+
+        :param duration: seconds that a request takes.
+        """
+        endpoints = self._registry.usable(service)
+        slots = sum(self._limits.slots(each, duration, now) for each in endpoints)
+        return slots - sum(self.load(each) for each in endpoints), slots
+
     def customers(self, service: str) -> Counter[str]:
         """Return a service's requests in flight by customer, as far as known."""
         counts = Counter(self._own_customers.get(service))
@@ -178,7 +194,9 @@
         with_capacity = [
             each
             for each in usable
-            if each.id not in tried and self.load(each) < limit(each)
+            if each.id not in tried
+            and self.load(each) < limit(each)
+            and self._limits.allows(each, now)
         ]
         return self._least_loaded(with_capacity) if with_capacity else None
 
--- /dev/null
+++ b/src/cyclamenyoke/core/engine_limits.py
@@ -0,0 +1,341 @@
+"""Shares the rate that an engine in need accepts among the nodes that send to it.
+
+Load: an engine states how many requests a second it takes from all nodes together.
+Nodes that each take what seems left would overrun it together, and a node can't know in
+time what the others have just sent. So each limit is divided in advance: a few nodes,
+picked alike by all, get an equal part, as a token bucket that holds one request. The
+others leave the engine alone. How many nodes share a limit is bounded by the burst that
+the engine bears if all of them were idle before.
+
+Endpoints of a service are given to nodes in turn, so that each node has its part of
+some of them. A silent node keeps its parts until it must be gone; a node that takes
+parts over starts with empty buckets.
+"""
+
+from bisect import bisect_left
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from math import ceil
+
+from msgspec import Struct
+
+from cyclamenyoke.core.endpoint_registry import Endpoint
+from cyclamenyoke.core.units import MILLISECOND, MINUTE, SECOND
+
+BURST_TIME = 2 * SECOND
+"""Seconds of an engine's rate that the full buckets of all nodes may hold together,
+besides :data:`MIN_SHARING_NODES` requests. That bounds how many nodes share a limit."""
+
+MIN_SHARING_NODES = 2
+"""Nodes that share the limit of an engine at least."""
+
+MIN_RATE = 0.1
+"""Least requests a second that an engine gets. Without any, its nodes would not learn
+that it has lifted its limit."""
+
+LIMIT_LIFETIME = 10 * MINUTE
+"""Seconds for which a limit counts that no response has stated again. It is long, since
+an engine without requests states nothing, and the next ones may be many."""
+
+REORDER_TIME = 100 * MILLISECOND
+"""Only the response to a request that was sent this much after a limit was last stated
+lifts it; others may have left the engine before it stated the limit."""
+
+ANNOUNCE_TIME = 1 * SECOND
+"""Seconds for which a limit is repeated in updates to peers; some get lost."""
+
+ANNOUNCE_INTERVAL = 8 * SECOND
+"""Seconds after which a limit that is still stated is announced again."""
+
+NODES_REFRESH_INTERVAL = 100 * MILLISECOND
+"""Seconds for which the nodes that share limits are not determined anew."""
+
+
+class LimitNotice(Struct, frozen=True, array_like=True):
+    """What a node knows of an endpoint's limit, for its peers.
+
+    :param born: incarnation of the endpoint.
+    :param rate: requests a second from all nodes; negative if the limit was lifted.
+    :param age: seconds since a response stated that.
+    """
+
+    endpoint: str
+    born: int
+    rate: float
+    age: float
+
+
+@dataclass(slots=True)
+class StatedLimit:
+    """The last statement of an endpoint.
+
+    :param rate: requests a second from all nodes; ``None`` if the limit was lifted.
+    :param since: when the limit began.
+    :param stated_at: when the statement was last made.
+    """
+
+    born: int
+    rate: float | None
+    since: float
+    stated_at: float
+    announce_until: float = 0.0
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """One node's part of a limit. It holds one request at most.
+
+    >>> bucket = TokenBucket(tokens=1.0, filled_at=0.0)
+    >>> bucket.take(0.5, now=0.0), bucket.take(0.5, now=1.0), bucket.take(0.5, now=2.0)
+    (True, False, True)
+    """
+
+    tokens: float
+    filled_at: float
+
+    def wait(self, rate: float, now: float) -> float:
+        """Return the seconds until a request may be sent.
+
+        :param rate: requests a second of this part.
+        """
+        self.tokens = min(1.0, self.tokens + (now - self.filled_at) * rate)
+        self.filled_at = now
+        return max(0.0, (1.0 - self.tokens) / rate)
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take the token for one request; return whether there was one."""
+        if self.wait(rate, now) > 0.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class LimitObserver:
+    """Receives changes of limits; does nothing itself."""
+
+    def on_limit(self, endpoint: str, rate: float | None) -> None:
+        """Handle a limit that was stated, or lifted (``None``)."""
+
+
+class EngineLimits:
+    """The limits that one node knows, and its parts of them.
+
+    :param ip: this node's IP address.
+    :param nodes: returns the IP addresses of all nodes that may send requests.
+    :param endpoints: returns the usable endpoints of a service.
+    :param on_change: called when there is news for peers.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        nodes: Callable[[float], Iterable[str]],
+        endpoints: Callable[[str], Sequence[Endpoint]],
+        observer: LimitObserver | None = None,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._ip = ip
+        self._own_place = 0
+        self._find_nodes = nodes
+        self._endpoints = endpoints
+        self._observer = observer or LimitObserver()
+        self.on_change = on_change
+        self._limits: dict[str, StatedLimit] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+        self._nodes: list[str] = []
+        self._nodes_determined_at: float | None = None
+        # By service: its endpoints, and the place of each among them.
+        self._places: dict[str, tuple[Sequence[Endpoint], dict[str, int]]] = {}
+
+    def on_response(
+        self, endpoint: Endpoint, rate: float | None, sent_at: float, now: float
+    ) -> None:
+        """Record what a response stated.
+
+        :param rate: the limit in requests a second; ``None`` if it stated none.
+        :param sent_at: when the request was sent.
+        """
+        known = self._current(endpoint.id, endpoint.born, now)
+        if rate is None:
+            if known is None or known.rate is None:
+                return
+            if sent_at < known.stated_at + REORDER_TIME:
+                return
+        self._apply(endpoint.id, endpoint.born, rate, now, now)
+
+    def merge(self, notices: Iterable[LimitNotice], now: float) -> None:
+        """Add what a peer knows."""
+        for each in notices:
+            known = self._current(each.endpoint, each.born, now)
+            stated_at = now - each.age
+            if known is not None and stated_at <= known.stated_at:
+                continue
+            rate = each.rate if each.rate >= 0 else None
+            if rate is None and known is None:
+                continue
+            self._apply(each.endpoint, each.born, rate, stated_at, now)
+
+    def news(self, now: float) -> tuple[LimitNotice, ...]:
+        """Return what peers may not have received yet."""
+        if not self._limits:
+            return ()
+        self._drop_expired(now)
+        return tuple(
+            LimitNotice(
+                id_,
+                limit.born,
+                -1.0 if limit.rate is None else limit.rate,
+                now - limit.stated_at,
+            )
+            for id_, limit in self._limits.items()
+            if limit.announce_until > now
+        )
+
+    def announce_all(self, now: float) -> None:
+        """Tell peers all limits again, since one of them may have missed some."""
+        for limit in self._limits.values():
+            limit.announce_until = now + ANNOUNCE_TIME
+
+    def wait(self, endpoint: Endpoint, now: float) -> float | None:
+        """Return the seconds until this node may send a request to an endpoint.
+
+        :returns: ``None`` if this node has no part of the endpoint's limit.
+        """
+        limit = self._current(endpoint.id, endpoint.born, now)
+        if limit is None or limit.rate is None:
+            return 0.0
+        rate = self._own_rate(endpoint, limit.rate, now)
+        if rate is None:
+            return None
+        return self._bucket(endpoint.id, limit, now).wait(rate, now)
+
+    def allows(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether this node may send a request to an endpoint now."""
+        if not self._limits:
+            return True
+        return self.wait(endpoint, now) == 0.0
+
+    def on_sent(self, endpoint: Endpoint, now: float) -> None:
+        """Count a request to an endpoint against this node's part of its limit."""
+        limit = self._current(endpoint.id, endpoint.born, now)
+        if limit is None or limit.rate is None:
+            return
+        rate = self._own_rate(endpoint, limit.rate, now)
+        if rate is not None:
+            self._bucket(endpoint.id, limit, now).take(rate, now)
+
+    def wait_of_service(
+        self, service: str, tried: frozenset[str], position: int, now: float
+    ) -> float:
+        """Return the seconds until limits let through this node's next requests.
+
+        :param tried: endpoints that are not used again.
+        :param position: which of this node's waiting requests is meant; 1 is the next.
+        :returns: 0 if an endpoint has no limit; infinity if this node has no part.
+        """
+        if not self._limits:
+            return 0.0
+        waits, total_rate = [], 0.0
+        for endpoint in self._endpoints(service):
+            if endpoint.id in tried:
+                continue
+            limit = self._current(endpoint.id, endpoint.born, now)
+            if limit is None or limit.rate is None:
+                return 0.0
+            wait = self.wait(endpoint, now)
+            if wait is not None:
+                waits.append(wait)
+                total_rate += self._own_rate(endpoint, limit.rate, now) or 0.0
+        if not waits:
+            return float("inf")
+        return min(waits) + (position - 1) / total_rate
+
+    def slots(self, endpoint: Endpoint, duration: float, now: float) -> int:
+        """Return how many slots of an endpoint its limit lets all nodes fill.
+
+        :param duration: seconds that a request takes.
+        """
+        limit = self._current(endpoint.id, endpoint.born, now)
+        if limit is None or limit.rate is None:
+            return endpoint.slots
+        return min(endpoint.slots, max(1, ceil(limit.rate * duration)))
+
+    def _current(self, id_: str, born: int, now: float) -> StatedLimit | None:
+        limit = self._limits.get(id_)
+        if limit is None:
+            return None
+        if limit.born != born or limit.stated_at < now - LIMIT_LIFETIME:
+            return None
+        return limit
+
+    def _apply(
+        self, id_: str, born: int, rate: float | None, stated_at: float, now: float
+    ) -> None:
+        known = self._current(id_, born, now)
+        is_new = known is None or known.rate != rate
+        if known is None or known.rate is None or rate is None:
+            self._buckets.pop(id_, None)
+        since = now if known is None or known.rate is None else known.since
+        announce_until = 0.0 if known is None else known.announce_until
+        if is_new or now > announce_until + ANNOUNCE_INTERVAL:
+            announce_until = now + ANNOUNCE_TIME
+        self._limits[id_] = StatedLimit(born, rate, since, stated_at, announce_until)
+        if is_new:
+            self._observer.on_limit(id_, rate)
+            self.on_change()
+
+    def _drop_expired(self, now: float) -> None:
+        for id_, limit in list(self._limits.items()):
+            if limit.stated_at < now - LIMIT_LIFETIME:
+                del self._limits[id_]
+                self._buckets.pop(id_, None)
+
+    def _own_rate(self, endpoint: Endpoint, rate: float, now: float) -> float | None:
+        """Return this node's part of a limit; ``None`` if it has none.
+
+        A part that was lost and is gained again begins with an empty bucket.
+        """
+        nodes = self._current_nodes(now)
+        count = min(len(nodes), int(rate * BURST_TIME) + MIN_SHARING_NODES)
+        places = self._places_of(endpoint.service)
+        first = places.get(endpoint.id, 0) * len(nodes) // max(1, len(places))
+        if (self._own_place - first) % len(nodes) < count:
+            return max(MIN_RATE, rate) / count
+        self._buckets.pop(endpoint.id, None)
+        return None
+
+    def _places_of(self, service: str) -> dict[str, int]:
+        """Return the place of each endpoint among those of a service, by id."""
+        endpoints = self._endpoints(service)
+        known = self._places.get(service)
+        if known is None or known[0] is not endpoints:
+            ids = sorted((each.id for each in endpoints), key=_order)
+            known = endpoints, {id_: place for place, id_ in enumerate(ids)}
+            self._places[service] = known
+        return known[1]
+
+    def _current_nodes(self, now: float) -> list[str]:
+        """Return the nodes that share limits, in an order that all nodes agree on."""
+        determined_at = self._nodes_determined_at
+        if determined_at is None or now > determined_at + NODES_REFRESH_INTERVAL:
+            ips = {self._ip, *self._find_nodes(now)}
+            self._nodes = sorted(_order(ip) for ip in ips)
+            self._own_place = bisect_left(self._nodes, _order(self._ip))
+            self._nodes_determined_at = now
+        return self._nodes
+
+    def _bucket(self, id_: str, limit: StatedLimit, now: float) -> TokenBucket:
+        bucket = self._buckets.get(id_)
+        if bucket is None:
+            # A limit that was just stated replaces requests that went there anyway; a
+            # part that another node had until now may be spent.
+            is_taken_over = now > limit.since + ANNOUNCE_TIME
+            bucket = TokenBucket(0.0 if is_taken_over else 1.0, now)
+            self._buckets[id_] = bucket
+        return bucket
+
+
+def _order(name: str) -> str:
+    """Return a key that sorts names in an arbitrary order, the same at all nodes."""
+    return blake2b(name.encode(), digest_size=8).hexdigest() + name
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from cyclamenyoke.core.endpoint_registry import Change
+from cyclamenyoke.core.engine_limits import LimitNotice
 from cyclamenyoke.core.prompt_quarantine import PartEvidence
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MILLISECOND, SECOND
@@ -25,6 +26,10 @@
 """Seconds after a node's last update within which an older one may still arrive. After
 that an update of another incarnation is accepted even if its number is lower."""
 
+MAX_SILENCE = 3 * SECOND
+"""Seconds without an update for which a peer may still be sending requests, although it
+no longer counts as live."""
+
 PEER_LIFETIME = 30 * SECOND
 """Seconds without an update after which a peer is removed and gets no more updates."""
 
@@ -52,6 +57,7 @@
     :param leaving: id and incarnation of endpoints that are leaving, although the list
         states that they are ready.
     :param prompt_evidence: news of prompt parts under which engines have ended.
+    :param limits: news of the rates that endpoints accept from all nodes.
     """
 
     ip: str
@@ -75,6 +81,7 @@
     broken: tuple[str, ...]
     leaving: tuple[tuple[str, int], ...]
     prompt_evidence: tuple[PartEvidence, ...]
+    limits: tuple[LimitNotice, ...]
 
 
 @dataclass(slots=True)
@@ -163,6 +170,19 @@
             and now - peer.received_at < PEER_TIMEOUT
         ]
 
+    def possible_senders(self, now: float) -> list[str]:
+        """Return the IP addresses of the other nodes that may be sending requests.
+
+        If most of them are silent, this node itself may be cut off; it then counts all.
+        """
+        known = [
+            (peer.ip, peer.received_at or peer.added_at)
+            for peer in self._peers.values()
+            if peer.update is not None or now - peer.added_at < MAX_SILENCE
+        ]
+        recent = [ip for ip, heard_at in known if now - heard_at < MAX_SILENCE]
+        return recent if 2 * len(recent) >= len(known) else [ip for ip, _ in known]
+
     def count(self, now: float) -> int:
         """Return the number of live nodes including this one."""
         return 1 + len(self.live(now))
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -18,6 +18,7 @@
 )
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import Endpoint
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.fair_share import NOT_SCARCE, Scarcity, is_scarce, scarcity_of
 from cyclamenyoke.core.gateway_config import (
     Customer,
@@ -42,6 +43,7 @@
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
+    NO_NOTICE,
     EngineCall,
     EngineClient,
     EngineEvent,
@@ -197,6 +199,7 @@
         balancer: Balancer,
         peers: Peers,
         quarantine: PromptQuarantine,
+        limits: EngineLimits,
         settings: NodeSettings,
         config: Callable[[], GatewayConfig | None],
         list_age: Callable[[], float],
@@ -213,6 +216,7 @@
         self._balancer = balancer
         self._peers = peers
         self._quarantine = quarantine
+        self._limits = limits
         self._settings = settings
         self._config = config
         self._list_age = list_age
@@ -231,7 +235,6 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
         self._gap_ratios: dict[str, GapRatio] = {}
-        self._named_limits: dict[str, float] = {}
         self._pending_decisions: dict[
             AdmissionRequest, asyncio.Future[Admitted | Rejected]
         ] = {}
@@ -240,6 +243,7 @@
             lambda service: balancer.service_load(service)[0],
             lambda service: peers.queued(service, clock.now()),
             self._pause,
+            self._limit_wait,
             self._scarcity,
             monitor,
         )
@@ -449,6 +453,14 @@
         )
         return 0.0 if available_at is None else available_at - now
 
+    def _limit_wait(self, admission_request: AdmissionRequest, position: int) -> float:
+        return self._limits.wait_of_service(
+            admission_request.service,
+            admission_request.tried_endpoints,
+            position,
+            self._clock.now(),
+        )
+
     def _admission_request(self, context: RequestContext) -> AdmissionRequest:
         route, delivery = context.route, context.delivery
         arrived_at = context.request.arrived_at
@@ -503,6 +515,7 @@
         if endpoint is not None:
             # Counted here, so that the next admission decision includes it.
             self._balancer.on_sent(endpoint.id)
+            self._limits.on_sent(endpoint, now)
             self._balancer.count_customer(
                 admission_request.service, admission_request.customer, 1
             )
@@ -514,10 +527,13 @@
         self._balancer.count_customer(context.service, context.customer or "", -1)
 
     def _scarcity(self, service: str) -> Scarcity:
-        load, slots = self._balancer.service_load(service)
-        if not is_scarce(slots - load, slots):
+        now = self._clock.now()
+        free, slots = self._balancer.free_slots(
+            service, self._admission.duration(service), now
+        )
+        if not is_scarce(free, slots):
             return NOT_SCARCE
-        queued = self._peers.queued(service, self._clock.now())
+        queued = self._peers.queued(service, now)
         queued.update(self._admission.queued.get(service, {}))
         return scarcity_of(self._balancer.customers(service), queued)
 
@@ -634,7 +650,7 @@
                         last_progress = response.progress
                         scope.reschedule(loop.time() + self._idle_timeout(context))
                     event = await engine_call.receive()
-                    self._on_notice(endpoint, event)
+                    self._on_notice(context, endpoint, event)
                     outcome = await self._on_event(context, response, event)
                     if isinstance(event, NotExecuted):
                         await self._discard_body(engine_call)
@@ -644,31 +660,29 @@
             context.detail = "endpoint is silent"
             return AttemptOutcome.INCOMPLETE
 
-    def _on_notice(self, endpoint: Endpoint, event: EngineEvent) -> None:
+    def _on_notice(
+        self, context: RequestContext, endpoint: Endpoint, event: EngineEvent
+    ) -> None:
         """Note what a response states about its endpoint."""
         match event:
             case EngineResponseHead() | EngineResponseFailed() | NotExecuted():
                 notice = event.notice
             case _:
                 return
-        if notice.rate_limit != self._named_limits.get(endpoint.id):
-            self._on_limit_change(endpoint, notice.rate_limit)
+        now = self._clock.now()
+        if notice is not NO_NOTICE:
+            sent_at = context.delivery.attempts[-1].sent_at
+            self._limits.on_response(endpoint, notice.rate_limit, sent_at, now)
         if notice.is_leaving:
             self._on_leaving(endpoint)
         if notice.pause:
-            self._balancer.on_rest(endpoint, notice.pause, self._clock.now())
+            self._balancer.on_rest(endpoint, notice.pause, now)
             self._log.info(
                 "endpoint asked for a pause",
                 endpoint=endpoint.id,
                 seconds=round(notice.pause, 3),
             )
 
-    def _on_limit_change(self, endpoint: Endpoint, rate: float | None) -> None:
-        self._named_limits.pop(endpoint.id, None)
-        if rate is not None:
-            self._named_limits[endpoint.id] = rate
-        self._log.info("endpoint limit changed", endpoint=endpoint.id, per_second=rate)
-
     async def _on_event(
         self, context: RequestContext, response: PartialResponse, event: EngineEvent
     ) -> AttemptOutcome | None:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -20,6 +20,7 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits, LimitObserver
 from cyclamenyoke.core.gateway_config import GatewayConfig
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.invariants import CountingMonitor, Invariant
@@ -75,6 +76,16 @@
     return decode_endpoints([(item.key, item.value) for item in items])
 
 
+class LoggingLimitObserver(LimitObserver):
+    """Logs the limits that endpoints state, and their end."""
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+
+    def on_limit(self, endpoint: str, rate: float | None) -> None:
+        self._log.info("endpoint limit changed", endpoint=endpoint, per_second=rate)
+
+
 class Gateway:
     """One gateway process.
 
@@ -92,7 +103,15 @@
         monitor = self._monitor = CountingMonitor(self._on_violation)
         self._registry = EndpointRegistry(settings.registration_lifetime)
         self._peers = Peers(settings.ip)
-        self._balancer = Balancer(self._registry, settings.data_centre, random)
+        self._limits = EngineLimits(
+            settings.ip,
+            self._peers.possible_senders,
+            self._registry.usable,
+            LoggingLimitObserver(self._log),
+        )
+        self._balancer = Balancer(
+            self._registry, settings.data_centre, random, self._limits
+        )
         self._store = StoreClient(settings.store, self._clock)
         self._pool = ConnectionPool(self._clock)
         self._quarantine = PromptQuarantine(
@@ -118,6 +137,7 @@
             self._registry,
             self._balancer,
             self._quarantine,
+            self._limits,
             self._cluster_state,
             self._clock,
             random,
@@ -129,6 +149,7 @@
             self._balancer,
             self._peers,
             self._quarantine,
+            self._limits,
             settings,
             lambda: self._cluster_state.config,
             self._cluster_state.list_age,
@@ -188,6 +209,7 @@
         self._stopping = asyncio.Event()
         self._cluster_state.on_change = self._membership.announce
         self._quarantine.on_change = self._membership.announce
+        self._limits.on_change = self._membership.announce
         self._cluster_state.on_config = self._on_config
         self._cluster_state.on_endpoint_removed = self._pool.close_endpoint
         self._membership.queued = lambda: self._forwarder.queued
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -11,6 +11,7 @@
 from cyclamenyoke.adapters.peer_transport import MessageAuthenticator, PeerTransport
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers, PeerUpdate
 from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
@@ -90,6 +91,7 @@
         registry: EndpointRegistry,
         balancer: Balancer,
         quarantine: PromptQuarantine,
+        limits: EngineLimits,
         cluster_state: ClusterState,
         clock: Clock,
         random: Random,
@@ -102,6 +104,7 @@
         self._registry = registry
         self._balancer = balancer
         self._quarantine = quarantine
+        self._limits = limits
         self._cluster_state = cluster_state
         self._clock = clock
         self._random = random
@@ -320,6 +323,7 @@
             broken=tuple(self._balancer.broken(now)),
             leaving=tuple(self._registry.leaving),
             prompt_evidence=self._quarantine.news(now),
+            limits=self._limits.news(now),
         )
         self._transport.send(update, ips)
         self._metrics.gauge("exchange_sent_bytes", self._transport.sent_datagram_bytes)
@@ -331,7 +335,9 @@
             return
         if is_arrival:
             self._quarantine.announce_all(now)
+            self._limits.announce_all(now)
         self._quarantine.merge(update.prompt_evidence, now)
+        self._limits.merge(update.limits, now)
         self._balancer.on_peer_load(
             update.ip,
             update.requests,
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -28,6 +28,8 @@
 
 
 NO_NOTICE = EngineNotice()
+"""The notice of a response that does not come from the endpoint itself. Any other one
+without a limit means that the endpoint has none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -4,7 +4,8 @@
 engines, gossip and callers are models that inject faults: lost and delayed writes,
 entries that expire during an outage, a store that is restored from an older copy, nodes
 whose store calls fail, network partitions, killed and gracefully stopped nodes, clock
-jumps, and engines that reject requests, crash, stop responding or reset connections.
+jumps, and engines that reject requests, crash, stop responding, reset connections,
+state limits or end on a part of prompts.
 Everything that callers and engines observe is checked against the gateway's invariants.
 
 Run with ``PYTHONPATH=tests python -m gateway_soak --seed 1 --seconds 120``.
@@ -15,6 +16,7 @@
 import itertools
 import json
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from unittest.mock import patch
@@ -26,6 +28,7 @@
 from cyclamenyoke.adapters.peer_transport import PeerTransport
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.inbound_request import InboundRequest, RejectionReason
 from cyclamenyoke.core.invariants import InvariantMonitor
@@ -81,6 +84,18 @@
 """Seconds for which a rejecting engine wants no requests, seconds within which requests
 on their way may still arrive, and how many may arrive after that."""
 
+REACTION_TIME = 3.0
+"""Seconds after which all nodes keep an engine's limit and withhold prompts."""
+
+LIMIT_WINDOW = 4.0
+"""Seconds over which an engine's requests are counted against its limit."""
+
+MAX_ENDS, MAX_LATER_PROMPTS = 5, 3
+"""Engines that may end under one part of prompts, and how many requests with the part
+may reach engines after that and the reaction time."""
+
+SHARED_PARTS = 8
+
 EVENTS_PER_STREAM = 6
 ROUTES = ("order", "lookup", "stream", "extra")
 NOT_RUN_REASONS = {
@@ -125,6 +140,7 @@
     service: str = ""
     outcome: str = ""
     ended_at: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 class RecordingResponseWriter(ResponseWriter):
@@ -193,6 +209,12 @@
         self.clock_offset = 0.0
         self.config_version = 0
         self.config = b""
+        # The part of prompts that ends engines, when it did, and later arrivals.
+        self.crashing_part = ""
+        self.crashing_parts: set[str] = set()
+        self.ends: dict[str, list[float]] = defaultdict(list)
+        self.later_prompts: Counter[str] = Counter()
+        self.restart: Callable[[SimulatedEngine], None] = lambda engine: None
 
     def put(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Write a key, or delete it if the value is ``None``; return the revision."""
@@ -370,6 +392,9 @@
     :param fault: what happens to a part of its requests: ``rejects``, ``silent``,
         ``fails`` or ``resets``; empty for none.
     :param states_leaving: whether its responses state that it is draining.
+    :param limit: requests a second that its responses state; ``None`` for none.
+    :param limited_since: when it stated that for the first time.
+    :param counted: arrivals that count against the limit.
     """
 
     id: str
@@ -381,6 +406,9 @@
     drain_started_at: float | None = None
     fault: str = ""
     states_leaving: bool = False
+    limit: float | None = None
+    limited_since: float | None = None
+    counted: list[float] = field(default_factory=list)
 
     def entry(self) -> bytes:
         """Return its registry entry as the store holds it."""
@@ -413,6 +441,8 @@
         observed.arrival_times.append(env.clock.now())
         self._check_drain(engine)
         self._check_notices(engine, observed)
+        self._check_limit(engine)
+        self._check_prompt(observed)
         return SimulatedEngineCall(
             self._serve(engine, request.request_id, observed, last_event_id)
         )
@@ -430,6 +460,32 @@
             if arrivals + 1 > MAX_ARRIVALS_IN_PAUSE:
                 self._env.report_violation(f"{engine.id} gets work during its pause")
 
+    def _check_limit(self, engine: SimulatedEngine) -> None:
+        """Check what a limited engine gets from nodes that nothing has disturbed."""
+        env, now = self._env, self._env.clock.now()
+        if engine.limit is None or engine.limited_since is None:
+            return
+        if now < engine.limited_since + REACTION_TIME + LIMIT_WINDOW:
+            return
+        if not env.is_fault_free or not self._node.is_settled:
+            return
+        engine.counted = [at for at in engine.counted if at > now - LIMIT_WINDOW]
+        engine.counted.append(now)
+        if len(engine.counted) > 1.5 * LIMIT_WINDOW * engine.limit + 5:
+            env.report_violation(f"{engine.id} gets requests beyond its limit")
+
+    def _check_prompt(self, request: ObservedRequest) -> None:
+        """Check that parts of prompts that have ended engines are withheld."""
+        env = self._env
+        for part in request.parts:
+            ends = env.ends.get(part, [])
+            if len(ends) < MAX_ENDS or not self._node.is_settled:
+                continue
+            is_late = env.clock.now() > ends[MAX_ENDS - 1] + REACTION_TIME
+            env.later_prompts[part] += is_late and env.is_fault_free
+            if env.later_prompts[part] > MAX_LATER_PROMPTS:
+                env.report_violation(f"{part} ended {len(ends)} engines and is sent on")
+
     def _reject(self, engine: SimulatedEngine) -> NotExecuted:
         """Return a rejection that asks for a pause, and note it for the check."""
         now, key = self._env.clock.now(), (engine.id, engine.incarnation)
@@ -444,7 +500,9 @@
             self._node.told_leaving_at.setdefault(
                 (engine.id, engine.incarnation), self._env.clock.now()
             )
-        return EngineNotice(is_leaving=is_leaving)
+        if engine.limit is not None and engine.limited_since is None:
+            engine.limited_since = self._env.clock.now()
+        return EngineNotice(is_leaving=is_leaving, rate_limit=engine.limit)
 
     def _check_drain(self, engine: SimulatedEngine) -> None:
         now = self._env.clock.now()
@@ -476,12 +534,20 @@
             return
         is_stream = engine.service == "llm"
         yield EngineResponseHead(200, [], True, is_stream, self._notice(engine))
+        if self._env.crashing_part and self._env.crashing_part in request.parts:
+            await asyncio.sleep(random.uniform(0.01, 0.06))
+            if engine.is_alive:
+                self._env.ends[self._env.crashing_part].append(self._env.clock.now())
+                engine.is_alive = False
+                self._env.restart(engine)
+            yield EngineResponseFailed("connection reset", is_closed=True)
+            return
         for number in range(
             (last_event_id or 0) + 1, EVENTS_PER_STREAM + 1 if is_stream else 2
         ):
             await asyncio.sleep(random.uniform(0.02, 0.06))
             if not engine.is_alive or (engine.fault == "resets" and draw < 0.2):
-                yield EngineResponseFailed("connection reset")
+                yield EngineResponseFailed("connection reset", is_closed=True)
                 return
             text = f"id: {number}\ndata: {request_id}\n\n"
             yield EngineResponseData(
@@ -527,7 +593,8 @@
             (), "store:1", 1.0, 10**8, 1000, BOUNDS,
         )  # fmt: skip
         registry, self.peers = EndpointRegistry(), Peers(self.ip)
-        balancer = Balancer(registry, "dc-1", random)
+        limits = EngineLimits(self.ip, self.peers.possible_senders, registry.usable)
+        balancer = Balancer(registry, "dc-1", random, limits)
         quarantine = PromptQuarantine(BOUNDS.stall)
         store = SimulatedStore(env, self.ip)
         schema = StoreSchema(
@@ -542,19 +609,19 @@
         )  # fmt: skip
         self.membership = Membership(
             settings, store, self.peers, registry, balancer, quarantine,
-            self.cluster_state, clock, random,
+            limits, self.cluster_state, clock, random,
             metrics, log,
         )  # fmt: skip
         self.forwarder = Forwarder(
             SimulatedEngineClient(env, self), balancer, self.peers, quarantine,
-            settings,
+            limits, settings,
             lambda: self.cluster_state.config, self.cluster_state.list_age,
             self.cluster_state.wait_until_synced, self.membership.announce,
             self.cluster_state.mark_leaving, clock, random,
             monitor, metrics, log,
         )  # fmt: skip
         self.cluster_state.on_change = self.membership.announce
-        quarantine.on_change = self.membership.announce
+        quarantine.on_change = limits.on_change = self.membership.announce
         self.membership.queued = lambda: self.forwarder.queued
         self.membership.on_peer_update = self.forwarder.dispatch
         self.monitor = monitor
@@ -619,6 +686,7 @@
     async def _run(self, seconds: float) -> Environment:
         self.env = env = Environment(self.seed)
         SimulatedTransport.env = env
+        env.restart = lambda engine: self._start(self._restart_engine(engine))
         with (
             patch("cyclamenyoke.daemon.membership.PeerTransport", SimulatedTransport),
             patch(
@@ -670,7 +738,9 @@
         """Start planned changes, also in fault-free periods."""
         while True:
             await asyncio.sleep(self.env.random.uniform(0.5, 2))
-            change = self.env.random.choice([self._shut_down_node, self._drain_engine])
+            changes = [self._shut_down_node, self._drain_engine]
+            changes += [self._limit_engine, self._send_crashing_prompts]
+            [change] = self.env.random.choices(changes, [4, 4, 2, 1])
             self._start_action(change)
 
     async def _inject_faults(self) -> None:
@@ -689,7 +759,10 @@
 
     def _start_action(self, action) -> None:
         self.env.action_counts[action.__name__] += 1
-        task = asyncio.ensure_future(action())
+        self._start(action())
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
         self._actions.add(task)
         task.add_done_callback(self._actions.discard)
         task.add_done_callback(self._on_action_done)
@@ -826,7 +899,13 @@
             return
         env.note_fault(3)
         engine.is_alive = False
+        await self._restart_engine(engine)
+
+    async def _restart_engine(self, engine: SimulatedEngine) -> None:
+        env = self.env
         await asyncio.sleep(env.random.uniform(0.5, 2))
+        if engine.is_draining:
+            return
         del env.engines[engine.address]
         address = f"10.1.0.{next(self.numbers)}:80"
         restarted = SimulatedEngine(
@@ -835,6 +914,35 @@
         env.engines[restarted.address] = restarted
         env.put(ENDPOINT_PREFIX + restarted.id, restarted.entry())
 
+    async def _limit_engine(self) -> None:
+        """Have an engine state for a while how many requests a second it takes."""
+        env = self.env
+        engine = env.random.choice(list(env.engines.values()))
+        if engine.limit is not None:
+            return
+        engine.limit = env.random.uniform(0.5, 3.0)
+        await asyncio.sleep(env.random.uniform(5, 15))
+        engine.limit = engine.limited_since = None
+        engine.counted.clear()
+
+    async def _send_crashing_prompts(self) -> None:
+        """Let some streams have a part that ends the engines that write on it."""
+        env = self.env
+        if env.crashing_part:
+            return
+        env.crashing_part = f"crashing-{next(self.numbers)}"
+        env.crashing_parts.add(env.crashing_part)
+        await asyncio.sleep(env.random.uniform(5, 15))
+        env.crashing_part = ""
+
+    def _prompt_parts(self) -> tuple[str, ...]:
+        """Return shared parts of a stream's prompt, one in ten with a crashing one."""
+        env = self.env
+        shared = f"shared-{env.random.randrange(SHARED_PARTS)}"
+        if env.crashing_part and env.random.random() < 0.1:
+            return shared, env.crashing_part
+        return (shared,)
+
     async def _drain_engine(self) -> None:
         """Replace an engine: start another one, then drain and remove the first."""
         env = self.env
@@ -876,9 +984,10 @@
         name = env.random.choice(ROUTES)
         id_ = f"{next(self.numbers):016x}"
         request = env.observed[id_] = ObservedRequest(name, now, now + 1.5)
+        request.parts = self._prompt_parts() if name == "stream" else ()
         call = InboundRequest(
             id_, b"POST", f"/{name}/x".encode(), f"/{name}/x", HOST, [], b"{}", API_KEY,
-            now, request.deadline, None, 0, 0,
+            now, request.deadline, None, 0, 0, request.parts,
         )  # fmt: skip
         response = RecordingResponseWriter()
         task = asyncio.ensure_future(node.forwarder.serve(call, response))
@@ -926,10 +1035,15 @@
             )
         if env.is_fault_free and node.is_settled:
             counts = self.fault_free_counts[int(env.clock.now() // FAULT_FREE_INTERVAL)]
-            counts[1] += request.route != "extra"
-            counts[0] += request.outcome == "answered" and request.route != "extra"
+            # A prompt that ends engines can't be answered.
+            is_sound = request.route != "extra" and not self._is_crashing(request)
+            counts[1] += is_sound
+            counts[0] += request.outcome == "answered" and is_sound
             self._check_config(request)
 
+    def _is_crashing(self, request: ObservedRequest) -> bool:
+        return any(part in self.env.crashing_parts for part in request.parts)
+
     def _check_config(self, request: ObservedRequest) -> None:
         """Check that route ``extra`` follows the newest configuration.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -67,11 +67,13 @@
         self.customers: Counter[str] = Counter()
         self.queued_at_peers = 0
         self.pause = 0.0
+        self.limit_wait = 0.0
         self.admission = Admission(
             self._find,
             lambda service: self.used,
             lambda service: {"c": self.queued_at_peers},
             lambda request, now: self.pause,
+            lambda request, position: self.limit_wait,
             self._scarcity,
             RaisingMonitor(),
         )
@@ -292,6 +294,17 @@
     assert served.customer == "big"
 
 
+def test_request_that_limits_would_hold_for_too_long_is_rejected_at_once():
+    service = SimulatedService(0)
+    service.used = 4
+    service.limit_wait = 0.4
+    assert isinstance(service.admission.decide(make_request(), NOW), Enqueued)
+    service.limit_wait = 1.7
+    decision = service.admission.decide(make_request(), NOW)
+    assert isinstance(decision, Rejected)
+    assert decision.retry_after == pytest.approx(1.7)
+
+
 def test_predicted_wait_counts_the_surge_only_for_the_surging_customer():
     service = service_under_surge()
     for number in range(4):
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -11,6 +11,7 @@
     Endpoint,
     EndpointRegistry,
 )
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.invariants import RaisingMonitor
 from cyclamenyoke.core.peers import Peers, PeerUpdate
 from cyclamenyoke.core.store_position import StorePosition
@@ -139,8 +140,13 @@
     assert first.read_at == NOW + 1
 
 
+def no_limits(registry: EndpointRegistry) -> EngineLimits:
+    return EngineLimits("10.0.0.1", lambda now: (), registry.usable)
+
+
 def balancer_of(*ids: str) -> Balancer:
-    return Balancer(registry_of(*ids), "dc", Random(1))
+    registry = registry_of(*ids)
+    return Balancer(registry, "dc", Random(1), no_limits(registry))
 
 
 def choose(balancer: Balancer, now: float = NOW, limit: int = 6) -> str | None:
@@ -158,7 +164,8 @@
 
 
 def test_load_sums_follow_peer_updates_and_expire_with_silent_peers():
-    balancer = Balancer(EndpointRegistry(), "dc", Random(1))
+    registry = EndpointRegistry()
+    balancer = Balancer(registry, "dc", Random(1), no_limits(registry))
     balancer.count_customer("llm", "a", 1)
     balancer.on_peer_load("p1", {"e1": 2}, (), NOW, (), {"llm": {"a": 2}})
     balancer.on_peer_load("p2", {"e1": 1, "e2": 1}, (), NOW, (), {"llm": {"b": 2}})
@@ -228,6 +235,7 @@
         "broken": (),
         "leaving": (),
         "prompt_evidence": (),
+        "limits": (),
     }
     return PeerUpdate(**{**fields, **changes})
 
@@ -443,7 +451,7 @@
 
 def test_sends_to_leaving_and_pausing_endpoints_violate_named_invariants():
     registry = registry_of("a")
-    balancer = Balancer(registry, "dc", Random(1))
+    balancer = Balancer(registry, "dc", Random(1), no_limits(registry))
     monitor = RaisingMonitor()
     balancer.check_send(endpoint("a"), NOW, 2.0, monitor)
     registry.mark_leaving("a", 1, NOW)
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -16,6 +16,7 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.expert_map_planner import initial_map, plan_map
 from cyclamenyoke.core.gateway_config import (
     CallerLimits,
@@ -308,7 +309,8 @@
         self.config = GatewayConfig(1, (), {"llm": service}, CallerLimits(), {}, False)
 
     def rebalancer(self, name: str, requests: int = 5) -> ExpertRebalancer:
-        balancer = Balancer(self.registry, "dc", self.random)
+        limits = EngineLimits("10.0.0.1", lambda now: (), self.registry.usable)
+        balancer = Balancer(self.registry, "dc", self.random, limits)
         for endpoint in self.endpoints:
             for _ in range(requests):
                 balancer.on_sent(endpoint.id)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -4,7 +4,9 @@
 
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
+from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
+from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
 from cyclamenyoke.core.request_delivery import RequestDelivery
 from cyclamenyoke.daemon import cluster_state
 from gateway_soak import GatewaySoak
@@ -42,6 +44,16 @@
             "ran",
         ),
     ),
+    "sends prompts that ended engines": (
+        *(
+            PromptQuarantine,
+            {"withheld_until": lambda self, *arguments: None},
+            "engines and is sent on",
+        ),
+    ),
+    "ignores limits": (
+        *(EngineLimits, {"allows": lambda self, *arguments: True}, "beyond its limit"),
+    ),
     "shuts down at once": (
         *(
             GracefulShutdown,
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -29,6 +29,7 @@
 )
 from cyclamenyoke.core.config import Endpoint as ServiceEndpoint
 from cyclamenyoke.core.endpoint_registry import Change, Endpoint, EndpointRegistry
+from cyclamenyoke.core.engine_limits import LimitNotice
 from cyclamenyoke.core.gossip import (
     Blobs,
     FetchBlobs,
@@ -174,6 +175,7 @@
         *(True, b"digest", (Change("i-1", ENDPOINT, 3.0), Change("i-2", None, 4.0))),
         *({"i-1": 2}, {"llm": {"siam": 2}}, {"llm": {"siam": 1}}, ("i-3",), ("i-4",)),
         *((("i-5", 17),), (PartEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0),)),
+        (LimitNotice("i-7", 17, 2.5, 0.5),),
     ),
     "snapshot": Snapshot(
         b"config", StorePosition(1, 8), 0.5, StorePosition(1, 11), [ENDPOINT]
