--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -183,9 +183,12 @@
         recent = [ip for ip, heard_at in known if now - heard_at < MAX_SILENCE]
         return recent if 2 * len(recent) >= len(known) else [ip for ip, _ in known]
 
-    def count(self, now: float) -> int:
-        """Return the number of live nodes including this one."""
-        return 1 + len(self.live(now))
+    def sharing_count(self, now: float) -> int:
+        """Return the number of nodes by which a bound on all of them is divided.
+
+        A silent node counts until it must be gone, since it may only be unheard.
+        """
+        return 1 + len(self.possible_senders(now))
 
     def addresses(self, now: float) -> list[str]:
         """Return the other addresses to which callers may connect.
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -376,7 +376,7 @@
         """Return whether the retry budget and untried endpoints allow an attempt."""
         delivery, now = context.delivery, self._clock.now()
         if delivery.sent_attempts and not self._retry_budget(context.service).take(
-            now, self._peers.count(now)
+            now, self._peers.sharing_count(now)
         ):
             context.detail = "retry budget exhausted"
             return False
@@ -882,12 +882,12 @@
         """Return how many connections this node may open to an endpoint.
 
         The connections that the endpoint accepts are divided by one more than the
-        number of live nodes, so that one share stays free.
+        number of nodes, so that one share stays free.
         """
         service_config = config.services.get(service)
         if service_config is None:
             return 1
-        nodes = self._peers.count(self._clock.now())
+        nodes = self._peers.sharing_count(self._clock.now())
         return max(1, service_config.max_connections // (nodes + 1))
 
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -484,3 +484,15 @@
             assert len(set(addresses)) == len(addresses) == 64
             given_out.update(addresses)
         assert given_out >= set(fleet)
+
+
+async def test_silence_of_a_peer_does_not_enlarge_parts_of_what_all_nodes_share():
+    async with running_site(gateways=2) as site:
+        first = site.gateways[0][0]
+        config = first._cluster_state.config
+        await site.wait_until(lambda: first._peers.live(first._clock.now()))
+        before = first._forwarder._connection_limit(config, "llm")
+        site.gateways[1][2].cancel()
+        await asyncio.sleep(1.5)
+        assert not first._peers.live(first._clock.now())
+        assert first._forwarder._connection_limit(config, "llm") == before
