--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -705,6 +705,7 @@
                 self._back_up_store(),
                 self._publish_configs(),
                 self._run_planned_changes(),
+                self._trouble_engines(),
                 self._generate_requests(),
             ]
             tasks = [asyncio.ensure_future(each) for each in work]
@@ -738,11 +739,18 @@
         """Start planned changes, also in fault-free periods."""
         while True:
             await asyncio.sleep(self.env.random.uniform(0.5, 2))
-            changes = [self._shut_down_node, self._drain_engine]
-            changes += [self._limit_engine, self._send_crashing_prompts]
-            [change] = self.env.random.choices(changes, [4, 4, 2, 1])
+            change = self.env.random.choice([self._shut_down_node, self._drain_engine])
             self._start_action(change)
 
+    async def _trouble_engines(self) -> None:
+        """Limit engines and send prompts that end them, also in fault-free periods."""
+        while True:
+            await asyncio.sleep(self.env.random.uniform(2, 6))
+            trouble = self.env.random.choice(
+                [self._limit_engine, self._limit_engine, self._send_crashing_prompts]
+            )
+            self._start_action(trouble)
+
     async def _inject_faults(self) -> None:
         env, random = self.env, self.env.random
         faults = [
@@ -921,7 +929,7 @@
         if engine.limit is not None:
             return
         engine.limit = env.random.uniform(0.5, 3.0)
-        await asyncio.sleep(env.random.uniform(5, 15))
+        await asyncio.sleep(env.random.uniform(10, 25))
         engine.limit = engine.limited_since = None
         engine.counted.clear()
 
@@ -932,14 +940,14 @@
             return
         env.crashing_part = f"crashing-{next(self.numbers)}"
         env.crashing_parts.add(env.crashing_part)
-        await asyncio.sleep(env.random.uniform(5, 15))
+        await asyncio.sleep(env.random.uniform(10, 25))
         env.crashing_part = ""
 
     def _prompt_parts(self) -> tuple[str, ...]:
-        """Return shared parts of a stream's prompt, one in ten with a crashing one."""
+        """Return shared parts of a stream's prompt, one in five with a crashing one."""
         env = self.env
         shared = f"shared-{env.random.randrange(SHARED_PARTS)}"
-        if env.crashing_part and env.random.random() < 0.1:
+        if env.crashing_part and env.random.random() < 0.2:
             return shared, env.crashing_part
         return (shared,)
 
