Look up limits only for the endpoints that placement prefers

A decision among 192 endpoints, 134 of them limited, took 3.2 ms in place of 1.7 ms on the busy machine; now limits add nothing measurable (1.8 ms). A refusal that limits cause says so in its detail.

--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -194,11 +194,11 @@
         with_capacity = [
             each
             for each in usable
-            if each.id not in tried
-            and self.load(each) < limit(each)
-            and self._limits.allows(each, now)
+            if each.id not in tried and self.load(each) < limit(each)
         ]
-        return self._least_loaded(with_capacity) if with_capacity else None
+        # Limits are looked up for as few endpoints as possible.
+        by_load = self._by_load(with_capacity)
+        return next((each for each in by_load if self._limits.allows(each, now)), None)
 
     def available_at(
         self, service: str, tried: frozenset[str], now: float
@@ -359,14 +359,14 @@
     def _breaker(self, id_: str) -> CircuitBreaker:
         return self._breakers.setdefault(id_, CircuitBreaker())
 
-    def _least_loaded(self, endpoints: list[Endpoint]) -> Endpoint:
+    def _by_load(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         def cost(endpoint: Endpoint) -> tuple[float, float]:
             bonus = (
                 LOCAL_LOAD_BONUS if endpoint.data_centre == self._data_centre else 0.0
             )
             return self.load(endpoint) / endpoint.slots - bonus, self._random.random()
 
-        return min(endpoints, key=cost)
+        return sorted(endpoints, key=cost)
 
 
 def _subtract(total: Counter[str], counts: Mapping[str, int]) -> None:
--- a/src/cyclamenyoke/core/engine_limits.py
+++ b/src/cyclamenyoke/core/engine_limits.py
@@ -256,6 +256,8 @@
 
         :param duration: seconds that a request takes.
         """
+        if not self._limits:
+            return endpoint.slots
         limit = self._current(endpoint.id, endpoint.born, now)
         if limit is None or limit.rate is None:
             return endpoint.slots
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -443,8 +443,11 @@
         if isinstance(decision, Admitted):
             return decision.endpoint
         context.retry_after = decision.retry_after
-        is_paused = self._pause(admission_request, self._clock.now()) > 0
-        context.detail = "all endpoints pause" if is_paused else "no room in time"
+        context.detail = "no room in time"
+        if self._pause(admission_request, self._clock.now()) > 0:
+            context.detail = "all endpoints pause"
+        elif self._limit_wait(admission_request, 1) > 0:
+            context.detail = "limits of endpoints leave no room in time"
         return None
 
     def _pause(self, admission_request: AdmissionRequest, now: float) -> float:
