--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -53,7 +53,7 @@
     EXTRA = "extra"
     """Sends the response twice."""
     UNFRAMED = "unframed"
-    """Sends no Content-Length and ends the response by closing the connection."""
+    """Sends no length or chunks and ends the response by closing the connection."""
     UNFRAMED_RESET = "unframed_reset"
     """Truncates an unframed response by a connection reset."""
     SILENT = "silent"
@@ -62,6 +62,10 @@
     """Leaves the signature header out."""
     ENCODED = "encoded"
     """Declares a Content-Encoding."""
+    UNFRAMED_PARTIAL = "unframed_partial"
+    """Closes the connection of an unframed stream inside an event."""
+    UNFRAMED_EMPTY = "unframed_empty"
+    """Closes the connection of an unframed stream before the first event."""
     ENDLESS_HEAD = "endless_head"
     """Sends header lines until the caller closes the connection."""
     ENDLESS_BODY = "endless_body"
@@ -87,6 +91,11 @@
 )
 """Behaviours that end only when the caller closes the connection."""
 
+UNFRAMED_STREAMS = frozenset(
+    {Behaviour.UNFRAMED, Behaviour.UNFRAMED_PARTIAL, Behaviour.UNFRAMED_EMPTY}
+)
+"""Behaviours of streams that only the end of the connection delimits."""
+
 
 @dataclass(slots=True)
 class EngineRequest:
@@ -346,7 +355,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         head = self._head(request, 200, ["Content-Type: text/event-stream"], None)
+        is_unframed = behaviour in UNFRAMED_STREAMS
+        if is_unframed:
+            head = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
         writer.write(head)
+        if behaviour is Behaviour.UNFRAMED_EMPTY:
+            writer.close()
+            return
         if self._is_crashing(request):
             await asyncio.sleep(self.event_interval)
             await self.stop()
@@ -362,8 +377,16 @@
                 writer.write(b"%x\r\n%b" % (len(event), event[:-4]))
                 self._reset_after_delay(writer)
                 return
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        writer.write(b"0\r\n\r\n")
+            if behaviour is Behaviour.UNFRAMED_PARTIAL and number == first + 2:
+                writer.write(event[:-4])
+                writer.close()
+                return
+            chunk = b"%x\r\n%b\r\n" % (len(event), event)
+            writer.write(event if is_unframed else chunk)
+        if is_unframed:
+            writer.close()
+        else:
+            writer.write(b"0\r\n\r\n")
 
     def _reset_after_delay(self, writer: asyncio.StreamWriter) -> None:
         """Reset the connection after ``RESET_DELAY``, once earlier bytes are sent."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -512,3 +512,35 @@
         assert response.is_complete
         assert response.body == COMPLETE_STREAM
         assert len(executed_requests(site)) == 1
+
+
+async def test_stream_that_ends_with_its_connection_is_complete():
+    async with running_site() as site:
+        script_engines(site, "llm", Behaviour.UNFRAMED)
+        response = await site.post(site.gateways[0][1], "/stream/a")
+        assert response.is_complete
+        assert response.body == COMPLETE_STREAM
+
+
+@pytest.mark.parametrize(
+    "behaviour", [Behaviour.UNFRAMED_PARTIAL, Behaviour.UNFRAMED_EMPTY]
+)
+async def test_unframed_stream_that_breaks_off_is_resumed_elsewhere(behaviour):
+    async with running_site() as site:
+        first, second = (e for i, e in site.engines.items() if "llm" in i)
+        first.script.append(behaviour)
+        responses = []
+        while first.script:
+            responses.append(await site.post(site.gateways[0][1], "/stream/a"))
+        assert all(response.is_complete for response in responses)
+        assert all(response.body == COMPLETE_STREAM for response in responses)
+
+
+@pytest.mark.parametrize(
+    "behaviour", [Behaviour.UNFRAMED_PARTIAL, Behaviour.UNFRAMED_EMPTY]
+)
+async def test_unframed_stream_that_breaks_off_never_looks_complete(behaviour):
+    async with running_site() as site:
+        script_engines(site, "llm", behaviour)
+        response = await site.post(site.gateways[0][1], "/single/a")
+        assert response.status == 502 or not response.is_complete
