--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -595,7 +595,7 @@
         registry, self.peers = EndpointRegistry(), Peers(self.ip)
         limits = EngineLimits(self.ip, self.peers.possible_senders, registry.usable)
         balancer = Balancer(registry, "dc-1", random, limits)
-        quarantine = PromptQuarantine(BOUNDS.stall)
+        quarantine = PromptQuarantine(lambda: BOUNDS.stall)
         store = SimulatedStore(env, self.ip)
         schema = StoreSchema(
             CONFIG_KEY,
@@ -919,6 +919,7 @@
         restarted = SimulatedEngine(
             engine.id, engine.service, address, engine.incarnation + 1
         )
+        restarted.states_leaving = env.random.random() < 0.5
         env.engines[restarted.address] = restarted
         env.put(ENDPOINT_PREFIX + restarted.id, restarted.entry())
 
@@ -1133,6 +1134,7 @@
         env = GatewaySoak(seed).run(options.seconds)
         print(f"seed {seed}: {dict(sorted(env.outcomes.items()))}")
         print(f"  actions: {dict(env.action_counts)}")
+        print(f"  ends by part: { ({part: len(at) for part, at in env.ends.items()}) }")
         for violation in env.violations[:10]:
             print(f"  violation: {violation}")
         failed = failed or bool(env.violations)
