Bound what is kept and logged of prompt parts, and follow a changed stall

Ids of parts come from callers: one that is longer than 32 bytes is replaced by its digest, and a log line names 16 parts at most. The stall of reloaded settings counts at once, as bounds do.

--- a/src/cyclamenyoke/core/prompt_quarantine.py
+++ b/src/cyclamenyoke/core/prompt_quarantine.py
@@ -155,17 +155,18 @@
 class PromptQuarantine:
     """The evidence of one node, its own and that of its peers.
 
-    :param stall: seconds for which a group waits for a lost rank; 0 for no groups.
+    :param stall: returns the seconds for which a group waits for a lost rank; 0 for no
+        groups.
     :param on_change: called when there is news for peers.
     """
 
     def __init__(
         self,
-        stall: float,
+        stall: Callable[[], float],
         observer: QuarantineObserver | None = None,
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
-        self._max_silence = MAX_SILENCE_PER_STALL * stall
+        self._stall = stall
         self._observer = observer or QuarantineObserver()
         self.on_change = on_change
         self._suspects: dict[PartKey, SuspectPart] = {}
@@ -185,7 +186,8 @@
         if is_stream and attempt.first_byte_at is None:
             return False
         silence = attempt.ended_at - (attempt.first_byte_at or attempt.sent_at)
-        is_sudden = not self._max_silence or silence < self._max_silence
+        max_silence = MAX_SILENCE_PER_STALL * self._stall()
+        is_sudden = not max_silence or silence < max_silence
         return is_sudden and attempt.events < MIN_EVENTS_WRITTEN
 
     def on_engine_ended(
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -116,6 +116,9 @@
 DISCARD_TIMEOUT = 100 * MILLISECOND
 """Seconds for which the body of a rejection is read."""
 
+MAX_LOGGED_PARTS = 16
+"""Largest number of a prompt's parts in a log line."""
+
 SERVER_ERRORS = range(500, 600)
 
 REJECTION_REASONS = {
@@ -407,7 +410,7 @@
                 endpoint=endpoint.id,
                 request=context.request.request_id,
                 service=service,
-                shared_parts=parts,
+                shared_parts=parts[:MAX_LOGGED_PARTS],
             )
             engine = f"{endpoint.id}@{endpoint.born}"
             self._quarantine.on_engine_ended(service, parts, engine, now)
@@ -937,7 +940,7 @@
             route=context.route.name,
             service=context.service,
             customer=context.customer,
-            shared_parts=context.request.shared_parts,
+            shared_parts=context.request.shared_parts[:MAX_LOGGED_PARTS],
             outcome=outcome,
             detail=context.detail,
             waited=round(context.waited, 4),
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -115,7 +115,7 @@
         self._store = StoreClient(settings.store, self._clock)
         self._pool = ConnectionPool(self._clock)
         self._quarantine = PromptQuarantine(
-            settings.bounds.stall, LoggingObserver(self._log)
+            lambda: settings.bounds.stall, LoggingObserver(self._log)
         )
         self._cluster_state = ClusterState(
             settings,
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -1,6 +1,7 @@
 """HTTP handlers for callers: requests, the directory and the readiness check."""
 
 from collections.abc import Awaitable, Callable
+from hashlib import blake2b
 from http import HTTPStatus
 from random import Random
 from urllib.parse import parse_qs, urlsplit
@@ -44,6 +45,9 @@
 MAX_ADDRESSES = 64
 """Largest number of addresses in a response of the directory."""
 
+MAX_PART_ID_BYTES = 32
+"""Longest id of a prompt's part in bytes; a longer one is replaced by its digest."""
+
 _NOT_FORWARDED = RESERVED_FOR_GATEWAY | {AUTHORIZATION}
 
 
@@ -134,8 +138,15 @@
     >>> _shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
     ('5c1e07a2', '91bd3f06')
     """
-    parts = (value or b"").decode("latin-1").split(",")[:-1]
-    return tuple(part.partition(":")[0].strip().lower() for part in parts)
+    parts = (value or b"").split(b",")[:-1]
+    return tuple(_part_id(part.partition(b":")[0].strip().lower()) for part in parts)
+
+
+def _part_id(id_: bytes) -> str:
+    """Return an id that is short whatever a caller sends, since ids are remembered."""
+    if len(id_) > MAX_PART_ID_BYTES:
+        return blake2b(id_, digest_size=MAX_PART_ID_BYTES // 2).hexdigest()
+    return id_.decode("latin-1")
 
 
 def _optional_int(value: bytes | None) -> int | None:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cyclamenyoke.adapters.http_ingress import HttpRequest
 from cyclamenyoke.cli.main import app
 from cyclamenyoke.core.prompt_quarantine import (
     EVIDENCE_LIFETIME,
@@ -14,6 +15,7 @@
 )
 from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.daemon.quarantine_store import QUARANTINE_KEY
+from cyclamenyoke.platform.caller_handlers import decode_request
 from site_fixture import running_site, send_request
 
 CRASHING_PART = "bad0"
@@ -165,7 +167,7 @@
 
 
 def test_part_is_withheld_after_enough_engines_have_ended_under_it():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "b")
     assert not withheld(quarantine, "p")
     ended(quarantine, "c")
@@ -175,7 +177,7 @@
 
 
 def test_quarantine_ends_with_its_evidence():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c")
     assert withheld(quarantine, "p", now=EVIDENCE_LIFETIME)
     assert not withheld(quarantine, "p", now=EVIDENCE_LIFETIME + 2.0)
@@ -183,7 +185,7 @@
 
 
 def test_part_that_sound_requests_share_is_not_withheld():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     quarantine.on_written("llm", ("shared",), 0.5)
     ended(quarantine, "a", "b", "c", "d", "e", "f", parts=("shared", "bad"))
     assert withheld(quarantine, "shared", "bad")
@@ -192,7 +194,7 @@
 
 
 def test_part_that_turns_bad_after_use_is_withheld_after_more_ends():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     quarantine.on_written("llm", ("p",), 0.5)
     engines = [str(number) for number in range(MIN_ENDS_AFTER_USE)]
     ended(quarantine, *engines[:-1])
@@ -202,7 +204,7 @@
 
 
 def test_parts_that_evidence_does_not_tell_apart_are_withheld_only_together():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c", parts=("first", "bad"))
     assert withheld(quarantine, "first", "bad")
     assert not withheld(quarantine, "first")
@@ -212,7 +214,7 @@
 
 
 def test_answer_at_any_node_clears_a_part_at_all():
-    first, second = PromptQuarantine(1.5), PromptQuarantine(1.5)
+    first, second = PromptQuarantine(lambda: 1.5), PromptQuarantine(lambda: 1.5)
     ended(first, "a", "b", "c")
     second.merge(first.news(1.1), 1.1)
     assert withheld(second, "p")
@@ -220,7 +222,7 @@
     first.merge(second.news(1.6), 1.6)
     assert not withheld(first, "p")
     # Evidence of a peer that has not heard of it changes nothing.
-    late = PromptQuarantine(1.5)
+    late = PromptQuarantine(lambda: 1.5)
     ended(late, "a", "b", "c")
     first.merge(late.news(1.7), 1.7)
     assert not withheld(first, "p")
@@ -229,7 +231,7 @@
 
 
 def test_nodes_that_each_saw_one_end_add_them_up():
-    nodes = [PromptQuarantine(1.5) for _ in range(MIN_ENDS)]
+    nodes = [PromptQuarantine(lambda: 1.5) for _ in range(MIN_ENDS)]
     for number, node in enumerate(nodes):
         ended(node, str(number))
     for node in nodes[1:]:
@@ -240,7 +242,7 @@
 
 
 def test_evidence_is_told_again_to_a_node_that_arrives():
-    first, second = PromptQuarantine(1.5), PromptQuarantine(1.5)
+    first, second = PromptQuarantine(lambda: 1.5), PromptQuarantine(lambda: 1.5)
     ended(first, "a", "b", "c")
     assert first.news(60.0) == ()
     first.announce_all(60.0)
@@ -271,11 +273,11 @@
         "is_closed_by_endpoint": True,
     }
     attempt = Attempt("e", 1.0, 0, **{**fields, **changes})
-    assert PromptQuarantine(1.5).is_evidence(attempt, True) is expected
+    assert PromptQuarantine(lambda: 1.5).is_evidence(attempt, True) is expected
 
 
 def test_memory_of_many_suspected_parts_is_bounded():
-    quarantine = PromptQuarantine(1.5)
+    quarantine = PromptQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c", parts=("bad",))
     for number in range(1000):
         parts = (f"x{number}", f"y{number}")
@@ -283,3 +285,22 @@
     assert len(quarantine._suspects) <= 260
     assert withheld(quarantine, "bad", now=3.0)
     assert len(quarantine.news(2.5)) <= 32
+
+
+@pytest.mark.parametrize("prefix", [b"", b"x", b",,,", b":", b"\xff:1,b", b"a" * 3000])
+def test_any_text_in_place_of_prompt_parts_is_accepted(prefix):
+    headers = [(b"X-Request-Id", b"1"), (b"Host", b"h"), (b"X-Prompt-Prefix", prefix)]
+    request = HttpRequest(b"GET", b"/a", headers, b"", 0.0, True, False)
+    decoded = decode_request(request)
+    assert decoded is not None
+    assert (b"X-Prompt-Prefix", prefix) in decoded.headers
+
+
+def test_long_ids_of_parts_are_shortened_and_stay_distinct():
+    ids = [b"a" * 1000 + suffix for suffix in (b"1", b"2", b"1")]
+    prefix = b",".join(id_ + b":40" for id_ in [*ids, b"last"])
+    headers = [(b"X-Request-Id", b"1"), (b"Host", b"h"), (b"X-Prompt-Prefix", prefix)]
+    request = HttpRequest(b"GET", b"/a", headers, b"", 0.0, True, False)
+    first, second, third = decode_request(request).shared_parts
+    assert first == third != second
+    assert len(first) <= 32
