--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -19,6 +19,13 @@
     assert env.outcomes["order answered"] > 100
 
 
+@pytest.mark.parametrize("seed", [206, 249])
+def test_gateways_keep_invariants_when_engines_have_limits_or_end_on_prompts(seed):
+    env = GatewaySoak(seed, has_engine_troubles=True).run(45)
+    assert env.violations == []
+    assert env.outcomes["order answered"] > 100
+
+
 INFREQUENT_LIST_READS = {"LIST_READS_PER_DRAIN": 0.2, "MAX_LIST_AGES_PER_DRAIN": 0.2}
 """Values with which nodes read the endpoint list every ten seconds, although all of
 them must know within two seconds that an endpoint is draining."""
@@ -44,16 +51,6 @@
             "ran",
         ),
     ),
-    "sends prompts that ended engines": (
-        *(
-            PromptQuarantine,
-            {"withheld_until": lambda self, *arguments: None},
-            "engines and is sent on",
-        ),
-    ),
-    "ignores limits": (
-        *(EngineLimits, {"allows": lambda self, *arguments: True}, "beyond its limit"),
-    ),
     "shuts down at once": (
         *(
             GracefulShutdown,
@@ -76,3 +73,26 @@
         monkeypatch.setattr(target, name, value)
     runs = (GatewaySoak(seed).run(40) for seed in SEEDS)
     assert any(expected in violation for env in runs for violation in env.violations)
+
+
+ENGINE_MUTANTS = {
+    "sends prompts that ended engines": (
+        PromptQuarantine,
+        {"withheld_until": lambda self, *arguments: None},
+        "engines and is sent on",
+    ),
+    "ignores limits": (
+        EngineLimits,
+        {"allows": lambda self, *arguments: True},
+        "beyond its limit",
+    ),
+}
+
+
+@pytest.mark.parametrize("mutant", ENGINE_MUTANTS)
+def test_soak_detects_ignored_engine_troubles(monkeypatch, mutant):
+    target, changes, expected = ENGINE_MUTANTS[mutant]
+    for name, value in changes.items():
+        monkeypatch.setattr(target, name, value)
+    runs = (GatewaySoak(seed, True, has_faults=False).run(40) for seed in SEEDS)
+    assert any(expected in violation for env in runs for violation in env.violations)
