--- a/src/cyclamenyoke/core/admission.py
+++ b/src/cyclamenyoke/core/admission.py
@@ -197,6 +197,14 @@
                 queued.pop(each, None)
         return (queued.total() + 1) * queue.duration / in_flight
 
+    def _predicted_wait_of(self, request: AdmissionRequest) -> float:
+        """Return the seconds until a request gets a slot that limits let it use."""
+        position = len(self._queue(request.service).requests) + 1
+        return max(
+            self.predicted_wait(request.service, request.customer),
+            self._limit_wait(request, position),
+        )
+
     def decide(self, request: AdmissionRequest, now: float) -> Decision:
         """Admit, enqueue or reject a new request."""
         pause = self._pause(request, now)
@@ -211,10 +219,7 @@
             endpoint = self._find_endpoint(request, now)
             if endpoint is not None:
                 return Admitted(endpoint)
-        wait = max(
-            self.predicted_wait(request.service, request.customer),
-            self._limit_wait(request, len(queue.requests) + 1),
-        )
+        wait = self._predicted_wait_of(request)
         if now + wait > request.queue_deadline:
             return _reject(wait)
         queue.requests.append(request)
@@ -243,11 +248,7 @@
                     continue
                 if now >= request.queue_deadline:
                     queue.requests.remove(request)
-                    wait = max(
-                        self.predicted_wait(service, request.customer),
-                        self._limit_wait(request, len(queue.requests) + 1),
-                    )
-                    yield request, _reject(wait)
+                    yield request, _reject(self._predicted_wait_of(request))
                     continue
                 endpoint = self._find_endpoint(request, now)
                 if endpoint is None:
--- a/src/cyclamenyoke/core/engine_limits.py
+++ b/src/cyclamenyoke/core/engine_limits.py
@@ -202,10 +202,10 @@
 
         :returns: ``None`` if this node has no part of the endpoint's limit.
         """
-        limit = self._current(endpoint.id, endpoint.born, now)
-        if limit is None or limit.rate is None:
+        limit = self._limit_of(endpoint, now)
+        if limit is None:
             return 0.0
-        rate = self._own_rate(endpoint, limit.rate, now)
+        rate = self._own_rate(endpoint, limit, now)
         if rate is None:
             return None
         return self._bucket(endpoint.id, limit, now).wait(rate, now)
@@ -218,10 +218,10 @@
 
     def on_sent(self, endpoint: Endpoint, now: float) -> None:
         """Count a request to an endpoint against this node's part of its limit."""
-        limit = self._current(endpoint.id, endpoint.born, now)
-        if limit is None or limit.rate is None:
+        limit = self._limit_of(endpoint, now)
+        if limit is None:
             return
-        rate = self._own_rate(endpoint, limit.rate, now)
+        rate = self._own_rate(endpoint, limit, now)
         if rate is not None:
             self._bucket(endpoint.id, limit, now).take(rate, now)
 
@@ -240,13 +240,13 @@
         for endpoint in self._endpoints(service):
             if endpoint.id in tried:
                 continue
-            limit = self._current(endpoint.id, endpoint.born, now)
-            if limit is None or limit.rate is None:
+            limit = self._limit_of(endpoint, now)
+            if limit is None:
                 return 0.0
-            wait = self.wait(endpoint, now)
-            if wait is not None:
-                waits.append(wait)
-                total_rate += self._own_rate(endpoint, limit.rate, now) or 0.0
+            rate = self._own_rate(endpoint, limit, now)
+            if rate is not None:
+                waits.append(self._bucket(endpoint.id, limit, now).wait(rate, now))
+                total_rate += rate
         if not waits:
             return float("inf")
         return min(waits) + (position - 1) / total_rate
@@ -258,11 +258,16 @@
         """
         if not self._limits:
             return endpoint.slots
-        limit = self._current(endpoint.id, endpoint.born, now)
+        limit = self._limit_of(endpoint, now)
         if limit is None or limit.rate is None:
             return endpoint.slots
         return min(endpoint.slots, max(1, ceil(limit.rate * duration)))
 
+    def _limit_of(self, endpoint: Endpoint, now: float) -> StatedLimit | None:
+        """Return the limit in force at an endpoint; ``None`` without one."""
+        limit = self._current(endpoint.id, endpoint.born, now)
+        return None if limit is None or limit.rate is None else limit
+
     def _current(self, id_: str, born: int, now: float) -> StatedLimit | None:
         limit = self._limits.get(id_)
         if limit is None:
@@ -293,11 +298,14 @@
                 del self._limits[id_]
                 self._buckets.pop(id_, None)
 
-    def _own_rate(self, endpoint: Endpoint, rate: float, now: float) -> float | None:
+    def _own_rate(
+        self, endpoint: Endpoint, limit: StatedLimit, now: float
+    ) -> float | None:
         """Return this node's part of a limit; ``None`` if it has none.
 
         A part that was lost and is gained again begins with an empty bucket.
         """
+        rate = limit.rate or 0.0
         nodes = self._current_nodes(now)
         count = min(len(nodes), int(rate * BURST_TIME) + MIN_SHARING_NODES)
         places = self._places_of(endpoint.service)
