Log what tells whether a request ended its engine or was beside another

The lines of lost attempts named neither path nor body, so that nobody could see whether the lookups under which servers ended were the same one. "attempt lost" has digests of customer, path and body, and of these with query and prompt, who closed the connection, and what else was known to be at the endpoint. It takes the place of "engine ended as it began to write", which was written for prompts with shared parts only.

--- a/src/cyclamenyoke/core/inbound_request.py
+++ b/src/cyclamenyoke/core/inbound_request.py
@@ -39,6 +39,8 @@
     :param output_limit: maximum number of generated tokens; 0 for a plain request.
     :param shared_parts: ids of the prompt's parts that other requests may share, in the
         order of the prompt.
+    :param last_part: id of the prompt's last part, which belongs to this request or to
+        its session; empty for a plain request.
     """
 
     request_id: str
@@ -55,3 +57,4 @@
     prompt_tokens: int
     output_limit: int
     shared_parts: tuple[str, ...] = ()
+    last_part: str = ""
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -38,6 +38,7 @@
     FinalStatus,
     RequestDelivery,
 )
+from cyclamenyoke.core.request_fingerprint import fingerprint
 from cyclamenyoke.core.response_memory import ResponseMemory
 from cyclamenyoke.core.retry_budget import WindowedRetryBudget
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -404,14 +405,9 @@
         context.may_have_ended_engine = self._quarantine.is_evidence(
             attempt, context.route.is_stream
         )
+        if attempt.outcome is AttemptOutcome.INCOMPLETE:
+            self._log_lost_attempt(context, endpoint, attempt)
         if context.may_have_ended_engine and parts:
-            self._log.info(
-                "engine ended as it began to write",
-                endpoint=endpoint.id,
-                request=context.request.request_id,
-                service=service,
-                shared_parts=parts[:MAX_LOGGED_PARTS],
-            )
             engine = f"{endpoint.id}@{endpoint.born}"
             self._quarantine.on_engine_ended(service, parts, engine, now)
         if attempt.outcome is AttemptOutcome.INCOMPLETE:
@@ -419,6 +415,30 @@
                 "attempts_lost", service=context.service, phase=_lost_phase(attempt)
             )
 
+    def _log_lost_attempt(
+        self, context: RequestContext, endpoint: Endpoint, attempt: Attempt
+    ) -> None:
+        """Log what tells whether a request ended its engine or was beside another."""
+        request = context.request
+        digests = fingerprint(request, context.customer)
+        self._log.info(
+            "attempt lost",
+            endpoint=endpoint.id,
+            born=endpoint.born,
+            request=request.request_id,
+            service=context.service,
+            customer=context.customer,
+            path=request.path,
+            content=digests.content,
+            exact=digests.exact,
+            shared_parts=request.shared_parts[:MAX_LOGGED_PARTS],
+            reason=context.detail,
+            closed_by_endpoint=attempt.is_closed_by_endpoint,
+            phase=_lost_phase(attempt),
+            seconds=round(self._clock.now() - attempt.sent_at, 3),
+            others_in_flight=self._balancer.load(endpoint),
+        )
+
     async def _find_endpoint(
         self, context: RequestContext, config: GatewayConfig
     ) -> Endpoint | None:
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -114,6 +114,7 @@
     except (ValueError, IndexError):
         return None
     received_at = request.received_at
+    parts = _prompt_parts(request.get(PROMPT_PARTS))
     return InboundRequest(
         request_id=request_id.decode("latin-1"),
         method=request.method,
@@ -128,17 +129,20 @@
         last_event_id=last_event_id,
         prompt_tokens=prompt_tokens,
         output_limit=output_limit,
-        shared_parts=_shared_parts(request.get(PROMPT_PARTS)),
+        shared_parts=parts[:-1],
+        last_part=parts[-1],
     )
 
 
-def _shared_parts(value: bytes | None) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts except the last, which no other caller sends.
+def _prompt_parts(value: bytes | None) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts; the last one no other caller sends.
 
-    >>> _shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
-    ('5c1e07a2', '91bd3f06')
+    >>> _prompt_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06', 'e4402b7d')
+    >>> _prompt_parts(None)
+    ('',)
     """
-    parts = (value or b"").split(b",")[:-1]
+    parts = (value or b"").split(b",")
     return tuple(_part_id(part.partition(b":")[0].strip().lower()) for part in parts)
 
 
