--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -174,6 +174,11 @@
         self.rate_limit: float | None = None
         # Parts of prompts on which the engine ends once it begins to write.
         self.crashing_parts: frozenset[str] = frozenset()
+        # Bodies of requests under which it ends as it begins to run them, and whether
+        # a stream's head is sent before.
+        self.crashing_bodies: frozenset[bytes] = frozenset()
+        self.sends_head_before_crash = False
+        self.answer_delay = 0.0
         self.state = EngineState()
 
     @property
@@ -283,11 +288,24 @@
             await reader.read(1)
             self.state.disconnected += 1
             raise ConnectionResetError
+        if request.body in self.crashing_bodies:
+            await self._crash_under(request, writer)
+            return
+        await asyncio.sleep(self.answer_delay)
         if self._is_stream and behaviour is not Behaviour.FAIL:
             await self._respond_stream(request, behaviour, reader, writer)
             return
         self._respond_plain(request, behaviour, writer)
 
+    async def _crash_under(
+        self, request: EngineRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_stream and self.sends_head_before_crash:
+            fields = ["Content-Type: text/event-stream"]
+            writer.write(self._head(request, 200, fields, None))
+        await asyncio.sleep(self.event_interval)
+        await self.stop()
+
     async def _respond_without_end(
         self,
         request: EngineRequest,
