Name the quarantine after requests, of which prompts are one kind

Only names of modules, classes and fields change, before single requests are withheld by the same mechanism; what leaves the process is as before (test_recorded_formats.py).

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -14,7 +14,7 @@
 
 from cyclamenyoke.core.endpoint_registry import Change
 from cyclamenyoke.core.engine_limits import LimitNotice
-from cyclamenyoke.core.prompt_quarantine import PartEvidence
+from cyclamenyoke.core.request_quarantine import TraitEvidence
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 
@@ -56,7 +56,7 @@
     :param broken: endpoints that recently reported a broken group to the node.
     :param leaving: id and incarnation of endpoints that are leaving, although the list
         states that they are ready.
-    :param prompt_evidence: news of prompt parts under which engines have ended.
+    :param evidence: news of prompt parts under which engines have ended.
     :param limits: news of the rates that endpoints accept from all nodes.
     """
 
@@ -80,7 +80,7 @@
     suspects: tuple[str, ...]
     broken: tuple[str, ...]
     leaving: tuple[tuple[str, int], ...]
-    prompt_evidence: tuple[PartEvidence, ...]
+    evidence: tuple[TraitEvidence, ...]
     limits: tuple[LimitNotice, ...]
 
 
--- a/src/cyclamenyoke/core/prompt_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -60,11 +60,11 @@
 MAX_WRITTEN_PARTS = 8192
 """Parts for which the last answer is remembered, the most recent ones."""
 
-PartKey = tuple[str, str]
+TraitKey = tuple[str, str]
 """A service and the id of a part of its prompts."""
 
 
-class PartEvidence(Struct, frozen=True, array_like=True):
+class TraitEvidence(Struct, frozen=True, array_like=True):
     """What a node knows of one part, as it is sent to peers and kept in the store.
 
     :param end_ages: seconds since the end of each engine, by its incarnation.
@@ -78,7 +78,7 @@
 
 
 @dataclass(slots=True)
-class SuspectPart:
+class Suspect:
     """A part under which engines have ended.
 
     :param ends: when each engine ended, by its incarnation.
@@ -143,7 +143,7 @@
 
 
 class QuarantineObserver:
-    """Receives the decisions of :class:`PromptQuarantine`; does nothing itself."""
+    """Receives the decisions of :class:`RequestQuarantine`; does nothing itself."""
 
     def on_begin(self, quarantine: Quarantine) -> None:
         """Handle a quarantine that begins."""
@@ -152,7 +152,7 @@
         """Handle the end of a quarantine."""
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """The evidence of one node, its own and that of its peers.
 
     :param stall: returns the seconds for which a group waits for a lost rank; 0 for no
@@ -169,9 +169,9 @@
         self._stall = stall
         self._observer = observer or QuarantineObserver()
         self.on_change = on_change
-        self._suspects: dict[PartKey, SuspectPart] = {}
+        self._suspects: dict[TraitKey, Suspect] = {}
         self._quarantines: list[Quarantine] = []
-        self._written_at: OrderedDict[PartKey, float] = OrderedDict()
+        self._written_at: OrderedDict[TraitKey, float] = OrderedDict()
 
     def is_evidence(self, attempt: Attempt, is_stream: bool) -> bool:
         """Return whether an attempt ended with its engine as that began to write.
@@ -263,7 +263,7 @@
         """What is withheld."""
         return self._quarantines
 
-    def news(self, now: float) -> tuple[PartEvidence, ...]:
+    def news(self, now: float) -> tuple[TraitEvidence, ...]:
         """Return the evidence that peers may not have received yet."""
         if not self._suspects:
             return ()
@@ -274,7 +274,7 @@
         ]
         return self._evidence(announced, now)
 
-    def grounds(self, now: float) -> tuple[PartEvidence, ...]:
+    def grounds(self, now: float) -> tuple[TraitEvidence, ...]:
         """Return the evidence against the parts that are withheld."""
         keys = {
             (each.service, part) for each in self._quarantines for part in each.parts
@@ -286,7 +286,7 @@
         for suspect in self._suspects.values():
             suspect.announce_until = now + ANNOUNCE_TIME
 
-    def merge(self, evidence: Iterable[PartEvidence], now: float) -> None:
+    def merge(self, evidence: Iterable[TraitEvidence], now: float) -> None:
         """Add a peer's evidence, or that of the store."""
         is_news = False
         for each in evidence:
@@ -305,20 +305,20 @@
         if is_news:
             self._update(now)
 
-    def _suspect(self, key: PartKey) -> SuspectPart:
+    def _suspect(self, key: TraitKey) -> Suspect:
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = SuspectPart(cleared_at=self._written_at.get(key))
+            suspect = Suspect(cleared_at=self._written_at.get(key))
             self._suspects[key] = suspect
         return suspect
 
     def _evidence(
-        self, keys: Iterable[PartKey], now: float
-    ) -> tuple[PartEvidence, ...]:
+        self, keys: Iterable[TraitKey], now: float
+    ) -> tuple[TraitEvidence, ...]:
         selected = [(key, self._suspects[key]) for key in keys]
         selected.sort(key=lambda item: -len(item[1].counted_ends(now)))
         return tuple(
-            PartEvidence(
+            TraitEvidence(
                 *key,
                 {engine: now - at for engine, at in suspect.ends.items()},
                 -1.0 if suspect.cleared_at is None else now - suspect.cleared_at,
@@ -352,7 +352,7 @@
         self.on_change()
 
     def _decide(
-        self, counted: Mapping[PartKey, Mapping[str, float]]
+        self, counted: Mapping[TraitKey, Mapping[str, float]]
     ) -> list[Quarantine]:
         """Return the fewest parts that explain the ends of engines.
 
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -31,7 +31,6 @@
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.pass_model import GapRatio, PassModel
 from cyclamenyoke.core.peers import Peers
-from cyclamenyoke.core.prompt_quarantine import MIN_EVENTS_WRITTEN, PromptQuarantine
 from cyclamenyoke.core.request_delivery import (
     Attempt,
     AttemptOutcome,
@@ -39,6 +38,7 @@
     RequestDelivery,
 )
 from cyclamenyoke.core.request_fingerprint import fingerprint
+from cyclamenyoke.core.request_quarantine import MIN_EVENTS_WRITTEN, RequestQuarantine
 from cyclamenyoke.core.response_memory import ResponseMemory
 from cyclamenyoke.core.retry_budget import WindowedRetryBudget
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -202,7 +202,7 @@
         engines: EngineClient,
         balancer: Balancer,
         peers: Peers,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         limits: EngineLimits,
         settings: NodeSettings,
         config: Callable[[], GatewayConfig | None],
@@ -586,7 +586,7 @@
             endpoint, self._clock.now(), self._settings.bounds.drain, self._monitor
         )
         self._monitor.check(
-            Invariant.QUARANTINED_PROMPT_SPARED,
+            Invariant.QUARANTINED_REQUEST_SPARED,
             not self._quarantine.withheld_until(
                 context.service, context.request.shared_parts, self._clock.now()
             ),
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -26,7 +26,7 @@
 from cyclamenyoke.core.invariants import CountingMonitor, Invariant
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
-from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
+from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
 from cyclamenyoke.daemon.expert_rebalancer import ExpertRebalancer
@@ -114,7 +114,7 @@
         )
         self._store = StoreClient(settings.store, self._clock)
         self._pool = ConnectionPool(self._clock)
-        self._quarantine = PromptQuarantine(
+        self._quarantine = RequestQuarantine(
             lambda: settings.bounds.stall, LoggingObserver(self._log)
         )
         self._cluster_state = ClusterState(
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -14,7 +14,7 @@
 from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers, PeerUpdate
-from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
+from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.exceptions import PlatformUnavailable
@@ -90,7 +90,7 @@
         peers: Peers,
         registry: EndpointRegistry,
         balancer: Balancer,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         limits: EngineLimits,
         cluster_state: ClusterState,
         clock: Clock,
@@ -322,7 +322,7 @@
             suspects=tuple(self._balancer.suspects),
             broken=tuple(self._balancer.broken(now)),
             leaving=tuple(self._registry.leaving),
-            prompt_evidence=self._quarantine.news(now),
+            evidence=self._quarantine.news(now),
             limits=self._limits.news(now),
         )
         self._transport.send(update, ips)
@@ -336,7 +336,7 @@
         if is_arrival:
             self._quarantine.announce_all(now)
             self._limits.announce_all(now)
-        self._quarantine.merge(update.prompt_evidence, now)
+        self._quarantine.merge(update.evidence, now)
         self._limits.merge(update.limits, now)
         self._balancer.on_peer_load(
             update.ip,
--- a/src/cyclamenyoke/daemon/quarantine_api.py
+++ b/src/cyclamenyoke/daemon/quarantine_api.py
@@ -6,7 +6,7 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest, Responder
 from cyclamenyoke.adapters.logs import Log
-from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
+from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.ports.clock import Clock
 
 QUARANTINE_PATH = "/quarantine"
@@ -39,7 +39,7 @@
     A quarantine that is lifted at one gateway ends at all.
     """
 
-    def __init__(self, quarantine: PromptQuarantine, clock: Clock, log: Log) -> None:
+    def __init__(self, quarantine: RequestQuarantine, clock: Clock, log: Log) -> None:
         self._quarantine = quarantine
         self._clock = clock
         self._log = log
--- a/src/cyclamenyoke/daemon/quarantine_store.py
+++ b/src/cyclamenyoke/daemon/quarantine_store.py
@@ -13,11 +13,11 @@
 import msgspec
 
 from cyclamenyoke.adapters.logs import Log
-from cyclamenyoke.core.prompt_quarantine import (
-    PartEvidence,
-    PromptQuarantine,
+from cyclamenyoke.core.request_quarantine import (
     Quarantine,
     QuarantineObserver,
+    RequestQuarantine,
+    TraitEvidence,
 )
 from cyclamenyoke.core.units import SECOND
 from cyclamenyoke.exceptions import PlatformUnavailable
@@ -44,7 +44,7 @@
     """
 
     saved_at: float
-    evidence: list[PartEvidence]
+    evidence: list[TraitEvidence]
 
 
 class LoggingObserver(QuarantineObserver):
@@ -79,7 +79,7 @@
     def __init__(
         self,
         store: KeyValueStore,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         is_writer: Callable[[], bool],
         era: Callable[[], int],
         clock: Clock,
@@ -129,7 +129,7 @@
             return
         elapsed = max(0.0, time.time() - stored.saved_at)
         aged = [
-            PartEvidence(
+            TraitEvidence(
                 each.service,
                 each.part,
                 {engine: age + elapsed for engine, age in each.end_ages.items()},
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -34,7 +34,7 @@
 from cyclamenyoke.core.invariants import InvariantMonitor
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
-from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
+from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
 from cyclamenyoke.daemon.forwarder import Forwarder
 from cyclamenyoke.daemon.membership import Membership
@@ -597,7 +597,7 @@
         registry, self.peers = EndpointRegistry(), Peers(self.ip)
         limits = EngineLimits(self.ip, self.peers.possible_senders, registry.usable)
         balancer = Balancer(registry, "dc-1", random, limits)
-        quarantine = PromptQuarantine(lambda: BOUNDS.stall)
+        quarantine = RequestQuarantine(lambda: BOUNDS.stall)
         store = SimulatedStore(env, self.ip)
         schema = StoreSchema(
             CONFIG_KEY,
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -234,7 +234,7 @@
         "suspects": (),
         "broken": (),
         "leaving": (),
-        "prompt_evidence": (),
+        "evidence": (),
         "limits": (),
     }
     return PeerUpdate(**{**fields, **changes})
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -6,8 +6,8 @@
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
 from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
-from cyclamenyoke.core.prompt_quarantine import PromptQuarantine
 from cyclamenyoke.core.request_delivery import RequestDelivery
+from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.daemon import cluster_state
 from gateway_soak import GatewaySoak
 
@@ -77,7 +77,7 @@
 
 ENGINE_MUTANTS = {
     "sends prompts that ended engines": (
-        PromptQuarantine,
+        RequestQuarantine,
         {"withheld_until": lambda self, *arguments: None},
         "engines and is sent on",
     ),
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -7,13 +7,13 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest
 from cyclamenyoke.cli.main import app
-from cyclamenyoke.core.prompt_quarantine import (
+from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
+from cyclamenyoke.core.request_quarantine import (
     EVIDENCE_LIFETIME,
     MIN_ENDS,
     MIN_ENDS_AFTER_USE,
-    PromptQuarantine,
+    RequestQuarantine,
 )
-from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.daemon.quarantine_store import QUARANTINE_KEY
 from cyclamenyoke.platform.caller_handlers import decode_request
 from site_fixture import running_site, send_request
@@ -157,17 +157,17 @@
         assert count_ended(site) == MIN_ENDS
 
 
-def ended(quarantine: PromptQuarantine, *engines: str, parts=("p",), now=1.0) -> None:
+def ended(quarantine: RequestQuarantine, *engines: str, parts=("p",), now=1.0) -> None:
     for engine in engines:
         quarantine.on_engine_ended("llm", parts, engine, now)
 
 
-def withheld(quarantine: PromptQuarantine, *parts: str, now: float = 2.0) -> bool:
+def withheld(quarantine: RequestQuarantine, *parts: str, now: float = 2.0) -> bool:
     return quarantine.withheld_until("llm", parts, now) is not None
 
 
 def test_part_is_withheld_after_enough_engines_have_ended_under_it():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "b")
     assert not withheld(quarantine, "p")
     ended(quarantine, "c")
@@ -177,7 +177,7 @@
 
 
 def test_quarantine_ends_with_its_evidence():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c")
     assert withheld(quarantine, "p", now=EVIDENCE_LIFETIME)
     assert not withheld(quarantine, "p", now=EVIDENCE_LIFETIME + 2.0)
@@ -185,7 +185,7 @@
 
 
 def test_part_that_sound_requests_share_is_not_withheld():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     quarantine.on_written("llm", ("shared",), 0.5)
     ended(quarantine, "a", "b", "c", "d", "e", "f", parts=("shared", "bad"))
     assert withheld(quarantine, "shared", "bad")
@@ -194,7 +194,7 @@
 
 
 def test_part_that_turns_bad_after_use_is_withheld_after_more_ends():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     quarantine.on_written("llm", ("p",), 0.5)
     engines = [str(number) for number in range(MIN_ENDS_AFTER_USE)]
     ended(quarantine, *engines[:-1])
@@ -204,7 +204,7 @@
 
 
 def test_parts_that_evidence_does_not_tell_apart_are_withheld_only_together():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c", parts=("first", "bad"))
     assert withheld(quarantine, "first", "bad")
     assert not withheld(quarantine, "first")
@@ -214,7 +214,7 @@
 
 
 def test_answer_at_any_node_clears_a_part_at_all():
-    first, second = PromptQuarantine(lambda: 1.5), PromptQuarantine(lambda: 1.5)
+    first, second = RequestQuarantine(lambda: 1.5), RequestQuarantine(lambda: 1.5)
     ended(first, "a", "b", "c")
     second.merge(first.news(1.1), 1.1)
     assert withheld(second, "p")
@@ -222,7 +222,7 @@
     first.merge(second.news(1.6), 1.6)
     assert not withheld(first, "p")
     # Evidence of a peer that has not heard of it changes nothing.
-    late = PromptQuarantine(lambda: 1.5)
+    late = RequestQuarantine(lambda: 1.5)
     ended(late, "a", "b", "c")
     first.merge(late.news(1.7), 1.7)
     assert not withheld(first, "p")
@@ -231,7 +231,7 @@
 
 
 def test_nodes_that_each_saw_one_end_add_them_up():
-    nodes = [PromptQuarantine(lambda: 1.5) for _ in range(MIN_ENDS)]
+    nodes = [RequestQuarantine(lambda: 1.5) for _ in range(MIN_ENDS)]
     for number, node in enumerate(nodes):
         ended(node, str(number))
     for node in nodes[1:]:
@@ -242,7 +242,7 @@
 
 
 def test_evidence_is_told_again_to_a_node_that_arrives():
-    first, second = PromptQuarantine(lambda: 1.5), PromptQuarantine(lambda: 1.5)
+    first, second = RequestQuarantine(lambda: 1.5), RequestQuarantine(lambda: 1.5)
     ended(first, "a", "b", "c")
     assert first.news(60.0) == ()
     first.announce_all(60.0)
@@ -273,11 +273,11 @@
         "is_closed_by_endpoint": True,
     }
     attempt = Attempt("e", 1.0, 0, **{**fields, **changes})
-    assert PromptQuarantine(lambda: 1.5).is_evidence(attempt, True) is expected
+    assert RequestQuarantine(lambda: 1.5).is_evidence(attempt, True) is expected
 
 
 def test_memory_of_many_suspected_parts_is_bounded():
-    quarantine = PromptQuarantine(lambda: 1.5)
+    quarantine = RequestQuarantine(lambda: 1.5)
     ended(quarantine, "a", "b", "c", parts=("bad",))
     for number in range(1000):
         parts = (f"x{number}", f"y{number}")
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -82,7 +82,7 @@
     Welcome,
 )
 from cyclamenyoke.core.peers import PeerUpdate
-from cyclamenyoke.core.prompt_quarantine import PartEvidence
+from cyclamenyoke.core.request_quarantine import TraitEvidence
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.daemon.expert_rebalancer import StoredMaps
 from cyclamenyoke.daemon.http_responses import Problem
@@ -174,7 +174,7 @@
         StorePosition(1, 11),
         *(True, b"digest", (Change("i-1", ENDPOINT, 3.0), Change("i-2", None, 4.0))),
         *({"i-1": 2}, {"llm": {"siam": 2}}, {"llm": {"siam": 1}}, ("i-3",), ("i-4",)),
-        *((("i-5", 17),), (PartEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0),)),
+        *((("i-5", 17),), (TraitEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0),)),
         (LimitNotice("i-7", 17, 2.5, 0.5),),
     ),
     "snapshot": Snapshot(
@@ -205,7 +205,7 @@
     "config view": ConfigView(INDEX, [SERVICE]),
     "conflict": ConflictBody("reports", "diff"),
     "stored quarantine": StoredQuarantine(
-        1700000000.5, [PartEvidence("llm", "5c", {"i-6@17": 1.5}, 2.0)]
+        1700000000.5, [TraitEvidence("llm", "5c", {"i-6@17": 1.5}, 2.0)]
     ),
     "quarantined prompt": QuarantinedPrompt("llm", ["5c"], ["i-6@17"], 599.5),
     "burn rates": BurnRateRow("reports", "siam", 0.9, {"5m": 1.5}, {"5m": 10}),
