--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -25,7 +25,7 @@
 
 from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.core.request_fingerprint import RequestFingerprint
-from cyclamenyoke.core.units import MILLISECOND, MINUTE, SECOND
+from cyclamenyoke.core.units import HOUR, MILLISECOND, MINUTE, SECOND
 
 MIN_ENDS = 3
 """Engines that must have ended under a trait that none is known to have answered. Two
@@ -61,8 +61,14 @@
 broken off later than that."""
 
 EVIDENCE_LIFETIME = 10 * MINUTE
-"""Seconds for which an end counts. A quarantine ends with its evidence, since nothing
-else shows that the trait has become sound."""
+"""Seconds for which ends count after the last one. A quarantine ends with its evidence,
+since nothing else shows that the trait has become sound."""
+
+LIFETIME_GROWTH = 6.0
+"""Factor by which each further end prolongs a quarantine: its cause has not gone."""
+
+MAX_EVIDENCE_LIFETIME = 24 * HOUR
+"""Longest time in seconds for which ends count after the last one."""
 
 ANNOUNCE_TIME = 2 * SECOND
 """Seconds for which a change is repeated in updates to peers; some get lost."""
@@ -161,12 +167,36 @@
             return now
         return max(now, max(self.ends.values(), default=-inf) + SEPARATION)
 
+    @property
+    def uncleared_ends(self) -> dict[str, float]:
+        """The ends since the trait was last cleared, by incarnation of the engine."""
+        after = -inf if self.cleared_at is None else self.cleared_at
+        return {id_: at for id_, at in self.ends.items() if at > after}
+
     def counted_ends(self, now: float) -> dict[str, float]:
         """Return the ends that count, by incarnation of the engine."""
-        after = now - EVIDENCE_LIFETIME
-        if self.cleared_at is not None:
-            after = max(after, self.cleared_at)
-        return {id_: at for id_, at in self.ends.items() if at > after}
+        ends = self.uncleared_ends
+        return ends if now < self.counts_until(ends) else {}
+
+    def counts_until(self, ends: Mapping[str, float]) -> float:
+        """Return until when uncleared ends count."""
+        if not ends:
+            return -inf
+        further = max(0, self.count(ends.values()) - self.ends_needed)
+        lifetime = EVIDENCE_LIFETIME * LIFETIME_GROWTH**further
+        return max(ends.values()) + min(MAX_EVIDENCE_LIFETIME, lifetime)
+
+    def is_forgotten(self, now: float) -> bool:
+        """Return whether the trait may be dropped.
+
+        The ends of a past quarantine are remembered, so that the next one renews it.
+        """
+        ends = self.uncleared_ends
+        was_quarantined = self.count(ends.values()) >= self.ends_needed
+        kept_for = MAX_EVIDENCE_LIFETIME if was_quarantined else 0.0
+        latest = max(self.ends.values(), default=-inf)
+        until = max(latest + EVIDENCE_LIFETIME, self.counts_until(ends) + kept_for)
+        return now >= max(until, self.announce_until)
 
     @property
     def ends_needed(self) -> int:
@@ -380,7 +410,7 @@
         keys = [
             key
             for key, suspect in self._suspects.items()
-            if suspect.count(suspect.counted_ends(now).values()) >= MIN_ENDS_STORED
+            if suspect.count(suspect.uncleared_ends.values()) >= MIN_ENDS_STORED
         ]
         return self._evidence(keys, now)
 
@@ -398,7 +428,7 @@
             changes = [
                 suspect.add_end(engine, now - age, now)
                 for engine, age in each.end_ages.items()
-                if age < EVIDENCE_LIFETIME
+                if age < 2 * MAX_EVIDENCE_LIFETIME
             ]
             if cleared_at is not None:
                 changes.append(suspect.clear(cleared_at))
@@ -432,10 +462,8 @@
     def _update(self, now: float) -> None:
         """Drop old evidence and decide anew what is withheld."""
         # Cleared parts are kept too, for peers that did not hear of it.
-        oldest = now - EVIDENCE_LIFETIME
         for key, suspect in list(self._suspects.items()):
-            is_old = all(at <= oldest for at in suspect.ends.values())
-            if is_old and suspect.announce_until <= now:
+            if suspect.is_forgotten(now):
                 del self._suspects[key]
         counted = {
             key: suspect.counted_ends(now) for key, suspect in self._suspects.items()
@@ -515,7 +543,7 @@
                 continue
             explained |= {(service, id_) for id_ in unexplained}
             traits = frozenset({key[1], *self._inseparable(key, suspected, counted)})
-            until = sorted(ends.values())[-needed] + EVIDENCE_LIFETIME
+            until = self._suspects[key].counts_until(ends)
             quarantines.append(Quarantine(service, traits, frozenset(ends), until))
         return quarantines
 
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -23,6 +23,7 @@
 
 CRASHING_BODY = b'{"id": "crashing"}'
 ENGINES = 3
+DAY = 86_400.0
 SENDS = 24
 SEND_INTERVAL = 0.15
 ENDS_BEFORE_BOUND = 3
@@ -299,3 +300,20 @@
     decoded = decode_request(HttpRequest(b"GET", b"/a", headers, b"", 0.0, True, False))
     assert decoded is not None
     assert not any(":" in part for part in decoded.shared_parts)
+
+
+@pytest.mark.parametrize("traits", [COPY, ("5c1e07a2",)])
+def test_trait_that_ends_an_engine_after_each_quarantine_is_seldom_tried_again(traits):
+    quarantine = RequestQuarantine(lambda: 1.5)
+    ended(quarantine, traits, "a", "b", "c")
+    now, retries = 2.0, 0
+    while (until := quarantine.withheld_until("app", traits, now)) is not None:
+        now = until + 1.0
+        if now > DAY:
+            break
+        assert not withheld(quarantine, traits, now)
+        retries += 1
+        ended(quarantine, traits, f"engine-{retries}", start=now)
+        now += HOLD_TIME + 1.0
+    assert now > DAY
+    assert retries <= MAX_LATER_REQUESTS
