--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -171,6 +171,17 @@
     may_have_ended_engine: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingRequest:
+    """A request in the queue.
+
+    :param decision: set once it is admitted or rejected.
+    """
+
+    context: RequestContext
+    decision: asyncio.Future[Admitted | Rejected]
+
+
 @dataclass(slots=True)
 class PartialResponse:
     """The part of an endpoint's response that was received so far.
@@ -246,9 +257,7 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._detached: set[asyncio.Task[None]] = set()
         self._gap_ratios: dict[str, GapRatio] = {}
-        self._pending_decisions: dict[
-            AdmissionRequest, asyncio.Future[Admitted | Rejected]
-        ] = {}
+        self._waiting: dict[AdmissionRequest, WaitingRequest] = {}
         self._admission = Admission(
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
@@ -507,7 +516,7 @@
         decision = self._admission.decide(admission_request, now)
         if isinstance(decision, Enqueued):
             decision_future = asyncio.get_running_loop().create_future()
-            self._pending_decisions[admission_request] = decision_future
+            self._waiting[admission_request] = WaitingRequest(context, decision_future)
             self._on_load_change()
             try:
                 decision = await decision_future
@@ -519,11 +528,13 @@
                     self._release_endpoint(context, admitted.endpoint)
                 raise
             finally:
-                del self._pending_decisions[admission_request]
+                del self._waiting[admission_request]
                 self._admission.remove(admission_request)
             context.waited += self._clock.now() - now
         if isinstance(decision, Admitted):
             return decision.endpoint
+        if self._is_withheld(context):
+            return None
         context.retry_after = decision.retry_after
         context.detail = "no room in time"
         if self._pause(admission_request, self._clock.now()) > 0:
@@ -567,12 +578,23 @@
 
     def dispatch(self) -> None:
         """Admit queued requests to free slots, and reject those that have expired."""
-        if not self._pending_decisions:
+        if not self._waiting:
             return
+        self._reject_withheld()
         for admission_request, decision in self._admission.dispatch(self._clock.now()):
-            decision_future = self._pending_decisions.get(admission_request)
-            if decision_future is not None and not decision_future.done():
-                decision_future.set_result(decision)
+            waiting = self._waiting.get(admission_request)
+            if waiting is not None and not waiting.decision.done():
+                waiting.decision.set_result(decision)
+
+    def _reject_withheld(self) -> None:
+        """Reject the queued requests that were quarantined while they waited."""
+        if not self._quarantine.quarantines:
+            return
+        for admission_request, waiting in self._waiting.items():
+            if not waiting.decision.done() and self._is_withheld(waiting.context):
+                self._admission.remove(admission_request)
+                retry_after = waiting.context.retry_after or 0.0
+                waiting.decision.set_result(Rejected(retry_after))
 
     async def poll_queue(self) -> None:
         """Dispatch the queues periodically until cancelled."""
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -6,6 +6,7 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest
 from cyclamenyoke.cli.quarantine import fetch_quarantine, lift_quarantine
+from cyclamenyoke.core.request_fingerprint import fingerprint
 from cyclamenyoke.core.request_quarantine import (
     EVIDENCE_LIFETIME,
     HOLD_TIME,
@@ -15,6 +16,7 @@
     SEPARATION,
     SIMULTANEOUS_ENDS,
     RequestQuarantine,
+    request_traits,
 )
 from cyclamenyoke.daemon.quarantine_store import QUARANTINE_KEY
 from cyclamenyoke.platform.caller_handlers import decode_request
@@ -317,3 +319,31 @@
         now += HOLD_TIME + 1.0
     assert now > DAY
     assert retries <= MAX_LATER_REQUESTS
+
+
+async def test_copy_that_waits_for_room_is_refused_as_soon_as_it_is_withheld():
+    async with running_site(gateways=1, engines=1) as site:
+        gateway, node, _ = site.gateways[0]
+        for engine in site.engines.values():
+            engine.event_interval = 0.3
+        running = [
+            asyncio.create_task(site.post(node, "/stream/a", b"%d" % number))
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.05)
+        queued = asyncio.create_task(site.post(node, "/stream/a", CRASHING_BODY))
+        await site.wait_until(lambda: gateway._forwarder.queued)
+        headers = [(b"X-Request-Id", b"1"), (b"Host", b"h")]
+        copy = HttpRequest(
+            b"POST", b"/stream/a", headers, CRASHING_BODY, 0.0, True, False
+        )
+        traits = request_traits(fingerprint(decode_request(copy), "customer"))
+        now = gateway._clock.now()
+        for number in range(MIN_ENDS):
+            at = now - 1 + number / 10
+            gateway._quarantine.on_engine_ended("llm", traits, f"{number}", at, at)
+        async with asyncio.timeout(0.15):
+            response = await queued
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > HOLD_TIME
+        await asyncio.gather(*running)
