Remember which requests were answered, so that one asked for all the time is not held

A request became known only at the first end under it, so that it looked as if no engine had ever answered it.

--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -86,8 +86,12 @@
 MAX_ANNOUNCED = 32
 """Traits in one update to peers, those with the most evidence first."""
 
-MAX_WRITTEN_PARTS = 8192
-"""Parts for which the last answer is remembered, the most recent ones."""
+MAX_ANSWERED_PARTS = 8192
+"""Parts of prompts for which the last answer is remembered, the most recent ones."""
+
+MAX_ANSWERED_REQUESTS = 4096
+"""The same for single requests. Most are asked for once; one that is asked for all the
+time stays among the most recent ones."""
 
 REQUEST_TRAIT, CONTENT_TRAIT = "request:", "content:"
 """Prefixes of the traits that name one request: by all that it asks for, and by its
@@ -245,6 +249,28 @@
         return self.traits.issubset(traits)
 
 
+class AnswerTimes:
+    """When requests with a trait were last answered, for the most recent traits.
+
+    :param limit: the number of traits that are remembered.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._times: OrderedDict[TraitKey, float] = OrderedDict()
+
+    def add(self, key: TraitKey, now: float) -> None:
+        """Record an answer."""
+        self._times[key] = now
+        self._times.move_to_end(key)
+        if len(self._times) > self._limit:
+            self._times.popitem(last=False)
+
+    def get(self, key: TraitKey) -> float | None:
+        """Return when the last answer was; ``None`` if none is remembered."""
+        return self._times.get(key)
+
+
 class QuarantineObserver:
     """Receives the decisions of :class:`RequestQuarantine`; does nothing itself."""
 
@@ -275,7 +301,8 @@
         self._suspects: dict[TraitKey, Suspect] = {}
         self._quarantines: list[Quarantine] = []
         self._services_with_suspected_requests: set[str] = set()
-        self._written_at: OrderedDict[TraitKey, float] = OrderedDict()
+        self._answered_parts = AnswerTimes(MAX_ANSWERED_PARTS)
+        self._answered_requests = AnswerTimes(MAX_ANSWERED_REQUESTS)
 
     @staticmethod
     def may_have_ended_engine(attempt: Attempt) -> bool:
@@ -328,15 +355,11 @@
         is_news = False
         for trait in traits:
             key = service, trait
-            if not _is_one_request(trait):
-                self._written_at[key] = now
-                self._written_at.move_to_end(key)
+            self._answer_times(trait).add(key, now)
             suspect = self._suspects.get(key)
             if suspect is not None and suspect.clear(now):
                 suspect.announce_until = now + ANNOUNCE_TIME
                 is_news = True
-        while len(self._written_at) > MAX_WRITTEN_PARTS:
-            self._written_at.popitem(last=False)
         if is_news:
             self._update(now)
 
@@ -363,12 +386,14 @@
         A request on such parts that may have ended an engine was probably beside the
         one that did.
         """
-        return all((service, part) in self._written_at for part in parts)
+        return all(
+            self._answered_parts.get((service, part)) is not None for part in parts
+        )
 
     def suspects_requests(self, service: str) -> bool:
         """Return whether engines of a service have ended under single requests.
 
-        Only then are fingerprints of its requests needed.
+        Only then can one of its requests be withheld.
         """
         return service in self._services_with_suspected_requests
 
@@ -441,10 +466,14 @@
     def _suspect(self, key: TraitKey) -> Suspect:
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = Suspect(key[1], cleared_at=self._written_at.get(key))
+            suspect = Suspect(key[1], cleared_at=self._answer_times(key[1]).get(key))
             self._suspects[key] = suspect
         return suspect
 
+    def _answer_times(self, trait: str) -> "AnswerTimes":
+        is_one = _is_one_request(trait)
+        return self._answered_requests if is_one else self._answered_parts
+
     def _evidence(
         self, keys: Iterable[TraitKey], now: float
     ) -> tuple[TraitEvidence, ...]:
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -399,6 +399,15 @@
             return parts
         return (*parts, *request_traits(self._fingerprint(context)))
 
+    def _on_written(self, context: RequestContext) -> None:
+        """Record that an engine has answered the request, or writes, without ending."""
+        traits = request_traits(self._fingerprint(context))
+        self._quarantine.on_answered(
+            context.service,
+            (*context.request.shared_parts, *traits),
+            self._clock.now(),
+        )
+
     def _fingerprint(self, context: RequestContext) -> RequestFingerprint:
         if context.fingerprint is None:
             context.fingerprint = fingerprint(context.request, context.customer)
@@ -427,12 +436,11 @@
         attempt: Attempt,
         max_connections: int,
     ) -> None:
-        now = attempt.ended_at = self._clock.now()
+        attempt.ended_at = self._clock.now()
         context.may_have_ended_engine = False
         if attempt.outcome is AttemptOutcome.ANSWERED:
             if attempt.events or not context.route.is_stream:
-                traits = self._traits(context)
-                self._quarantine.on_answered(context.service, traits, now)
+                self._on_written(context)
             return
         attempt.detail = context.detail
         if attempt.outcome is not AttemptOutcome.INCOMPLETE:
@@ -921,9 +929,7 @@
             self._record_gap(context)
         attempt = context.delivery.attempts[-1]
         if attempt.events >= MIN_EVENTS_WRITTEN > attempt.events - len(events):
-            self._quarantine.on_answered(
-                context.service, self._traits(context), self._clock.now()
-            )
+            self._on_written(context)
         return True
 
     def _record_gap(self, context: RequestContext) -> None:
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -5,7 +5,7 @@
 entries that expire during an outage, a store that is restored from an older copy, nodes
 whose store calls fail, network partitions, killed and gracefully stopped nodes, clock
 jumps, and engines that reject requests, crash, stop responding, reset connections,
-state limits or end on a part of prompts.
+state limits, end on a part of prompts or under a request that is sent again and again.
 Everything that callers and engines observe is checked against the gateway's invariants.
 
 Run with ``PYTHONPATH=tests python -m gateway_soak --seed 1 --seconds 120``.
@@ -95,6 +95,12 @@
 """Engines that may end under one part of prompts, and how many requests with the part
 may reach engines after that and the reaction time."""
 
+MAX_ENDS_UNDER_REQUEST, MAX_LATER_COPIES = 3, 3
+"""The same for one request that is sent again and again."""
+
+CRASHING_SHARE = 0.05
+"""Share of requests that are copies of the one that ends engines."""
+
 SHARED_PARTS = 8
 
 EVENTS_PER_STREAM = 6
@@ -142,6 +148,7 @@
     outcome: str = ""
     ended_at: float = 0.0
     parts: tuple[str, ...] = ()
+    path: str = ""
 
 
 class RecordingResponseWriter(ResponseWriter):
@@ -214,8 +221,11 @@
         self.has_engine_troubles = False
         self.crashing_part = ""
         self.crashing_parts: set[str] = set()
+        # The path of the request that ends engines, while it is sent, and all of them.
+        self.crashing_path = ""
+        self.crashing_paths: set[str] = set()
         self.ends: dict[str, list[float]] = defaultdict(list)
-        self.later_prompts: Counter[str] = Counter()
+        self.later_arrivals: Counter[str] = Counter()
         self.restart: Callable[[SimulatedEngine], None] = lambda engine: None
 
     def put(self, key: str, value: bytes | None, lease: int = 0) -> int:
@@ -444,7 +454,7 @@
         self._check_drain(engine)
         self._check_notices(engine, observed)
         self._check_limit(engine)
-        self._check_prompt(observed)
+        self._check_quarantine(observed)
         return SimulatedEngineCall(
             self._serve(engine, request.request_id, observed, last_event_id)
         )
@@ -481,17 +491,23 @@
         if len(engine.counted) > 1.5 * LIMIT_WINDOW * engine.limit + 5:
             env.report_violation(f"{engine.id} gets requests beyond its limit")
 
-    def _check_prompt(self, request: ObservedRequest) -> None:
-        """Check that parts of prompts that have ended engines are withheld."""
-        env = self._env
+    def _check_quarantine(self, request: ObservedRequest) -> None:
+        """Check that what has ended engines is withheld."""
         for part in request.parts:
-            ends = env.ends.get(part, [])
-            if len(ends) < MAX_ENDS or not self._node.is_settled:
-                continue
-            is_late = env.clock.now() > ends[MAX_ENDS - 1] + REACTION_TIME
-            env.later_prompts[part] += is_late and env.is_fault_free
-            if env.later_prompts[part] > MAX_LATER_PROMPTS:
-                env.report_violation(f"{part} ended {len(ends)} engines and is sent on")
+            self._check_withheld(part, MAX_ENDS, MAX_LATER_PROMPTS)
+        if request.path in self._env.crashing_paths:
+            limits = MAX_ENDS_UNDER_REQUEST, MAX_LATER_COPIES
+            self._check_withheld(request.path, *limits)
+
+    def _check_withheld(self, cause: str, max_ends: int, max_later: int) -> None:
+        env = self._env
+        ends = env.ends.get(cause, [])
+        if len(ends) < max_ends or not self._node.is_settled:
+            return
+        is_late = env.clock.now() > ends[max_ends - 1] + REACTION_TIME
+        env.later_arrivals[cause] += is_late and env.is_fault_free
+        if env.later_arrivals[cause] > max_later:
+            env.report_violation(f"{cause} ended {len(ends)} engines and is sent on")
 
     def _reject(self, engine: SimulatedEngine) -> NotExecuted:
         """Return a rejection that asks for a pause, and note it for the check."""
@@ -540,14 +556,12 @@
             yield EngineResponseEnd()
             return
         is_stream = engine.service == "llm"
+        if request.path in self._env.crashing_paths:
+            yield await self._crash(engine, request.path)
+            return
         yield EngineResponseHead(200, [], True, is_stream, self._notice(engine))
         if self._env.crashing_part and self._env.crashing_part in request.parts:
-            await asyncio.sleep(random.uniform(0.01, 0.06))
-            if engine.is_alive:
-                self._env.ends[self._env.crashing_part].append(self._env.clock.now())
-                engine.is_alive = False
-                self._env.restart(engine)
-            yield EngineResponseFailed("connection reset", is_closed=True)
+            yield await self._crash(engine, self._env.crashing_part)
             return
         for number in range(
             (last_event_id or 0) + 1, EVENTS_PER_STREAM + 1 if is_stream else 2
@@ -562,6 +576,15 @@
             )
         yield EngineResponseEnd()
 
+    async def _crash(self, engine, cause: str) -> EngineResponseFailed:
+        """End an engine a moment after it has begun to run a request."""
+        await asyncio.sleep(self._env.random.uniform(0.01, 0.06))
+        if engine.is_alive:
+            self._env.ends[cause].append(self._env.clock.now())
+            engine.is_alive = False
+            self._env.restart(engine)
+        return EngineResponseFailed("connection reset", is_closed=True)
+
 
 class SimulatedEngineCall(EngineCall):
     """The response of a simulated engine, event by event."""
@@ -682,14 +705,20 @@
 
     :param seed: seed of all random choices.
     :param has_engine_troubles: whether engines state limits or end on prompts.
+    :param has_crashing_requests: whether a request that ends engines is sent at times.
     :param has_faults: whether faults are injected; without them, time bounds are always
         checked.
     """
 
     def __init__(
-        self, seed: int, has_engine_troubles: bool = False, has_faults: bool = True
+        self,
+        seed: int,
+        has_engine_troubles: bool = False,
+        has_faults: bool = True,
+        has_crashing_requests: bool = False,
     ) -> None:
         self.seed = seed
+        self.has_crashing_requests = has_crashing_requests
         self.has_engine_troubles = has_engine_troubles
         self.has_faults = has_faults
         self._actions: set[asyncio.Task] = set()
@@ -709,7 +738,7 @@
 
     async def _run(self, seconds: float) -> Environment:
         self.env = env = Environment(self.seed)
-        env.has_engine_troubles = self.has_engine_troubles
+        env.has_engine_troubles = self.has_engine_troubles or self.has_crashing_requests
         SimulatedTransport.env = env
         env.restart = lambda engine: self._start(self._restart_engine(engine))
         with (
@@ -725,16 +754,16 @@
             env.publish()
             for number in range(1, NODES + 1):
                 env.nodes[f"10.0.0.{number}"] = Node(env, number)
-            work = [
-                self._back_up_store(),
-                self._publish_configs(),
-                self._run_planned_changes(),
-                self._generate_requests(),
+            optional = [
+                (self.has_faults, self._inject_faults),
+                (True, self._back_up_store),
+                (True, self._publish_configs),
+                (True, self._run_planned_changes),
+                (True, self._generate_requests),
+                (self.has_engine_troubles, self._trouble_engines),
+                (self.has_crashing_requests, self._send_crashing_requests),
             ]
-            if self.has_engine_troubles:
-                work.append(self._trouble_engines())
-            if self.has_faults:
-                work.insert(0, self._inject_faults())
+            work = [start() for is_wanted, start in optional if is_wanted]
             tasks = [asyncio.ensure_future(each) for each in work]
             await asyncio.sleep(seconds)
             for task in tasks:
@@ -981,6 +1010,17 @@
         await asyncio.sleep(env.random.uniform(10, 25))
         env.crashing_part = ""
 
+    async def _send_crashing_requests(self) -> None:
+        """Let callers ask again and again for a request that ends engines."""
+        env = self.env
+        while True:
+            await asyncio.sleep(env.random.uniform(1, 6))
+            name = env.random.choice(["order", "lookup", "stream"])
+            env.crashing_path = f"/{name}/crashing-{next(self.numbers)}"
+            env.crashing_paths.add(env.crashing_path)
+            await asyncio.sleep(env.random.uniform(8, 20))
+            env.crashing_path = ""
+
     def _prompt_parts(self) -> tuple[str, ...]:
         """Return shared parts of a stream's prompt, one in five with a crashing one."""
         env = self.env
@@ -1032,8 +1072,12 @@
         request = env.observed[id_] = ObservedRequest(name, now, now + 1.5)
         if self.has_engine_troubles and name == "stream":
             request.parts = self._prompt_parts()
+        path = f"/{name}/x"
+        if env.crashing_path and env.random.random() < CRASHING_SHARE:
+            path = request.path = env.crashing_path
+            request.route = path.split("/")[1]
         call = InboundRequest(
-            id_, b"POST", f"/{name}/x".encode(), f"/{name}/x", HOST, [], b"{}", API_KEY,
+            id_, b"POST", path.encode(), path, HOST, [], b"{}", API_KEY,
             now, request.deadline, None, 0, 0, request.parts,
         )  # fmt: skip
         response = RecordingResponseWriter()
@@ -1089,7 +1133,9 @@
             self._check_config(request)
 
     def _is_crashing(self, request: ObservedRequest) -> bool:
-        return any(part in self.env.crashing_parts for part in request.parts)
+        return request.path in self.env.crashing_paths or any(
+            part in self.env.crashing_parts for part in request.parts
+        )
 
     def _check_config(self, request: ObservedRequest) -> None:
         """Check that route ``extra`` follows the newest configuration.
@@ -1167,13 +1213,20 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--engine-troubles", action="store_true")
+    parser.add_argument("--crashing-requests", action="store_true")
     options = parser.parse_args()
     failed = False
     for seed in range(options.seed, options.seed + options.seeds):
-        env = GatewaySoak(seed, options.engine_troubles).run(options.seconds)
+        env = GatewaySoak(
+            seed,
+            options.engine_troubles,
+            has_crashing_requests=options.crashing_requests,
+        ).run(options.seconds)
         print(f"seed {seed}: {dict(sorted(env.outcomes.items()))}")
         print(f"  actions: {dict(env.action_counts)}")
-        print(f"  ends by part: { ({part: len(at) for part, at in env.ends.items()}) }")
+        print(
+            f"  ends by cause: { ({part: len(at) for part, at in env.ends.items()}) }"
+        )
         for violation in env.violations[:10]:
             print(f"  violation: {violation}")
         failed = failed or bool(env.violations)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -26,6 +26,13 @@
     assert env.outcomes["order answered"] > 100
 
 
+@pytest.mark.parametrize("seed", [11])
+def test_gateways_withhold_a_request_that_ends_engines_and_serve_the_others(seed):
+    env = GatewaySoak(seed, has_crashing_requests=True).run(60)
+    assert env.violations == []
+    assert env.outcomes["order answered"] > 100
+
+
 INFREQUENT_LIST_READS = {"LIST_READS_PER_DRAIN": 0.2, "MAX_LIST_AGES_PER_DRAIN": 0.2}
 """Values with which nodes read the endpoint list every ten seconds, although all of
 them must know within two seconds that an endpoint is draining."""
@@ -89,6 +96,14 @@
 }
 
 
+def test_soak_detects_a_request_that_is_sent_on_though_engines_end(monkeypatch):
+    monkeypatch.setattr(
+        RequestQuarantine, "withheld_until", lambda self, *arguments: None
+    )
+    env = GatewaySoak(3, has_faults=False, has_crashing_requests=True).run(30)
+    assert any("engines and is sent on" in violation for violation in env.violations)
+
+
 @pytest.mark.parametrize("mutant", ENGINE_MUTANTS)
 def test_soak_detects_ignored_engine_troubles(monkeypatch, mutant):
     target, changes, expected = ENGINE_MUTANTS[mutant]
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -263,6 +263,15 @@
     assert not withheld(quarantine, BESIDE, 6.0)
 
 
+def test_request_that_was_answered_before_is_not_held_back_beside_the_guilty_one():
+    quarantine = RequestQuarantine(lambda: 1.5)
+    quarantine.on_answered("app", BESIDE, 0.5)
+    ended(quarantine, COPY, "a", "b", "c")
+    ended(quarantine, BESIDE, "a", "b", "c")
+    assert withheld(quarantine, COPY, 1.3)
+    assert not withheld(quarantine, BESIDE, 1.3)
+
+
 def test_of_two_requests_under_the_same_ends_the_next_end_tells_the_guilty_one():
     for guilty, beside in [(COPY, BESIDE), (BESIDE, COPY)]:
         quarantine = RequestQuarantine(lambda: 1.5)
