--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -664,3 +664,65 @@
     rebalancer.cancel()
     passes.cancel()
     await asyncio.gather(passes, rebalancer, return_exceptions=True)
+
+
+class RanksThatEndUnderMaps(SimulatedRanks):
+    """A group of which a rank ends whenever it has a given expert besides its own.
+
+    The group then forms again, in a new epoch and with its first map.
+    """
+
+    CRASHING_EXPERT = 0
+    FORMING_TIME = 1.5
+
+    def __init__(self, random: Random) -> None:
+        super().__init__(random, 0.0)
+        self.epoch = 1
+        self.ends = 0
+
+    async def run_passes(self) -> None:
+        while True:
+            await asyncio.sleep(PASS_TIME)
+            if any(rank.held == self.step + 1 for rank in self.ranks):
+                continue
+            self.step += 1
+            for rank in self.ranks:
+                if rank.armed is not None and rank.armed[1] == self.step:
+                    rank.map_version = rank.armed[0]
+                    rank.armed = rank.prepared = None
+            if any(self._is_crashing(number) for number in range(RANKS)):
+                self.ends += 1
+                self.epoch += 1
+                self.ranks = [Rank() for _ in range(RANKS)]
+                await asyncio.sleep(self.FORMING_TIME)
+
+    def _is_crashing(self, number: int) -> bool:
+        rank = self.ranks[number]
+        first, current = rank.maps[0], rank.maps[rank.map_version]
+        return any(
+            self.CRASHING_EXPERT in now[number]
+            and self.CRASHING_EXPERT not in before[number]
+            for before, now in zip(first, current, strict=True)
+        )
+
+    async def report(self, endpoint):
+        return replace(await super().report(endpoint), epoch=self.epoch)
+
+    async def expert_counts(self, endpoint, sets):
+        row = [100 * self.step] * LAYOUT.experts
+        row[self.CRASHING_EXPERT] += 2000 * self.step
+        return ExpertCounts(self.epoch, [list(row) for _ in range(sets)])
+
+
+@pytest.mark.looptime
+async def test_map_under_which_ranks_end_is_not_armed_again_and_again():
+    cluster = Cluster(1, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    ranks = cluster.ranks = RanksThatEndUnderMaps(cluster.random)
+    passes = asyncio.create_task(ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
+    await asyncio.sleep(60)
+    assert 0 < ranks.ends <= 3 + 3
+    rebalancer.cancel()
+    passes.cancel()
+    await asyncio.gather(passes, rebalancer, return_exceptions=True)
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -222,3 +222,28 @@
     assert [type(each.message) for each in effects if isinstance(each, Send)] == [
         Revoke
     ]
+
+
+def test_call_that_ends_endpoints_is_not_sent_to_one_after_the_other():
+    router = Router("dc", Random(1))
+    endpoints = [Endpoint(f"e{n}", "", "dc") for n in range(8)]
+    router.configure({"s": endpoints})
+    for endpoint in endpoints:
+        router.on_link_up(endpoint.name, "first", False, Load())
+    budget = RetryBudget(NOW)
+    sent = 0
+    for number in range(24):
+        now = NOW + number
+        call = Call(
+            f"r{number}", "s", "c", "POST", "/", "", b"same", now + 10, now + 9, key=""
+        )  # fmt: skip
+        attempt_ids = AttemptIdAllocator("entry@1")
+        request = RequestCore(
+            call, False, router, attempt_ids, budget, RaisingMonitor()
+        )
+        effects = request.start(now)
+        while execute := execute_messages(effects):
+            sent += 1
+            failed = Failed(execute[0].message.attempt, Reason.ENDPOINT_FAILED)
+            effects = request.on_message(failed, now)
+    assert sent <= 3 + 3
