Keep what is remembered of other requests when an operator lifts one

Lifting a trait also cleared all traits without counted ends, so that a request whose quarantine had passed needed five new ends. test_lifting_one_request_does_not_forget_the_ past_quarantine_of_another failed before. Only the operators' command reaches this code.

--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -302,6 +302,17 @@
     assert withheld(second, COPY, 1.2 + HOLD_TIME)
 
 
+def test_lifting_one_request_does_not_forget_the_past_quarantine_of_another():
+    quarantine = RequestQuarantine(lambda: 1.5)
+    ended(quarantine, COPY, "a", "b", "c")
+    later = 3.0 + EVIDENCE_LIFETIME
+    ended(quarantine, BESIDE, "d", "e", "f", start=later)
+    assert quarantine.lift("app", BESIDE[0], later + 1.0)
+    assert not withheld(quarantine, COPY, later + 1.0)
+    ended(quarantine, COPY, "g", start=later + 1.0)
+    assert withheld(quarantine, COPY, later + 2.0 + HOLD_TIME)
+
+
 def test_prompt_part_can_not_be_taken_for_a_request():
     headers = [
         (b"X-Request-Id", b"1"),
