--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -90,8 +90,8 @@
 """Parts of prompts for which the last answer is remembered, the most recent ones."""
 
 MAX_ANSWERED_REQUESTS = 4096
-"""The same for traits of single requests, two for each. Most requests are asked for once;
-one that is asked for all the time stays among the most recent ones."""
+"""The same for traits of single requests, two for each. Most requests are asked for
+once; one that is asked for all the time stays among the most recent ones."""
 
 REQUEST_TRAIT, CONTENT_TRAIT = "request:", "content:"
 """Prefixes of the traits that name one request: by all that it asks for, and by its
