Check that ignored pauses are detected in every seed, not by chance

The test is replaced by a stricter one: every second engine rejects, and each of two seeds must detect the mutant, and find nothing without it.

--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -41,9 +41,6 @@
 """Seeds that are run one after the other until a run detects the bug."""
 
 MUTANTS = {
-    "ignores that engines ask for a pause": (
-        *(Balancer, {"on_rest": lambda self, *arguments: None}, "during its pause"),
-    ),
     "ignores that engines state that they leave": (
         *(
             EndpointRegistry,
@@ -96,6 +93,26 @@
 }
 
 
+class SoakWithRejectingEngines(GatewaySoak):
+    """Every second engine rejects a part of its requests and asks for a pause."""
+
+    def _add_engine(self, service: str, id_: str) -> None:
+        super()._add_engine(service, id_)
+        if len(self.env.engines) % 2:
+            list(self.env.engines.values())[-1].fault = "rejects"
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_soak_detects_ignored_pauses_in_each_seed(monkeypatch, seed):
+    def find_violations() -> list[str]:
+        env = SoakWithRejectingEngines(seed, has_faults=False).run(15)
+        return [each for each in env.violations if "during its pause" in each]
+
+    assert find_violations() == []
+    monkeypatch.setattr(Balancer, "on_rest", lambda self, *arguments: None)
+    assert find_violations()
+
+
 def test_soak_detects_a_request_that_is_sent_on_though_engines_end(monkeypatch):
     monkeypatch.setattr(
         RequestQuarantine, "withheld_until", lambda self, *arguments: None
