--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 soak: $(VENV)/.installed
 	PYTHONPATH=tests $(BIN)/python -m soak --seed $(SEED) --steps $(STEPS)
 	PYTHONPATH=tests $(BIN)/python -m gateway_soak --seed $(SEED) --seconds $(SECONDS_PLAYED)
+	PYTHONPATH=tests $(BIN)/python -m gateway_soak --seed $(SEED) --seconds $(SECONDS_PLAYED) --crashing-requests
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
