Wait for all ends of a prompt in the store before the nodes are lost in a test

Since evidence is stored from two ends on, the key appears before the third end is in the store, and the test ended the gateway between the two. Traced: with 1.3 s before the third end the old wait fails (502 for 503), the new one passes. The check is the same; that evidence of the last second is lost with all nodes stands in the postmortem.

--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -47,6 +47,15 @@
     )
 
 
+def stored_ends(site) -> int:
+    """Return how many ends the store has against one part."""
+    stored = site.platform.state.values.get(QUARANTINE_KEY)
+    if stored is None:
+        return 0
+    evidence = json.loads(stored.value)["evidence"]
+    return max(len(ends) for _, _, ends, _ in evidence)
+
+
 def count_ended(site) -> int:
     return sum(engine.has_ended for engine in site.engines.values())
 
@@ -148,7 +157,7 @@
         first = site.gateways[0][1]
         for number in range(MIN_ENDS):
             await site.post(first, "/stream/a", **prompt(number, CRASHING_PART))
-        await site.wait_until(lambda: QUARANTINE_KEY in site.platform.state.values)
+        await site.wait_until(lambda: stored_ends(site) == MIN_ENDS)
         site.gateways[0][2].cancel()
         second = await site.add_gateway()
         await asyncio.sleep(0.3)
