Review: an entry whose bytes can't be read ends all gateways

Cause: the decoder raises RecursionError for a value nested too deeply, which the handling of unreadable entries does not expect; the exception ends the process. Done: a case as a script.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 from standins import EngineWork, Run
 
 GATEWAYS = 3
-CLIENTS = 12
+CLIENTS = 24
 DURATION_S = 16.0
 STOP_AFTER_S = 4.0
 LIFETIMES_KEPT = 3
@@ -47,6 +47,8 @@
                 return
 
     async def run(self) -> None:
+        # The clients do not start together.
+        await asyncio.sleep(random.uniform(0, EVENTS * EVENT_GAP_S))
         while time.monotonic() < self._until:
             if time.monotonic() >= self._resolve_at:
                 await self.resolve()
@@ -79,7 +81,7 @@
 
 
 async def body(site: Site, has_trouble: bool) -> bool:
-    for number in range(4):
+    for number in range(6):
         work = EngineWork(events=EVENTS, gap_s=EVENT_GAP_S)
         await site.add_engine(f"i-draft-{number}", "draft-llm", work)
     await site.start(GATEWAYS, configuration())
