Review: stricter checks of cases 1 to 3

The rule speaks of connections that close without an answer, so that streams broken off midway no longer count, only requests of whose answer no byte came.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,20 +1,20 @@
 """An entry of another writer with a number of 128 bits, beside the engines' entries.
 
-Streams run over kept connections through three gateways. After two seconds another
+Streams run over kept connections through three gateways. After four seconds another
 writer puts one entry below ``servers/`` and nothing else happens.
 """
 
 import asyncio
 import json
-import time
 import uuid
 
-from deployment import Answer, Client, Site, configuration, run_case
-from standins import EngineWork
+from deployment import SHORT_STREAM, Site, StreamLoad, configuration, run_case
 
 GATEWAYS = 3
-CLIENTS_PER_GATEWAY = 4
-DURATION_S = 20.0
+ENGINES = 8
+CLIENTS_PER_GATEWAY = 12
+DURATION_S = 22.0
+WRITTEN_AFTER_S = 4.0
 MAX_LOST = 3
 
 
@@ -34,51 +34,17 @@
     return json.dumps(entry).encode()
 
 
-async def use(client: Client, address: str, until: float) -> None:
-    """Send streams one after the other on a kept connection."""
-    while time.monotonic() < until:
-        answer = await client.send(address, "/draft/2f", 8000, X_Model="m")
-        if not answer.is_whole or answer.status != 200:
-            await asyncio.sleep(0.2)
-
-
-def is_lost(answer: Answer, runs: dict[str, list]) -> bool:
-    """Return whether a kept connection closed on a request that an engine ran."""
-    was_closed = not answer.is_whole and answer.error != "TimeoutError"
-    return answer.is_reused and was_closed and answer.request_id in runs
-
-
 async def body(site: Site, has_trouble: bool) -> bool:
-    for number in range(4):
-        work = EngineWork(events=28, gap_s=0.05)
-        await site.add_engine(f"i-draft-{number}", "draft-llm", work)
+    for number in range(ENGINES):
+        await site.add_engine(f"i-draft-{number}", "draft-llm", SHORT_STREAM)
     await site.start(GATEWAYS, configuration())
-    until = time.monotonic() + DURATION_S
-    clients, tasks = [], []
-    for gateway in site.gateways:
-        for _ in range(CLIENTS_PER_GATEWAY):
-            clients.append(Client(site.record))
-            work = use(clients[-1], gateway.front, until)
-            tasks.append(site.run(work))
-    await asyncio.sleep(2)
+    load = StreamLoad(site, CLIENTS_PER_GATEWAY, DURATION_S)
+    await asyncio.sleep(WRITTEN_AFTER_S)
     if has_trouble:
         await site.store.put("servers/i-0f3e7a11", foreign_entry())
         site.record.add("foreign entry written", key="servers/i-0f3e7a11")
-    await asyncio.gather(*tasks)
-    for client in clients:
-        client.close()
-    runs = site.runs()
-    answers = [answer for client in clients for answer in client.answers]
-    lost = [answer for answer in answers if is_lost(answer, runs)]
-    ends = {each.node: len(each.own_ends) for each in site.gateways}
-    site.record.add(
-        "count",
-        requests=len(answers),
-        whole=sum(answer.is_whole and answer.status == 200 for answer in answers),
-        lost_on_kept_connections=len(lost),
-        own_ends=ends,
-    )
-    return len(lost) > MAX_LOST
+    await load.wait()
+    return load.record_lost() > MAX_LOST
 
 
 run_case(body)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,25 +1,26 @@
-"""An engine hands out one wrong answer when it is asked for its expert counts.
+"""Two engines hand out a few wrong answers when they are asked for their expert counts.
 
-Streams run over kept connections through three gateways to a group of four engines. In
-one answer to ``GET /v1/picked`` an engine leaves out the last expert of each set.
+Streams run over kept connections through three gateways to a group of eight engines. In
+three answers to ``GET /v1/picked`` at most, two engines leave out the last expert of
+each set.
 """
 
 import asyncio
 import json
-import time
 
-from deployment import Answer, Client, Site, configuration, run_case
-from standins import Engine, EngineWork, Group, Message
+from deployment import SHORT_STREAM, Site, StreamLoad, configuration, run_case
+from standins import Engine, Group, Message
 
 GATEWAYS = 3
-CLIENTS_PER_GATEWAY = 5
+CLIENTS_PER_GATEWAY = 12
 DURATION_S = 14.0
 GARBLED_FROM_S = 5.0
 # The users' sheet: 2 to 3 in 100 answers, for 5 to 5.5 s.
 GARBLED_FOR_S = 5.5
-GARBLED_ANSWERS = 1
+GARBLED_ANSWERS = 3
+FAULTY_ENGINES = 2
 MAX_LOST = 3
-RANKS, SETS, EXPERTS = 4, 6, 64
+RANKS, SETS, EXPERTS = 8, 6, 64
 MODEL = {
     "step_ms": 5.85,
     "per_seq_ms": 0.355,
@@ -33,22 +34,27 @@
     "link_mbps": 92000,
     "sets": SETS,
     "experts": EXPERTS,
-    "placements": 20,
+    "placements": 11,
     "spare": 4,
     "expert_mb": 580,
 }
 
 
 class GarblingEngine(Engine):
-    """Counts its answers during the disruption, and garbles one of them."""
+    """Counts the answers of all engines, and garbles a few during the disruption."""
 
     has_trouble = False
     answers = 0
     garbled = 0
+    faulty: set[str] = set()
 
-    @classmethod
-    def may_garble(cls) -> bool:
-        return cls.has_trouble and cls.garbled < GARBLED_ANSWERS
+    def may_garble(self) -> bool:
+        """Return whether this engine is one of the first two that are asked."""
+        if not self.has_trouble or self.garbled >= GARBLED_ANSWERS:
+            return False
+        if len(self.faulty) < FAULTY_ENGINES:
+            self.faulty.add(self.id)
+        return self.id in self.faulty
 
     async def handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
         GarblingEngine.answers += 1
@@ -68,29 +74,14 @@
         return status, json.dumps(content).encode()
 
 
-async def use(client: Client, address: str, until: float) -> None:
-    """Send streams one after the other on a kept connection."""
-    while time.monotonic() < until:
-        answer = await client.send(address, "/draft/2f", 8051, X_Model="m")
-        if not answer.is_whole or answer.status != 200:
-            await asyncio.sleep(0.2)
-
-
-def is_lost(answer: Answer, runs: dict[str, list]) -> bool:
-    """Return whether a kept connection closed on a request that an engine ran."""
-    was_closed = not answer.is_whole and answer.error != "TimeoutError"
-    return answer.is_reused and was_closed and answer.request_id in runs
-
-
 async def add_group(site: Site) -> None:
     group = Group(RANKS, SETS, EXPERTS)
     for rank in range(RANKS):
-        work = EngineWork(events=28, gap_s=0.035)
         engine = GarblingEngine(
             f"i-draft-{rank}",
             "draft-llm",
             site.store,
-            work,
+            SHORT_STREAM,
             rank=rank,
             group=group,
         )
@@ -110,33 +101,21 @@
     config = configuration()
     config["services"][0]["engine"] = MODEL
     await site.start(GATEWAYS, config)
-    until = time.monotonic() + DURATION_S
-    clients, tasks = [], []
-    for gateway in site.gateways:
-        for _ in range(CLIENTS_PER_GATEWAY):
-            clients.append(Client(site.record))
-            tasks.append(site.run(use(clients[-1], gateway.front, until)))
+    load = StreamLoad(site, CLIENTS_PER_GATEWAY, DURATION_S)
     await asyncio.sleep(GARBLED_FROM_S)
     before, GarblingEngine.has_trouble = GarblingEngine.answers, has_trouble
     await asyncio.sleep(GARBLED_FOR_S)
     GarblingEngine.has_trouble = False
     answered = GarblingEngine.answers - before
-    await asyncio.gather(*tasks)
-    for client in clients:
-        client.close()
-    runs = site.runs()
-    answers = [answer for client in clients for answer in client.answers]
-    lost = [answer for answer in answers if is_lost(answer, runs)]
-    site.record.add(
-        "count",
-        engines_answers_meanwhile=answered,
-        garbled=GarblingEngine.garbled,
-        requests=len(answers),
-        whole=sum(answer.is_whole and answer.status == 200 for answer in answers),
-        lost_on_kept_connections=len(lost),
-        own_ends={each.node: len(each.own_ends) for each in site.gateways},
+    await load.wait()
+    return (
+        load.record_lost(
+            engines_answers_meanwhile=answered,
+            garbled=GarblingEngine.garbled,
+            faulty_engines=sorted(GarblingEngine.faulty),
+        )
+        > MAX_LOST
     )
-    return len(lost) > MAX_LOST
 
 
 run_case(body)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -479,6 +479,71 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# Streams like those of the users' sheet: the first event in its aim, 18 events.
+SHORT_STREAM = EngineWork(events=18, gap_s=0.035, first_s=0.4)
+
+
+class StreamLoad:
+    """Clients that send streams one after the other over kept connections."""
+
+    def __init__(self, site: Site, clients_per_gateway: int, seconds: float) -> None:
+        self._site = site
+        self._until = time.monotonic() + seconds
+        count = clients_per_gateway * len(site.gateways)
+        self._clients = [Client(site.record) for _ in range(count)]
+        self._tasks = [
+            site.run(self._use(client, number % len(site.gateways)))
+            for number, client in enumerate(self._clients)
+        ]
+
+    @property
+    def answers(self) -> list[Answer]:
+        return [answer for client in self._clients for answer in client.answers]
+
+    async def wait(self) -> None:
+        """Wait until all clients have their last answer."""
+        await asyncio.gather(*self._tasks)
+        for client in self._clients:
+            client.close()
+
+    async def _use(self, client: Client, gateway: int) -> None:
+        # The clients do not start together.
+        await asyncio.sleep(random.random())
+        address = self._site.gateways[gateway].front
+        while time.monotonic() < self._until:
+            answer = await client.send(address, "/draft/2f", 8051, X_Model="m")
+            if not answer.is_whole or answer.status != 200:
+                await asyncio.sleep(0.2)
+
+    def record_lost(self, **fields: object) -> int:
+        """Return how many requests of kept connections were closed on without answer.
+
+        Counted are those that an engine ran and of whose answer no byte came; none of
+        the engines here breaks off a request.
+        """
+        runs, answers = self._site.runs(), self.answers
+        lost = [
+            each
+            for each in answers
+            if each.is_reused
+            and each.status == 0
+            and each.error != "TimeoutError"
+            and each.request_id in runs
+        ]
+        for each in lost:
+            self._site.record.add("lost", request=each.request_id, at=each.ended_at)
+        self._site.record.add(
+            "count",
+            requests=len(answers),
+            whole=sum(each.is_whole and each.status == 200 for each in answers),
+            broken_off_midway=sum(e.status == 200 and not e.is_whole for e in answers),
+            lost_on_kept_connections=len(lost),
+            own_ends={each.node: len(each.own_ends) for each in self._site.gateways},
+            **fields,
+        )
+        return len(lost)
+
+
 CaseBody = Callable[[Site, bool], Coroutine[Any, Any, bool]]
 
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -303,10 +303,15 @@
 
 @dataclass
 class EngineWork:
-    """How an engine answers: a stream of events, or a body after some work."""
+    """How an engine answers: a stream of events, or a body after some work.
+
+    :param first_s: seconds until the first event, which reading the prompt takes; the
+        gap if it is 0.
+    """
 
     events: int = 0
     gap_s: float = 0.0
+    first_s: float = 0.0
     work_s: float = 0.0225
     body_bytes: int = 800
 
@@ -417,7 +422,8 @@
         writer.write(self.head(request, 200, *fields))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.work.events + 1):
-            await asyncio.sleep(self.work.gap_s)
+            is_first = number == first
+            await asyncio.sleep(is_first and self.work.first_s or self.work.gap_s)
             if self.readers[writer].at_eof() or writer.transport.is_closing():
                 raise ConnectionResetError
             event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 50)
