--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,23 +1,25 @@
 """Two engines hand out a few wrong answers when they are asked for their expert counts.
 
-Streams run over kept connections through three gateways to a group of eight engines. In
-three answers to ``GET /v1/picked`` at most, two engines leave out the last expert of
-each set.
+Streams run over kept connections through two gateways to a group of eight engines. In
+three answers to ``GET /v1/picked`` at most, 2.5 s apart, two engines leave out the last
+expert of each set.
 """
 
 import asyncio
 import json
+import time
 
 from deployment import SHORT_STREAM, Site, StreamLoad, configuration, run_case
 from standins import Engine, Group, Message
 
-GATEWAYS = 3
-CLIENTS_PER_GATEWAY = 12
+GATEWAYS = 2
+CLIENTS_PER_GATEWAY = 18
 DURATION_S = 14.0
 GARBLED_FROM_S = 5.0
 # The users' sheet: 2 to 3 in 100 answers, for 5 to 5.5 s.
 GARBLED_FOR_S = 5.5
 GARBLED_ANSWERS = 3
+GARBLED_GAP_S = 2.5
 FAULTY_ENGINES = 2
 MAX_LOST = 3
 RANKS, SETS, EXPERTS = 8, 6, 64
@@ -46,12 +48,15 @@
     has_trouble = False
     answers = 0
     garbled = 0
+    next_garbled_at = 0.0
     faulty: set[str] = set()
 
     def may_garble(self) -> bool:
         """Return whether this engine is one of the first two that are asked."""
         if not self.has_trouble or self.garbled >= GARBLED_ANSWERS:
             return False
+        if time.monotonic() < self.next_garbled_at:
+            return False
         if len(self.faulty) < FAULTY_ENGINES:
             self.faulty.add(self.id)
         return self.id in self.faulty
@@ -65,6 +70,7 @@
         if not request.target.startswith("/v1/picked") or not self.may_garble():
             return status, body
         GarblingEngine.garbled += 1
+        GarblingEngine.next_garbled_at = time.monotonic() + GARBLED_GAP_S
         content = json.loads(body)
         content["counts"] = [
             count
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
 """A gateway is stopped while clients that cached its address still send streams.
 
-Each client resolves the service just before the stop, keeps the answer for three
-times its lifetime and opens a new connection after ``Connection: close``. The
+Each client resolves the service just before the stop and opens a new connection after
+``Connection: close``. One in three keeps the answer for three times its lifetime. The
 gateway gets SIGTERM, and SIGKILL after ``grace_s`` as the platform does it.
 """
 
@@ -14,7 +14,9 @@
 from standins import EngineWork, Run
 
 GATEWAYS = 3
-CLIENTS = 24
+CLIENTS = 72
+CLIENTS_PER_PATIENT_ONE = 3
+PAUSE_OF_OTHERS_S = 6.0
 DURATION_S = 16.0
 STOP_AFTER_S = 4.0
 LIFETIMES_KEPT = 3
@@ -28,8 +30,9 @@
 class StreamClient:
     """Sends streams one after the other, to addresses that the directory named."""
 
-    def __init__(self, site: Site, until: float) -> None:
+    def __init__(self, site: Site, until: float, is_patient: bool) -> None:
         self._site = site
+        self._is_patient = is_patient
         self._until = until
         self._addresses: list[str] = []
         self._failed: set[str] = set()
@@ -42,7 +45,7 @@
             addresses, lifetime = await gateway.resolve()
             if addresses:
                 self._addresses, self._failed = addresses, set()
-                kept_for = LIFETIMES_KEPT * lifetime
+                kept_for = lifetime * (LIFETIMES_KEPT if self._is_patient else 1)
                 self._resolve_at = time.monotonic() + kept_for
                 return
 
@@ -68,7 +71,7 @@
             )
             if not answer.is_whole:
                 self._failed.add(address)
-                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.1 if self._is_patient else PAUSE_OF_OTHERS_S)
 
 
 def is_lost(answer: Answer, runs: dict[str, list[Run]], stopped_at: float) -> bool:
@@ -81,17 +84,21 @@
 
 
 async def body(site: Site, has_trouble: bool) -> bool:
-    for number in range(6):
+    for number in range(8):
         work = EngineWork(events=EVENTS, gap_s=EVENT_GAP_S)
         await site.add_engine(f"i-draft-{number}", "draft-llm", work)
     await site.start(GATEWAYS, configuration())
     begun_at = time.monotonic()
-    clients = [StreamClient(site, begun_at + DURATION_S) for _ in range(CLIENTS)]
+    until = begun_at + DURATION_S
+    clients = [
+        StreamClient(site, until, number % CLIENTS_PER_PATIENT_ONE == 0)
+        for number in range(CLIENTS)
+    ]
     tasks = [site.run(each.run()) for each in clients]
     await asyncio.sleep(STOP_AFTER_S)
     await asyncio.gather(*(each.resolve() for each in clients))
     stopped_at, leaving = time.monotonic(), site.gateways[-1]
-    site.record.add("clients have resolved", kept_for="three lifetimes")
+    site.record.add("clients have resolved", clients=CLIENTS)
     if has_trouble:
         leaving.signal(signal.SIGTERM)
         await asyncio.sleep(GRACE_S)
