Reject numbers beyond 64 bits where they are decoded

Callers lost their connections, and after that hardly any request was served: an entry of another writer with a `born` of 128 bits ended all gateways, and again after each start.

Cause: the JSON decoder accepts integers of any size. The entry became an endpoint, the membership task put it into the update for the peers, and MessagePack, which has no integers beyond 64 bits, raised OverflowError there. That ended the task and with it the process.

Each field of the entries, of the configuration, of the store's responses and of the ranks' reports now states its range in its type, so that a value that a later step can't carry is an invalid document. Text that goes into datagrams has a largest length. On related paths: the store's era has a bound, a rank's report of a huge group no longer makes a list of that size, and a layout with more experts than a map can hold is invalid.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -449,7 +449,9 @@
         for (name, epoch), members in by_group.items():
             members.sort(key=lambda member: member[0].rank)
             numbers = [report.rank for report, _ in members]
-            if numbers == list(range(members[0][0].size)):
+            # Ranks may report any size, so no list of that size is made.
+            is_complete = len(members) == members[0][0].size
+            if is_complete and numbers == list(range(len(members))):
                 ranks = [endpoint for _, endpoint in members]
                 groups.append(RankGroup(name, epoch, ranks, [r for r, _ in members]))
         return groups
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -4,6 +4,14 @@
 
 import msgspec
 
+from cyclamenyoke.core.decoding import (
+    Count,
+    Integer64,
+    Name,
+    Number,
+    Quantity,
+    Timestamp,
+)
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.gateway_config import (
     CallerLimits,
@@ -31,92 +39,96 @@
 TOKENS_PER_K = 1000.0
 BITS_PER_BYTE = 8.0
 
+MAX_EXPERTS = 1_000_000
+"""Largest number of experts in all sets of a service; maps of more would not fit in the
+memory of a node."""
+
 
 class InvalidDocument(CyclamenyokeError):
     """A value in the store is malformed or invalid."""
 
 
 class _TrafficShare(msgspec.Struct):
-    service: str
-    weight: float
+    service: Name
+    weight: Quantity
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: Name
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    service: str | None = None
+    timeout_ms: Quantity
+    service: Name | None = None
     traffic_split: list[_TrafficShare] = []
-    target_latency_ms: float = 0.0
-    target_gap_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    target_latency_ms: Quantity = 0.0
+    target_gap_ms: Quantity = 0.0
+    priority: Integer64 = 0
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
 
 
 class _MeanTokens(msgspec.Struct):
     # Mean numbers of prompt and output tokens of a request.
-    prompt: float = 0.0
-    answer: float = 0.0
+    prompt: Quantity = 0.0
+    answer: Quantity = 0.0
 
 
 class _Engine(msgspec.Struct):
     # Duration of a step in milliseconds: the base value, the addition for each request
     # that decodes, and the addition for each thousand tokens of its context.
-    step_ms: float = 0.0
-    per_seq_ms: float = 0.0
-    context_per_k: float = 0.0
+    step_ms: Quantity = 0.0
+    per_seq_ms: Quantity = 0.0
+    context_per_k: Quantity = 0.0
     # Prompt tokens per second.
-    read_per_s: float = 0.0
+    read_per_s: Quantity = 0.0
     # Largest number of prompt tokens that are read in one step.
-    chunk: int = 0
+    chunk: Count = 0
     # Steps per decoding pass.
-    stride: int = 1
+    stride: Count = 1
     # Age of an engine's report when it arrives.
-    report_lag_ms: float = 0.0
+    report_lag_ms: Quantity = 0.0
     # Context tokens that the engine's memory holds.
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Count = 0
     usual: _MeanTokens = msgspec.field(default_factory=_MeanTokens)
     # Speed at which a rank loads experts, in megabits per second.
-    link_mbps: float = 0.0
+    link_mbps: Quantity = 0.0
     # Number of layer sets, and of experts in each.
-    sets: int = 0
-    experts: int = 0
+    sets: Count = 0
+    experts: Count = 0
     # Largest number of experts of a set on one rank.
-    placements: int = 0
+    placements: Count = 0
     # Largest number of experts of a set that a rank may load for one map.
-    spare: int = 0
+    spare: Count = 0
     # Size of one expert in megabytes.
-    expert_mb: float = 0.0
+    expert_mb: Quantity = 0.0
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: Name
     health_path: str = "/health"
-    max_connections: int = 64
+    max_connections: Count = 64
     # Requests a second that an engine tolerates after its start, while it is cold.
-    cold_per_s: float = 0.0
+    cold_per_s: Quantity = 0.0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Quantity
+    idle_timeout_ms: Quantity
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: Name
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer64 | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Integer64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -124,15 +136,15 @@
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: str
-    slots: int = 1
+    slots: Count = 1
     # Start time of the engine in Unix milliseconds.
-    born: int = 0
+    born: Timestamp = 0
     # How long the engine stays cold.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Number = 0.0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -257,6 +269,8 @@
 def _layout(engine: _Engine) -> ExpertLayout | None:
     if not engine.sets or not engine.experts or not engine.link_mbps:
         return None
+    if engine.sets * engine.experts > MAX_EXPERTS:
+        raise InvalidDocument(f"more than {MAX_EXPERTS} experts (MAX_EXPERTS)")
     return ExpertLayout(
         engine.sets,
         engine.experts,
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -9,6 +9,7 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
+from cyclamenyoke.core.decoding import Count, Integer64
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
@@ -57,31 +58,31 @@
 
 class _Group(msgspec.Struct):
     name: str
-    epoch: int
-    rank: int
+    epoch: Integer64
+    rank: Count
     state: str
 
 
 class _Report(msgspec.Struct):
     group: _Group
     # Number of ranks in the group.
-    size: int
+    size: Count
     # Number of the last pass that was started.
-    step: int
+    step: Integer64
     # Version of the expert map in use.
-    map: int
+    map: Integer64
     # Version of the map that is ready to switch to.
-    prepared: int | None = None
+    prepared: Integer64 | None = None
     # Describes the scheduled switch; only its presence matters.
     armed: Any = None
     # The pass that the group is held from starting.
-    held: int | None = None
+    held: Integer64 | None = None
 
 
 class _ExpertCountsResponse(msgspec.Struct):
-    epoch: int
+    epoch: Integer64
     # How often each expert was selected, one layer set after another.
-    counts: list[int]
+    counts: list[Count]
 
 
 class HttpEngineControl(EngineControl):
--- a/src/cyclamenyoke/platform/store_client.py
+++ b/src/cyclamenyoke/platform/store_client.py
@@ -11,6 +11,7 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
+from cyclamenyoke.core.decoding import Integer64
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.exceptions import PlatformUnavailable
@@ -47,36 +48,39 @@
 
 POOL_KEY = "store"
 
+MAX_ERA_DIGITS = 18
+"""Digits of an era; numbers of 18 digits fit in 64 bits."""
+
 T = TypeVar("T")
 
 
 class _Item(msgspec.Struct):
     key: str = ""
     # Revision of the whole store at the time of the response.
-    store_revision: int = 0
+    store_revision: Integer64 = 0
     # Missing in an event that reports a deletion.
     value: str | None = None
-    revision: int = 0
+    revision: Integer64 = 0
     deleted: bool = False
 
 
 class _Range(msgspec.Struct):
     items: list[_Item]
     truncated: bool
-    store_revision: int
+    store_revision: Integer64
 
 
 class _Events(msgspec.Struct):
     events: list[_Item]
-    store_revision: int
+    store_revision: Integer64
 
 
 class _Change(msgspec.Struct):
-    revision: int
+    revision: Integer64
 
 
 class _Lease(msgspec.Struct):
-    lease: int
+    lease: Integer64
 
 
 def _encode_path(path: str, **query: object) -> bytes:
@@ -95,8 +99,8 @@
 def _era(response: JsonResponse) -> int:
     """Return the store's era; 0 if the response does not state it."""
     stated = (response.head.get(STORE_ERA) or b"0").strip()
-    if not stated.isdigit():
-        raise PlatformUnavailable(f"store era {stated!r} is not a number")
+    if not stated.isdigit() or len(stated) > MAX_ERA_DIGITS:
+        raise PlatformUnavailable(f"store era {stated!r} is not a number in range")
     return int(stated)
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -112,6 +112,14 @@
         {"service": None},
         {"zone": 3},
         {"born": 1.5},
+        {"born": 2**70},
+        {"born": -(2**70)},
+        {"born": 2**128},
+        {"slots": 2**70},
+        {"slots": -1},
+        {"cold_remaining_ms": 2**70},
+        {"zone": "z" * 1000},
+        {"service": "s" * 100_000},
     ],
 )
 def test_invalid_entries_are_skipped_and_valid_ones_read(change):
@@ -125,6 +133,29 @@
     assert len(unreadable) == 2
 
 
+# A number that msgspec's JSON decoder takes, but no later step can carry.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2**70},
+        {"limits": {**configuration(1)["limits"], "max_body_bytes": 2**70}},
+        {"limits": {**configuration(1)["limits"], "idle_timeout_ms": -1}},
+        {"services": [{"name": "llm", "max_connections": -(2**70)}]},
+        {
+            "services": [
+                {
+                    "name": "llm",
+                    "engine": {"sets": 2**30, "experts": 2**20, "link_mbps": 1},
+                }
+            ]
+        },
+    ],
+)
+def test_configuration_with_numbers_out_of_range_is_rejected(change):
+    with pytest.raises(InvalidDocument):
+        decode_config(json.dumps({**configuration(7), **change}).encode())
+
+
 def test_draining_state_is_decoded():
     entry = json.dumps({**ENTRY, "state": "draining"}).encode()
     [endpoint], _ = decode_endpoints([("servers/a", entry)])
