Decode all values from outside in one place, with one error

Callers lost their connections: an entry of another writer that opened 2,000 lists and closed none ended all gateways, and again after each start.

Cause: for a value that is nested more deeply than the interpreter's limit the decoder raises RecursionError, and for some others UnicodeDecodeError, which aren't the DecodeError that its callers expect. The error left the task that reads the endpoint list and ended the process.

decode_json and decode_msgpack raise MalformedValue whatever the decoder raises for malformed bytes. Documents, the store's responses, reports and counts of ranks, messages of peers, the stored quarantine, stored maps and operators' calls are decoded with them. On a related path stored maps were decoded without any check: an invalid map is now counted, logged and left alone, also one that lacks experts, and is written again after a restore if this node knows the map.

--- a/src/cyclamenyoke/adapters/peer_transport.py
+++ b/src/cyclamenyoke/adapters/peer_transport.py
@@ -9,11 +9,16 @@
 
 import msgspec
 
+from cyclamenyoke.core.decoding import decode_msgpack
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.peers import PeerUpdate
 from cyclamenyoke.core.store_position import START, StorePosition
 from cyclamenyoke.core.units import MEBIBYTE, SECOND
-from cyclamenyoke.exceptions import AuthenticationError, PlatformUnavailable
+from cyclamenyoke.exceptions import (
+    AuthenticationError,
+    MalformedValue,
+    PlatformUnavailable,
+)
 
 FORMAT_VERSION = b"\x05"
 """First byte of each message. Fields are encoded by position, so any change to the
@@ -106,8 +111,8 @@
         if not any(hmac.compare_digest(mac, _mac(body, key)) for key in keys):
             raise UnknownKey("authentication code of the message is wrong")
         try:
-            return msgspec.msgpack.decode(body, type=kind)
-        except msgspec.DecodeError as error:
+            return decode_msgpack(body, kind)
+        except MalformedValue as error:
             raise AuthenticationError(f"malformed message: {error}") from error
 
 
--- a/src/cyclamenyoke/core/decoding.py
+++ b/src/cyclamenyoke/core/decoding.py
@@ -1,14 +1,21 @@
-"""Types for values from outside the process, with the range that all later steps bear.
+"""Decodes values from outside the process, within ranges that all later steps bear.
+
+Whatever the bytes are, the result is a value in range or :class:`MalformedValue`.
 
 The JSON decoder accepts integers of any size, while MessagePack, in which gateways
 exchange what they read, has none beyond 64 bits. So each field of a document or message
 states its range, and a value outside of it is rejected where it is decoded.
 """
 
-from typing import Annotated
+from typing import Annotated, TypeVar
 
+import msgspec
 from msgspec import Meta
 
+from cyclamenyoke.exceptions import MalformedValue
+
+T = TypeVar("T")
+
 Integer64 = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 """A signed integer of 64 bits."""
 
@@ -27,3 +34,33 @@
 Name = Annotated[str, Meta(max_length=256)]
 """The name of a service, data centre or the like. Names are sent to peers in datagrams,
 which have a limited size."""
+
+
+_MALFORMED = (msgspec.DecodeError, ValueError, RecursionError)
+"""What the decoders raise for malformed bytes. Text that isn't UTF-8 is a ValueError.
+They limit the depth of a value, also of fields that they skip, by a RecursionError."""
+
+
+def decode_json(data: bytes, kind: type[T]) -> T:
+    """Decode a JSON document.
+
+    :raises MalformedValue: when the data is not a document of this type.
+
+    >>> decode_json(b"[1, 2]", list[Count])
+    [1, 2]
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except _MALFORMED as error:
+        raise MalformedValue(str(error)) from error
+
+
+def decode_msgpack(data: bytes, kind: type[T]) -> T:
+    """Decode a MessagePack message.
+
+    :raises MalformedValue: when the data is not a message of this type.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except _MALFORMED as error:
+        raise MalformedValue(str(error)) from error
--- a/src/cyclamenyoke/core/expert_map_planner.py
+++ b/src/cyclamenyoke/core/expert_map_planner.py
@@ -73,6 +73,22 @@
     return [[list(each) for each in placement] for _ in range(layout.sets)]
 
 
+def is_complete_map(experts: ExpertMap, layout: ExpertLayout, ranks: int) -> bool:
+    """Return whether a map places each expert of a layout, and no others.
+
+    >>> layout = ExpertLayout(1, 4, 3, 1, 0.0)
+    >>> is_complete_map([[[0, 2], [1, 3]]], layout, 2)
+    True
+    >>> is_complete_map([[[0, 2], [1, 9]]], layout, 2)
+    False
+    """
+    expected = set(range(layout.experts))
+    return len(experts) == layout.sets and all(
+        len(placement) == ranks and set().union(*placement) == expected
+        for placement in experts
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class SetPlan:
     """A new placement of one set and its expected effect.
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -25,6 +25,7 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.decoding import Integer64, decode_json
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
 from cyclamenyoke.core.expert_demand import ExpertDemand
 from cyclamenyoke.core.expert_map_planner import (
@@ -33,11 +34,12 @@
     SetPlan,
     combine_set_plans,
     initial_map,
+    is_complete_map,
     plan_sets,
 )
 from cyclamenyoke.core.gateway_config import ExpertLayout, GatewayConfig, Service
 from cyclamenyoke.core.units import MILLISECOND, SECOND
-from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
@@ -178,8 +180,8 @@
     :param by_version: the map in force and the one that the group may switch to.
     """
 
-    epoch: int
-    by_version: dict[int, ExpertMap]
+    epoch: Integer64
+    by_version: dict[Integer64, ExpertMap]
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,6 +258,8 @@
         self._loaded_since: dict[str, float] = {}
         self._samples: dict[str, DemandSample] = {}
         self._maps: dict[str, StoredMaps] = {}
+        # By group: the last problem of its stored maps that was logged.
+        self._reported_maps: dict[str, str] = {}
         self._released_steps: dict[str, int] = {}
         self._released_switches: dict[str, ReleasedSwitch] = {}
 
@@ -480,9 +484,32 @@
             stored = await self._store.get(MAP_PREFIX + group.name)
             if stored.value is None:
                 return None
-            maps = msgspec.json.decode(stored.value, type=StoredMaps)
+            maps = self._decode_maps(group.name, stored.value)
+            if maps is None:
+                return None
             self._maps[group.name] = maps
-        return maps.by_version.get(version) if maps.epoch == group.epoch else None
+        current = maps.by_version.get(version) if maps.epoch == group.epoch else None
+        if current is not None and not is_complete_map(
+            current, layout, len(group.ranks)
+        ):
+            self._report_invalid_maps(group.name, "experts are missing or unknown")
+            return None
+        return current
+
+    def _decode_maps(self, group: str, value: bytes) -> StoredMaps | None:
+        """Decode a group's stored maps; ``None`` and a log line if they are invalid."""
+        try:
+            return decode_json(value, StoredMaps)
+        except MalformedValue as error:
+            self._report_invalid_maps(group, str(error))
+            return None
+
+    def _report_invalid_maps(self, group: str, problem: str) -> None:
+        """Count an invalid map; log it unless that is the group's last problem."""
+        self._metrics.count("invalid_expert_maps", group=group)
+        if self._reported_maps.get(group) != problem:
+            self._reported_maps[group] = problem
+            self._log.warning("stored map is invalid", group=group, error=problem)
 
     async def _switch(
         self, group: RankGroup, plan: MapPlan, layout: ExpertLayout
@@ -657,17 +684,19 @@
             return
         try:
             for name, known in self._maps.items():
-                await self._restore_map(MAP_PREFIX + name, known)
+                await self._restore_map(name, known)
         except (PlatformUnavailable, RevisionConflict) as error:
             self._log.info("expert maps not restored; retrying", error=str(error))
             return
         self._maps_era = era
 
-    async def _restore_map(self, key: str, known: StoredMaps) -> None:
+    async def _restore_map(self, name: str, known: StoredMaps) -> None:
+        key = MAP_PREFIX + name
         stored = await self._store.get(key)
         if stored.value is not None:
-            maps = msgspec.json.decode(stored.value, type=StoredMaps)
-            if max(maps.by_version) >= max(known.by_version):
+            maps = self._decode_maps(name, stored.value)
+            versions = maps.by_version if maps is not None else {}
+            if max(versions, default=0) >= max(known.by_version, default=0):
                 return
         value = msgspec.json.encode(known)
         await self._store.compare_and_swap(key, stored.revision, value)
--- a/src/cyclamenyoke/daemon/quarantine_api.py
+++ b/src/cyclamenyoke/daemon/quarantine_api.py
@@ -6,7 +6,9 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest, Responder
 from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.core.decoding import decode_json
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
+from cyclamenyoke.exceptions import MalformedValue
 from cyclamenyoke.ports.clock import Clock
 
 QUARANTINE_PATH = "/quarantine"
@@ -81,8 +83,8 @@
 
     def _lift(self, body: bytes) -> HTTPStatus:
         try:
-            lift = msgspec.json.decode(body, type=LiftRequest)
-        except msgspec.DecodeError:
+            lift = decode_json(body, LiftRequest)
+        except MalformedValue:
             return HTTPStatus.BAD_REQUEST
         if not self._quarantine.lift(lift.service, lift.part, self._clock.now()):
             return HTTPStatus.NOT_FOUND
--- a/src/cyclamenyoke/daemon/quarantine_store.py
+++ b/src/cyclamenyoke/daemon/quarantine_store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.core.decoding import decode_json
 from cyclamenyoke.core.request_quarantine import (
     Quarantine,
     QuarantineObserver,
@@ -19,7 +20,7 @@
     TraitEvidence,
 )
 from cyclamenyoke.core.units import SECOND
-from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.key_value_store import KeyValueStore, RevisionConflict
 
@@ -124,8 +125,8 @@
 
     def _merge(self, value: bytes) -> None:
         try:
-            stored = msgspec.json.decode(value, type=StoredQuarantine)
-        except msgspec.DecodeError as error:
+            stored = decode_json(value, StoredQuarantine)
+        except MalformedValue as error:
             self._log.warning("stored quarantine is invalid; ignored", error=str(error))
             return
         elapsed = max(0.0, time.time() - stored.saved_at)
--- a/src/cyclamenyoke/exceptions.py
+++ b/src/cyclamenyoke/exceptions.py
@@ -86,6 +86,10 @@
     exit_code = EXIT_UNAVAILABLE
 
 
+class MalformedValue(CyclamenyokeError):
+    """Bytes from outside the process are not a value of the expected type."""
+
+
 class ProtocolError(CyclamenyokeError):
     """A peer sent bytes that are not a valid message."""
 
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -11,6 +11,7 @@
     Number,
     Quantity,
     Timestamp,
+    decode_json,
 )
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.gateway_config import (
@@ -25,7 +26,7 @@
     TrafficShare,
 )
 from cyclamenyoke.core.units import MILLISECOND
-from cyclamenyoke.exceptions import CyclamenyokeError
+from cyclamenyoke.exceptions import MalformedValue
 
 CONFIG_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
@@ -44,7 +45,7 @@
 memory of a node."""
 
 
-class InvalidDocument(CyclamenyokeError):
+class InvalidDocument(MalformedValue):
     """A value in the store is malformed or invalid."""
 
 
@@ -147,18 +148,14 @@
     cold_remaining_ms: Number = 0.0
 
 
-_CONFIG_DECODER = msgspec.json.Decoder(_Config)
-_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
-
-
 def decode_config(value: bytes) -> GatewayConfig:
     """Decode the configuration.
 
     :raises InvalidDocument: when the value is not a valid configuration.
     """
     try:
-        config = _CONFIG_DECODER.decode(value)
-    except msgspec.DecodeError as error:
+        config = decode_json(value, _Config)
+    except MalformedValue as error:
         raise InvalidDocument(f"configuration: {error}") from error
     customers = {
         key: Customer(tenant.name, tenant.priority)
@@ -182,8 +179,8 @@
     """
     id_ = key.removeprefix(ENDPOINT_PREFIX)
     try:
-        entry = _ENTRY_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        entry = decode_json(value, _Entry)
+    except MalformedValue as error:
         raise InvalidDocument(f"entry {key!r}: {error}") from error
     _, colon, port = entry.address.rpartition(":")
     checks = (
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -9,10 +9,11 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
-from cyclamenyoke.core.decoding import Count, Integer64
+from cyclamenyoke.core.decoding import Count, Integer64, decode_json
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
+from cyclamenyoke.exceptions import MalformedValue
 from cyclamenyoke.platform.engine_client import read_notice
 from cyclamenyoke.platform.headers import TARGET_ENGINE
 from cyclamenyoke.platform.json_request import (
@@ -103,8 +104,8 @@
     async def report(self, endpoint: Endpoint) -> RankReport:
         body = await self._query(endpoint, "/v1/report")
         try:
-            report = msgspec.json.decode(body, type=_Report)
-        except msgspec.DecodeError as error:
+            report = decode_json(body, _Report)
+        except MalformedValue as error:
             raise EngineControlError(f"report from {endpoint.id}: {error}") from error
         return RankReport(
             report.group.name,
@@ -122,8 +123,8 @@
     async def expert_counts(self, endpoint: Endpoint, sets: int) -> ExpertCounts:
         body = await self._query(endpoint, "/v1/picked", TRANSFER_TIMEOUT)
         try:
-            response = msgspec.json.decode(body, type=_ExpertCountsResponse)
-        except msgspec.DecodeError as error:
+            response = decode_json(body, _ExpertCountsResponse)
+        except MalformedValue as error:
             raise EngineControlError(f"counts from {endpoint.id}: {error}") from error
         size, remainder = divmod(len(response.counts), sets)
         if remainder or not size:
--- a/src/cyclamenyoke/platform/store_client.py
+++ b/src/cyclamenyoke/platform/store_client.py
@@ -11,10 +11,10 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
-from cyclamenyoke.core.decoding import Integer64
+from cyclamenyoke.core.decoding import Integer64, decode_json
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
-from cyclamenyoke.exceptions import PlatformUnavailable
+from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
 from cyclamenyoke.platform.headers import STORE_ERA
 from cyclamenyoke.platform.json_request import (
     IncompleteResponse,
@@ -89,8 +89,8 @@
 
 def _decode(response: JsonResponse, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(response.body, kind)
+    except MalformedValue as error:
         raise PlatformUnavailable(
             f"cannot decode the store's response: {error}"
         ) from error
