Convert numbers in headers and event ids without an error of the handler

Found on the paths of the fault that a number in an entry ended all gateways. A caller whose X-Deadline-Ms no float can carry lost its connection without an answer, and so did the caller of a stream with an event id of more than 4,300 digits: "OverflowError: int too large to convert to float" and "ValueError: Exceeds the limit (4300 digits)" left the handler of the request.

A deadline in the distant future counts as the largest one, since the timeout of the route comes first. An event id of over 1,000 digits is no numeric id. The store's era is parsed with a bound.

The tests of the deadline with 2,000 digits and of the event id failed before; these and the tests of token counts, resumed streams and lengths out of range, which held before, pass now.

--- a/src/cyclamenyoke/adapters/event_stream.py
+++ b/src/cyclamenyoke/adapters/event_stream.py
@@ -7,6 +7,9 @@
 MAX_EVENT_BYTES = 256 * KIBIBYTE
 """Largest event of a stream in bytes."""
 
+MAX_ID_DIGITS = 1000
+"""Digits of a numeric id; the interpreter converts no more than some thousands."""
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
@@ -66,5 +69,6 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            is_number = value.isdigit() and len(value) <= MAX_ID_DIGITS
+            return int(value) if is_number else None
     return None
--- a/src/cyclamenyoke/core/decoding.py
+++ b/src/cyclamenyoke/core/decoding.py
@@ -16,13 +16,16 @@
 
 T = TypeVar("T")
 
-Integer64 = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
+MAX_INTEGER64 = 2**63 - 1
+"""Largest signed integer of 64 bits."""
+
+Integer64 = Annotated[int, Meta(ge=-(2**63), le=MAX_INTEGER64)]
 """A signed integer of 64 bits."""
 
 Count = Annotated[int, Meta(ge=0, le=2**53)]
 """A number of things; exact as a float as well."""
 
-Timestamp = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Timestamp = Annotated[int, Meta(ge=0, le=MAX_INTEGER64)]
 """A time since the Unix epoch, in the unit that the field states."""
 
 Number = Annotated[float, Meta(ge=-1e15, le=1e15)]
@@ -41,6 +44,28 @@
 They limit the depth of a value, also of fields that they skip, by a RecursionError."""
 
 
+MAX_INTEGER_DIGITS = 20
+"""Digits of the longest integer that is parsed; the largest one of 64 bits has 19."""
+
+
+def parse_integer(text: bytes, largest: int = MAX_INTEGER64) -> int:
+    """Return the integer in a header or the like.
+
+    :param largest: largest absolute value.
+    :raises MalformedValue: when the text is no integer, or one out of range.
+
+    >>> parse_integer(b"1500")
+    1500
+    """
+    try:
+        value = int(text) if len(text) <= MAX_INTEGER_DIGITS else largest + 1
+    except ValueError as error:
+        raise MalformedValue(f"{text!r} is not an integer") from error
+    if abs(value) > largest:
+        raise MalformedValue(f"integer {text[:MAX_INTEGER_DIGITS]!r} is out of range")
+    return value
+
+
 def decode_json(data: bytes, kind: type[T]) -> T:
     """Decode a JSON document.
 
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -45,6 +45,9 @@
 MAX_ADDRESSES = 64
 """Largest number of addresses in a response of the directory."""
 
+MAX_DEADLINE_MS = 10**12
+"""Largest deadline in milliseconds; a longer one counts as this."""
+
 MAX_PART_ID_BYTES = 32
 """Longest id of a prompt's part in bytes; a longer one is replaced by its digest."""
 
@@ -107,7 +110,7 @@
     if not request_id or not host or not request.target.startswith(b"/"):
         return None
     try:
-        deadline = _optional_int(request.get(DEADLINE.lower()))
+        deadline = _deadline(request)
         counts = (request.get(TOKEN_COUNTS) or b"0,0").split(b",")
         prompt_tokens, output_limit = int(counts[0]), int(counts[1])
         last_event_id = _optional_int(request.get(LAST_EVENT_ID.lower()))
@@ -125,7 +128,7 @@
         body=request.body,
         api_key=_api_key(request.get(AUTHORIZATION)),
         arrived_at=received_at,
-        deadline=None if deadline is None else received_at + deadline * MILLISECOND,
+        deadline=deadline,
         last_event_id=last_event_id,
         prompt_tokens=prompt_tokens,
         output_limit=output_limit,
@@ -153,6 +156,20 @@
     return id_.decode("latin-1")
 
 
+def _deadline(request: HttpRequest) -> float | None:
+    """Return a request's deadline on the clock that measured its arrival.
+
+    One in the distant future is as good as any other; the route's timeout comes first.
+
+    :raises ValueError: when the header is not an integer.
+    """
+    stated = request.get(DEADLINE.lower())
+    if stated is None:
+        return None
+    milliseconds = min(max(int(stated), 0), MAX_DEADLINE_MS)
+    return request.received_at + milliseconds * MILLISECOND
+
+
 def _optional_int(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
--- a/src/cyclamenyoke/platform/store_client.py
+++ b/src/cyclamenyoke/platform/store_client.py
@@ -11,7 +11,7 @@
 
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
 from cyclamenyoke.adapters.http_connection import ConnectionFailed
-from cyclamenyoke.core.decoding import Integer64, decode_json
+from cyclamenyoke.core.decoding import Integer64, decode_json, parse_integer
 from cyclamenyoke.core.store_position import StorePosition
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
@@ -48,9 +48,6 @@
 
 POOL_KEY = "store"
 
-MAX_ERA_DIGITS = 18
-"""Digits of an era; numbers of 18 digits fit in 64 bits."""
-
 T = TypeVar("T")
 
 
@@ -99,9 +96,10 @@
 def _era(response: JsonResponse) -> int:
     """Return the store's era; 0 if the response does not state it."""
     stated = (response.head.get(STORE_ERA) or b"0").strip()
-    if not stated.isdigit() or len(stated) > MAX_ERA_DIGITS:
-        raise PlatformUnavailable(f"store era {stated!r} is not a number in range")
-    return int(stated)
+    try:
+        return parse_integer(stated)
+    except MalformedValue as error:
+        raise PlatformUnavailable(f"store era: {error}") from error
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/tests/test_foreign_values.py
+++ b/tests/test_foreign_values.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from site_fixture import running_site
+from cyclamenyoke.adapters.event_stream import EventSplitter
+from site_fixture import caller_headers, running_site, send_request
 
 FOREIGN_KEY = "servers/i-foreign"
 
@@ -65,3 +66,42 @@
         for _, _, task in site.gateways:
             assert not task.done(), repr(task.exception())
         assert (await site.get(site.gateways[0][1], "/lookup/a")).status == 200
+
+
+# Guards against a number in a header that no message to peers or log line can carry.
+@pytest.mark.parametrize(
+    "header,statuses",
+    [
+        ("X-Token-Usage", {200}),
+        ("Last-Event-Id", {200}),
+        ("Content-Length", {400, 413}),
+    ],
+)
+@pytest.mark.parametrize("value", [str(2**70), "9" * 1900])
+async def test_header_with_number_out_of_range_ends_no_gateway(header, statuses, value):
+    async with running_site(gateways=2) as site:
+        for engine in site.engines.values():
+            engine.answer_delay = 0.5
+        address = site.gateways[0][1].callers
+        text = f"{value},{value}" if header == "X-Token-Usage" else value
+        headers = {**caller_headers(), header: text}
+        response = await send_request(address, "GET", "/stream/a", headers)
+        await assert_all_gateways_serve(site)
+        assert response.status in statuses
+
+
+# Guards against a deadline that no float can carry resetting the caller's connection.
+@pytest.mark.parametrize("value", [str(2**70), "9" * 2000])
+async def test_deadline_in_the_distant_future_leaves_the_timeout_of_the_route(value):
+    async with running_site(gateways=1) as site:
+        address = site.gateways[0][1].callers
+        headers = {**caller_headers(), "X-Deadline-Ms": value}
+        response = await send_request(address, "GET", "/lookup/a", headers)
+        assert response.status == 200
+
+
+# Guards against an event id that the interpreter can't convert resetting the caller's
+# connection.
+def test_event_id_of_thousands_of_digits_is_no_numeric_id():
+    [event] = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\n\n")
+    assert event.id is None
