Keep the process running when a background task fails

The tasks of the membership are supervised one by one, so that the exchange with the peers goes on when, say, the registration fails. A fault with one service's experts leaves the other services alone; the lock is released, so that the next holder completes what was begun. Errors of callbacks reach the same log and counter.

--- a/src/cyclamenyoke/adapters/logs.py
+++ b/src/cyclamenyoke/adapters/logs.py
@@ -116,6 +116,11 @@
         """Log a failure."""
         self._logger.error(message, extra={**self._fields, **fields})
 
+    def failure(self, message: str, error: BaseException, **fields: object) -> None:
+        """Log an error that is not being handled, with its traceback."""
+        exc_info = (type(error), error, error.__traceback__)
+        self._logger.error(message, exc_info=exc_info, extra={**self._fields, **fields})
+
     def exception(self, message: str, **fields: object) -> None:
         """Log a failure with the exception that is being handled."""
         self._logger.exception(message, extra={**self._fields, **fields})
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -39,6 +39,7 @@
 )
 from cyclamenyoke.core.gateway_config import ExpertLayout, GatewayConfig, Service
 from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
 from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
@@ -133,6 +134,9 @@
 COMMAND_RETRY_INTERVAL = 20 * MILLISECOND
 """Seconds between two attempts of a command."""
 
+ERROR_PAUSE = 1 * SECOND
+"""Seconds for which a service is left alone after an unexpected error."""
+
 VERSIONS_PER_LOCK = 1000
 """Map versions that one lock holder can assign. They start at the number of the lock,
 which increases with its position in the store, times this number, so those of a later
@@ -232,6 +236,7 @@
         gap_ratio: Callable[[str], float],
         node: str,
         clock: Clock,
+        supervisor: TaskSupervisor,
         metrics: Metrics,
         log: Log,
     ) -> None:
@@ -246,6 +251,7 @@
         self._gap_ratio = gap_ratio
         self._node = node
         self._clock = clock
+        self._supervisor = supervisor
         self._metrics = metrics
         self._log = log
         self._lease = 0
@@ -256,6 +262,8 @@
         self._next_lock_check = 0.0
         self._next_version = 0
         self._loaded_since: dict[str, float] = {}
+        # By service: when it is handled again after an unexpected error.
+        self._paused_until: dict[str, float] = {}
         self._samples: dict[str, DemandSample] = {}
         self._maps: dict[str, StoredMaps] = {}
         # By group: the last problem of its stored maps that was logged.
@@ -287,9 +295,22 @@
                 await self._restore_maps()
                 continue
             for service, layout, is_loaded in services:
-                await self._observe(service.name, layout, is_loaded)
-                if is_loaded:
-                    await self._rebalance_service(service, layout)
+                if self._clock.now() >= self._paused_until.get(service.name, 0.0):
+                    await self._handle_service(service, layout, is_loaded)
+
+    async def _handle_service(
+        self, service: Service, layout: ExpertLayout, is_loaded: bool
+    ) -> None:
+        """Observe and rebalance one service; an error does not affect the others."""
+        try:
+            await self._observe(service.name, layout, is_loaded)
+            if is_loaded:
+                await self._rebalance_service(service, layout)
+        except Exception as error:
+            self._supervisor.report("experts", error, service=service.name)
+            self._paused_until[service.name] = self._clock.now() + ERROR_PAUSE
+            # Whoever acquires the lock completes the switches that are not complete.
+            await self._release_lock()
 
     def _is_loaded(self, service: str) -> bool:
         """Return whether a service has been loaded for a sustained time."""
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -9,9 +9,10 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from random import SystemRandom
+from typing import Any
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
@@ -36,6 +37,7 @@
 from cyclamenyoke.daemon.membership import Membership
 from cyclamenyoke.daemon.quarantine_api import QuarantineHandler
 from cyclamenyoke.daemon.quarantine_store import LoggingObserver, QuarantineStore
+from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
 from cyclamenyoke.exceptions import CyclamenyokeError, FindingsError
 from cyclamenyoke.platform.caller_handlers import (
     CallerHandler,
@@ -113,6 +115,7 @@
         self._clock = BootClock()
         self._metrics = Metrics()
         self._log = Log("gateway", node=settings.node)
+        self._supervisor = TaskSupervisor(self._clock, self._metrics, self._log)
         random = SystemRandom()
         monitor = self._monitor = CountingMonitor(self._on_violation)
         self._registry = EndpointRegistry(settings.registration_lifetime)
@@ -214,6 +217,7 @@
             self._forwarder.gap_ratio,
             settings.node,
             self._clock,
+            self._supervisor,
             self._metrics,
             self._log,
         )
@@ -269,34 +273,40 @@
         self._peers.add_candidates(self._settings.seeds, self._clock.now())
         self._log.info("settings reloaded", at_next_start=pending)
 
+    def on_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Report an error of a callback or of a task that nobody awaits."""
+        message = context.get("message", "")
+        error = context.get("exception") or RuntimeError(message)
+        self._supervisor.report("event_loop", error, context=message)
+
     async def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
         self._log.info("started", role="gateway", ip=self._settings.ip)
         for address, server in self._servers:
             if address is not None:
                 await server.start(address)
+        supervise = self._supervisor.run
+        work: dict[str, Callable[[], Awaitable[None]]] = {
+            "watch_config": self._cluster_state.watch_config,
+            "fetch_newer_config": self._cluster_state.fetch_newer_config,
+            "sync_endpoints": self._cluster_state.sync_endpoints,
+            "evacuation": self._evacuation.run,
+            "membership": lambda: self._membership.run(supervise),
+            "housekeeping": self._run_housekeeping,
+            "queue": self._forwarder.poll_queue,
+            "experts": self._rebalancer.run,
+            "quarantine_store": self._quarantine_store.run,
+            "settings": self._watch_settings,
+        }
         tasks = [
-            asyncio.create_task(self._cluster_state.watch_config()),
-            asyncio.create_task(self._cluster_state.fetch_newer_config()),
-            asyncio.create_task(self._cluster_state.sync_endpoints()),
-            asyncio.create_task(self._evacuation.run()),
-            asyncio.create_task(self._membership.run()),
-            asyncio.create_task(self._run_housekeeping()),
-            asyncio.create_task(self._forwarder.poll_queue()),
-            asyncio.create_task(self._rebalancer.run()),
-            asyncio.create_task(self._quarantine_store.run()),
-            asyncio.create_task(self._watch_settings()),
+            asyncio.create_task(supervise(name, each)) for name, each in work.items()
         ]
-        stopping = asyncio.create_task(self._stopping.wait())
         try:
-            done, _ = await asyncio.wait(
-                [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done - {stopping}:
-                task.result()
+            await self._stopping.wait()
             await self._drain()
         finally:
-            stopping.cancel()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -316,7 +326,7 @@
         for _, server in self._servers:
             server.is_draining = True
         self._membership.announce_draining()
-        await self._membership.deregister()
+        await self._supervisor.run_once("deregister", self._membership.deregister)
         while not shutdown.can_close(self._clock.now(), self._caller_server.busy_count):
             await asyncio.sleep(STOP_POLL_INTERVAL)
         shutdown.on_close(self._clock.now(), self._caller_server.busy_count)
@@ -385,6 +395,8 @@
         self._metrics.gauge(
             "evacuated_data_centres", len(self._evacuation.state.active)
         )
+        for task, is_failing in self._supervisor.failing.items():
+            self._metrics.gauge("task_failing", is_failing, task=task)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         responder.respond(200, [content_type], self._metrics.render().encode())
 
@@ -449,6 +461,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, gateway.stop)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    loop.set_exception_handler(gateway.on_loop_error)
     await gateway.run()
 
 
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from cyclamenyoke.adapters.logs import Log
@@ -80,6 +80,13 @@
 
 MICROSECONDS_PER_SECOND = 1_000_000
 
+Supervise = Callable[[str, Callable[[], Awaitable[None]]], Awaitable[None]]
+"""Runs a task of a given name."""
+
+
+async def _run_unsupervised(task: str, work: Callable[[], Awaitable[None]]) -> None:
+    await work()
+
 
 class Membership:
     """Registers this node, discovers its peers and exchanges updates with them.
@@ -141,8 +148,11 @@
         self._peers.is_draining = True
         self._send(self._peers.ips)
 
-    async def run(self) -> None:
-        """Register, send and receive updates until cancelled."""
+    async def run(self, supervise: Supervise = _run_unsupervised) -> None:
+        """Register, send and receive updates until cancelled.
+
+        :param supervise: runs each of the tasks, by name.
+        """
         self._authenticator = MessageAuthenticator(await self._load_key())
         transport = PeerTransport(
             self._settings.ip,
@@ -158,11 +168,11 @@
         self._cluster_state.attach_transport(transport)
         try:
             await asyncio.gather(
-                self._send_updates_forever(),
-                self._maintain_registration(),
-                self._rejoin_forever(),
-                self._discover_forever(),
-                self._discover_after_start(),
+                supervise("peer_updates", self._send_updates_forever),
+                supervise("registration", self._maintain_registration),
+                supervise("rejoin", self._rejoin_forever),
+                supervise("discovery", self._discover_forever),
+                supervise("first_discovery", self._discover_after_start),
             )
         finally:
             transport.close()
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -31,6 +31,7 @@
     SUSTAINED_LOAD_DURATION,
     ExpertRebalancer,
 )
+from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
 from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.platform.engine_control import HttpEngineControl
 from cyclamenyoke.ports.clock import Clock
@@ -292,6 +293,13 @@
         return await self._run_command(execute)
 
 
+class StrictSupervisor(TaskSupervisor):
+    """Raises the errors that a gateway only reports."""
+
+    def report(self, task: str, error: BaseException, **fields: object) -> None:
+        raise error
+
+
 class Cluster:
     """A loaded group, and the store that its rebalancers share."""
 
@@ -329,6 +337,7 @@
             lambda service: self.gap_ratio,
             name,
             LoopClock(),
+            StrictSupervisor(LoopClock(), Metrics(), Log("test")),
             Metrics(),
             Log("test"),
         )
