Fail a connection attempt with one error, whatever the address

Without file descriptors tasks that call the store failed.

Cause: connect expected OSError only. Such an address raises OverflowError, ValueError or UnicodeError, and the socket was created before the errors were caught. All of these are ConnectionFailed now, after which a request goes to another engine.

--- a/src/cyclamenyoke/adapters/connection_pool.py
+++ b/src/cyclamenyoke/adapters/connection_pool.py
@@ -41,6 +41,18 @@
         return len(self.owners)
 
 
+def _split(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    :raises ConnectionFailed: when the address has no port.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return host, int(port)
+    except ValueError as error:
+        raise ConnectionFailed(f"{address!r} is not HOST:PORT") from error
+
+
 class ConnectionPool:
     """Pools connections by address and endpoint.
 
@@ -99,7 +111,7 @@
     async def _open(
         self, pool: EndpointPool, address: str, timeout: float
     ) -> HttpConnection:
-        host, _, port = address.rpartition(":")
+        host, port = _split(address)
         owner = object()
         pool.owners.add(owner)
 
@@ -110,7 +122,7 @@
         self.opened_count += 1
         try:
             connection = await connect(
-                host, int(port), min(timeout, CONNECT_TIMEOUT), remove
+                host, port, min(timeout, CONNECT_TIMEOUT), remove
             )
         except BaseException:
             # A connection that was made just before the cancellation also calls remove.
--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -326,7 +326,11 @@
     :raises ConnectionFailed: when it failed or was not established in time.
     """
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    except OSError as error:
+        # This process has no file descriptor left.
+        raise ConnectionFailed(f"{host}:{port}: {error}") from error
     try:
         sock.setblocking(False)
         set_dead_peer_timeouts(sock)
@@ -335,7 +339,8 @@
             _, protocol = await loop.create_connection(
                 lambda: HttpConnection(on_closed), sock=sock
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # A host or port that is none raises ValueError or OverflowError.
         sock.close()
         kind = type(error).__name__
         is_refused = isinstance(error, ConnectionRefusedError)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -1,6 +1,7 @@
 """The pool's count of connections to an endpoint."""
 
 import asyncio
+import errno
 
 import pytest
 
@@ -29,3 +30,36 @@
         await pool.acquire(address, "e", 1, 1.0)
     connection.close()
     server.close()
+
+
+# Guards against an address that is none resetting the callers whose requests go there.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:70000",
+        "127.0.0.1:-1",
+        "127.0.0.1:x",
+        "127.0.0.1",
+        "a\x00b:80",
+        "a..b:80",
+        "x" * 70 + ".y:80",
+        "\ud800:80",
+    ],
+)
+async def test_address_that_is_none_is_a_failed_connection(address):
+    pool = ConnectionPool(BootClock())
+    with pytest.raises(ConnectionFailed):
+        await pool.acquire(address, "e", 1, 1.0)
+    # The attempt does not count as a connection.
+    with pytest.raises(ConnectionFailed, match="(?i)(Error|HOST:PORT)"):
+        await pool.acquire(address, "e", 1, 1.0)
+
+
+# Guards against a process without file descriptors failing elsewhere than expected.
+async def test_socket_that_cannot_be_created_is_a_failed_connection(monkeypatch):
+    def no_socket(*arguments):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr("socket.socket", no_socket)
+    with pytest.raises(ConnectionFailed):
+        await ConnectionPool(BootClock()).acquire("127.0.0.1:9", "e", 1, 1.0)
