Use no entry whose address or id can't be sent to an engine

An entry with an address that can't be connected to counted as an engine, and requests were tried there. An entry whose key has a line break added header lines to the requests at its address, since the id goes into a header.

--- a/src/cyclamenyoke/core/decoding.py
+++ b/src/cyclamenyoke/core/decoding.py
@@ -7,6 +7,8 @@
 states its range, and a value outside of it is rejected where it is decoded.
 """
 
+import re
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -44,6 +46,46 @@
 They limit the depth of a value, also of fields that they skip, by a RecursionError."""
 
 
+_ADDRESS = re.compile(
+    r"(?=.{1,253}:\d{1,5}\Z)[a-z0-9_-]{1,63}(\.[a-z0-9_-]{1,63})*:[1-9][0-9]*",
+    re.ASCII | re.IGNORECASE,
+)
+MAX_PORT = 65535
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``HOST:PORT`` and can be connected to.
+
+    >>> is_address("10.0.0.1:80"), is_address("10.0.0.1:70000"), is_address("a..b:80")
+    (True, False, False)
+    """
+    if not _ADDRESS.fullmatch(text):
+        return False
+    return int(text.rpartition(":")[2]) <= MAX_PORT
+
+
+def is_ip_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address.
+
+    >>> is_ip_address("10.0.0.1"), is_ip_address("node-1")
+    (True, False)
+    """
+    try:
+        IPv4Address(text)
+    except AddressValueError:
+        return False
+    return True
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a text can be the value of a header, and is not empty.
+
+    >>> is_header_value("i-1"), is_header_value("i-1\\r\\nX-Tenant: other")
+    (True, False)
+    """
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
 MAX_INTEGER_DIGITS = 20
 """Digits of the longest integer that is parsed; the largest one of 64 bits has 19."""
 
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -12,6 +12,8 @@
     Quantity,
     Timestamp,
     decode_json,
+    is_address,
+    is_header_value,
 )
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.gateway_config import (
@@ -182,14 +184,13 @@
         entry = decode_json(value, _Entry)
     except MalformedValue as error:
         raise InvalidDocument(f"entry {key!r}: {error}") from error
-    _, colon, port = entry.address.rpartition(":")
     checks = (
         (entry.state not in IS_DRAINING_BY_STATE, f"unknown state {entry.state!r}"),
         (
-            not colon or not port.isdigit(),
+            not is_address(entry.address),
             f"address {entry.address!r} is not HOST:PORT",
         ),
-        (not id_, "key has no endpoint id"),
+        (not is_header_value(id_), f"endpoint id {id_!r} can't be sent in a header"),
         (entry.slots < 1, f"slots {entry.slots} is less than 1"),
     )
     for is_invalid, problem in checks:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -120,6 +120,16 @@
         {"cold_remaining_ms": 2**70},
         {"zone": "z" * 1000},
         {"service": "s" * 100_000},
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"address": "host\x00name:80"},
+        {"address": "a..b:80"},
+        {"address": "x" * 64 + ":80"},
+        {"address": ":80"},
+        {"address": "host name:80"},
+        {"address": "10.0.0.1:80\r\nX: y"},
     ],
 )
 def test_invalid_entries_are_skipped_and_valid_ones_read(change):
@@ -156,6 +166,22 @@
         decode_config(json.dumps({**configuration(7), **change}).encode())
 
 
+# Guards against an entry that adds header lines to the requests sent to its address.
+@pytest.mark.parametrize("id_", ["", "a\r\nX-Tenant: b", "a\x00b", " a", "a\n"])
+def test_entry_whose_id_fits_in_no_header_is_skipped(id_):
+    endpoints, errors = decode_endpoints(
+        [(f"servers/{id_}", json.dumps(ENTRY).encode())]
+    )
+    assert not endpoints and len(errors) == 1
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:1", "engine-7.dc_1.internal:65535"])
+def test_address_of_a_host_or_ip_is_read(address):
+    entry = json.dumps({**ENTRY, "address": address}).encode()
+    [endpoint], _ = decode_endpoints([("servers/a", entry)])
+    assert endpoint.address == address
+
+
 def test_draining_state_is_decoded():
     entry = json.dumps({**ENTRY, "state": "draining"}).encode()
     [endpoint], _ = decode_endpoints([("servers/a", entry)])
