--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -10,6 +10,7 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.adapters.peer_transport import MessageAuthenticator, PeerTransport
 from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.decoding import is_ip_address
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
 from cyclamenyoke.core.engine_limits import EngineLimits
 from cyclamenyoke.core.node_settings import NodeSettings
@@ -219,7 +220,9 @@
         """
         listing = await self._store.list(NODE_PREFIX)
         keys = [item.key for item in listing.items]
-        ips = [key.removeprefix(NODE_PREFIX) for key in keys]
+        names = [key.removeprefix(NODE_PREFIX) for key in keys]
+        # Datagrams to anything else would close the socket for all of them.
+        ips = [name for name in names if is_ip_address(name)]
         now = self._clock.now()
         # Only together with a read, which adds those that are still registered again:
         # a node that is cut off keeps the others, and does not take their shares.
--- a/tests/test_foreign_values.py
+++ b/tests/test_foreign_values.py
@@ -105,3 +105,14 @@
 def test_event_id_of_thousands_of_digits_is_no_numeric_id():
     [event] = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\n\n")
     assert event.id is None
+
+
+# Guards against a registration that is no address ending the exchange with all peers.
+async def test_registration_that_is_no_ip_address_leaves_the_exchange_running():
+    async with running_site(gateways=2) as site:
+        for name in ("a\x00b", "x" * 70, "..", "not an address"):
+            site.platform.put(f"cyclamenyoke/nodes/{name}", b"dc-1")
+        await site.add_gateway()
+        await asyncio.sleep(1.5)
+        now = site.gateways[2][0]._clock.now()
+        assert len(site.gateways[2][0]._peers.live(now)) == 2
