Reset a connection whose half-close fails, and go on with the others

Called from the check of the connections' deadlines, it would have ended that check for the life of the process, so that idle and slow callers would have kept their connections.

The connection is reset then, and an error with one connection no longer ends the check. The test failed before and passes now.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -238,8 +238,13 @@
         self._is_discarding = True
         self._reset_at = self._server.clock.now() + LINGER_TIMEOUT
         transport = self._transport
-        if transport is not None and transport.can_write_eof():
+        if transport is None or not transport.can_write_eof():
+            return
+        try:
             transport.write_eof()
+        except OSError:
+            # The caller has reset the connection; the transport learns of it later.
+            transport.abort()
 
     # Called by the server.
 
@@ -492,4 +497,9 @@
             await asyncio.sleep(SWEEP_INTERVAL)
             now = self.clock.now()
             for connection in list(self._connections):
-                connection.check_deadlines(now)
+                try:
+                    connection.check_deadlines(now)
+                except Exception as error:
+                    # One connection must not end the checks of all others.
+                    self.on_handler_error(error)
+                    connection.reset()
--- a/tests/test_foreign_values.py
+++ b/tests/test_foreign_values.py
@@ -1,11 +1,14 @@
 """Values from other writers and faulty engines, which must not end a gateway."""
 
 import asyncio
+import errno
 import json
 
 import pytest
 
+from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.event_stream import EventSplitter
+from cyclamenyoke.adapters.http_ingress import IngressConnection, IngressServer
 from site_fixture import caller_headers, running_site, send_request
 
 FOREIGN_KEY = "servers/i-foreign"
@@ -116,3 +119,24 @@
         await asyncio.sleep(1.5)
         now = site.gateways[2][0]._clock.now()
         assert len(site.gateways[2][0]._peers.live(now)) == 2
+
+
+# Guards against one connection's error ending the check of all connections' deadlines.
+async def test_half_close_of_a_connection_that_was_reset_is_no_error():
+    class ResetTransport:
+        is_aborted = False
+
+        def can_write_eof(self):
+            return True
+
+        def write_eof(self):
+            raise OSError(errno.ENOTCONN, "not connected")
+
+        def abort(self):
+            self.is_aborted = True
+
+    server = IngressServer(None, BootClock(), lambda status: None, lambda error: None)
+    connection = IngressConnection(server)
+    connection._transport = transport = ResetTransport()
+    connection.close_gracefully()
+    assert transport.is_aborted
