Reject expert counts of another number than the layout has

Cause: any number of counts that divides into the sets was accepted, and ExpertDemand compared them with the counts of before by zip(strict=True): "zip() argument 2 is longer than argument 1". The same comparison failed when a new configuration changes the number of experts, without any fault of an engine.

Counts must have one number for each expert of each set; others are no usable response, logged and counted. Counts of another layout than the last ones begin a new demand, and no map is planned from a demand of another layout.

--- a/src/cyclamenyoke/core/expert_demand.py
+++ b/src/cyclamenyoke/core/expert_demand.py
@@ -67,7 +67,8 @@
     ) -> None:
         """Add the counts that a rank reported.
 
-        The first ones of a rank and of an epoch are only compared with the next ones.
+        The first ones of a rank, of an epoch and of a layout are only compared with the
+        next ones.
 
         :param counts: selections since the rank's start, by set and expert.
         """
@@ -75,6 +76,10 @@
         self._rank, self._last = rank, RankCounts(epoch, counts)
         if last is None or last.epoch != epoch:
             return
+        if _shape(last.counts) != _shape(counts):
+            # The layout has changed, and with it the meaning of all samples.
+            self._last_sample, self._selections, self._is_fresh = [], [], False
+            return
         sample = [
             [float(new - old) for new, old in zip(*pair, strict=True)]
             for pair in zip(counts, last.counts, strict=True)
@@ -87,7 +92,8 @@
         before, self._last_sample = self._last_sample, sample
         weight = 0.5 ** (max(0.0, now - self._sampled_at) / HALF_LIFE)
         self._sampled_at = now
-        if len(before) != len(sample) or difference(before, sample) > MAX_DIFFERENCE:
+        is_first = _shape(before) != _shape(sample)
+        if is_first or difference(before, sample) > MAX_DIFFERENCE:
             self._unsettled_samples += 1
             is_drifting = self._unsettled_samples >= MAX_UNSETTLED_SAMPLES
             self._selections = sample if is_drifting else []
@@ -102,6 +108,10 @@
         self._is_fresh = True
 
 
+def _shape(rows: Sequence[Sequence[float]]) -> list[int]:
+    return [len(row) for row in rows]
+
+
 def difference(
     first: Sequence[Sequence[float]], second: Sequence[Sequence[float]]
 ) -> float:
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -344,6 +344,7 @@
             interval = SAMPLE_INTERVAL if is_loaded else OBSERVATION_INTERVAL
             await self._sample(service, layout, interval)
         except EngineControlError as error:
+            self._metrics.count("expert_counts_not_read", service=service)
             self._log.info("expert counts not read", error=str(error))
 
     async def _hold_lock(self) -> bool:
@@ -387,7 +388,7 @@
         """Switch the groups that gain enough for the experts that were sampled last."""
         sample = self._samples.get(service)
         selections = sample.demand.take_fresh() if sample is not None else []
-        if not selections:
+        if [len(row) for row in selections] != [layout.experts] * layout.sets:
             return
         switches: list[tuple[RankGroup, MapPlan]] = []
         plans: list[tuple[ExpertMap, MapPlan]] = []
@@ -454,7 +455,7 @@
             return
         sample.read_at = now
         rank = candidates[0]
-        counts = await self._control.expert_counts(rank, layout.sets)
+        counts = await self._control.expert_counts(rank, layout)
         sample.demand.add(rank.id, counts.epoch, counts.counts, self._clock.now())
 
     async def _groups(self, service: str) -> list[RankGroup]:
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -12,6 +12,7 @@
 from cyclamenyoke.core.decoding import Count, Integer64, decode_json
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
+from cyclamenyoke.core.gateway_config import ExpertLayout
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.exceptions import MalformedValue
 from cyclamenyoke.platform.engine_client import read_notice
@@ -120,18 +121,21 @@
             report.held,
         )
 
-    async def expert_counts(self, endpoint: Endpoint, sets: int) -> ExpertCounts:
+    async def expert_counts(
+        self, endpoint: Endpoint, layout: ExpertLayout
+    ) -> ExpertCounts:
         body = await self._query(endpoint, "/v1/picked", TRANSFER_TIMEOUT)
         try:
             response = decode_json(body, _ExpertCountsResponse)
         except MalformedValue as error:
             raise EngineControlError(f"counts from {endpoint.id}: {error}") from error
-        size, remainder = divmod(len(response.counts), sets)
-        if remainder or not size:
+        size = layout.experts
+        if len(response.counts) != layout.sets * size:
             raise EngineControlError(
-                f"{len(response.counts)} expert counts do not divide into {sets} sets"
+                f"{len(response.counts)} expert counts from {endpoint.id}, not"
+                f" {layout.sets} sets of {size}"
             )
-        rows = [response.counts[n * size : (n + 1) * size] for n in range(sets)]
+        rows = [response.counts[n * size : (n + 1) * size] for n in range(layout.sets)]
         return ExpertCounts(response.epoch, rows)
 
     async def prepare(
--- a/src/cyclamenyoke/ports/engine_control.py
+++ b/src/cyclamenyoke/ports/engine_control.py
@@ -6,6 +6,7 @@
 
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
+from cyclamenyoke.core.gateway_config import ExpertLayout
 from cyclamenyoke.exceptions import CyclamenyokeError
 
 
@@ -73,13 +74,17 @@
         """
 
     @abstractmethod
-    async def expert_counts(self, endpoint: Endpoint, sets: int) -> ExpertCounts:
+    async def expert_counts(
+        self, endpoint: Endpoint, layout: ExpertLayout
+    ) -> ExpertCounts:
         """Return how often a rank's requests selected each expert.
 
         The group pauses briefly while a rank responds.
 
-        :param sets: number of layer sets of the service.
-        :raises EngineControlError: when there is no usable response.
+        :param layout: layout of the service's experts.
+        :returns: one count for each expert of each set.
+        :raises EngineControlError: when there is no usable response, such as one with
+            another number of counts.
         """
 
     @abstractmethod
--- a/tests/test_expert_demand.py
+++ b/tests/test_expert_demand.py
@@ -91,3 +91,15 @@
     assert 3500 < total < 4000
     demand.add("r", 1, rank.run(), 2 * INTERVAL + HALF_LIFE)
     assert abs(sum(demand.take_fresh()[0]) - (total / 2 + 2000)) < 1
+
+
+# Guards against counts of another layout than the last ones ending the node.
+def test_counts_of_another_layout_are_compared_only_with_later_ones():
+    rank, demand, now = CountingRank(1), ExpertDemand(), 0.0
+    for width in (EXPERTS, EXPERTS - 1, EXPERTS):
+        for _ in range(4):
+            now += INTERVAL
+            counts = [row[:width] for row in rank.run()]
+            demand.add("r0", 1, counts, now)
+        selections = demand.take_fresh()
+        assert [len(row) for row in selections] == [width, width]
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -38,6 +38,7 @@
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
     EngineControl,
+    EngineControlError,
     ExpertCounts,
     RankReport,
 )
@@ -213,11 +214,12 @@
         await asyncio.sleep(0.002)
         return rank_report
 
-    async def expert_counts(self, endpoint, sets):
+    async def expert_counts(self, endpoint, layout):
         hot_expert = (self.step // 60) % LAYOUT.experts
-        row = [100 * self.step] * LAYOUT.experts
+        row = [100 * self.step] * layout.experts
+        hot_expert %= layout.experts
         row[hot_expert] += 2000 * (self.step % 60)
-        rows = [list(row) for _ in range(sets)]
+        rows = [list(row) for _ in range(layout.sets)]
         return ExpertCounts(1, rows)
 
     async def _run_command(self, execute) -> CommandResult:
@@ -581,10 +583,40 @@
     control = HttpEngineControl(ConnectionPool(BootClock()))
     async with rank_that_replies_after(0.5) as rank:
         assert await control.prepare(rank, 1, 1, [[[0]]]) is CommandResult.DONE
-        assert (await control.expert_counts(rank, 1)).counts == [[3, 4]]
+        layout = ExpertLayout(1, 2, 2, 1, 0.0)
+        assert (await control.expert_counts(rank, layout)).counts == [[3, 4]]
         assert await control.arm(rank, 1, 1, 5) is CommandResult.UNKNOWN
 
 
+# Guards against counts that lack an expert of each set ending the node that reads them.
+@pytest.mark.parametrize("sets,experts", [(1, 1), (1, 3), (2, 2), (1, 100_000)])
+async def test_another_number_of_counts_than_the_layout_has_is_rejected(sets, experts):
+    control = HttpEngineControl(ConnectionPool(BootClock()))
+    async with rank_that_replies_after(0.0) as rank:
+        with pytest.raises(EngineControlError):
+            await control.expert_counts(rank, ExpertLayout(sets, experts, 2, 1, 0.0))
+
+
+@pytest.mark.looptime
+async def test_maps_follow_load_again_after_the_layout_has_changed():
+    cluster = Cluster(1, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    rebalancer = asyncio.create_task(cluster.rebalancer("a").run())
+    await asyncio.sleep(5)
+    for experts in (LAYOUT.experts - 1, LAYOUT.experts):
+        layout = replace(LAYOUT, experts=experts)
+        service = Service("llm", "/", 10, None, layout)
+        cluster.config.services["llm"] = service
+        await asyncio.sleep(0.5)
+    switches = cluster.ranks.switches
+    await asyncio.sleep(20)
+    assert not rebalancer.done(), rebalancer.exception()
+    assert cluster.ranks.switches > switches
+    passes.cancel()
+    rebalancer.cancel()
+
+
 @pytest.mark.looptime
 async def test_rank_that_accepted_a_map_without_a_reply_is_not_given_up():
     cluster = Cluster(8, unanswered_ratio=0.0)
@@ -786,10 +818,10 @@
     async def report(self, endpoint):
         return replace(await super().report(endpoint), epoch=self.epoch)
 
-    async def expert_counts(self, endpoint, sets):
+    async def expert_counts(self, endpoint, layout):
         row = [100 * self.step] * LAYOUT.experts
         row[self.CRASHING_EXPERT] += 2000 * self.step
-        return ExpertCounts(self.epoch, [list(row) for _ in range(sets)])
+        return ExpertCounts(self.epoch, [list(row) for _ in range(layout.sets)])
 
 
 @pytest.mark.looptime
