--- a/src/cyclamenyoke/adapters/peer_transport.py
+++ b/src/cyclamenyoke/adapters/peer_transport.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cyclamenyoke.core.decoding import decode_msgpack
+from cyclamenyoke.core.decoding import Number, decode_msgpack
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.peers import PeerUpdate
 from cyclamenyoke.core.store_position import START, StorePosition
@@ -61,12 +61,12 @@
 
     config: bytes
     config_position: StorePosition
-    list_age: float
+    list_age: Number
     list_position: StorePosition
     endpoints: list[Endpoint]
     evacuated: list[str] = []
     evacuation_position: StorePosition = START
-    evacuations_kept: dict[str, float] = {}
+    evacuations_kept: dict[str, Number] = {}
 
 
 class UnknownKey(AuthenticationError):
--- a/src/cyclamenyoke/core/decoding.py
+++ b/src/cyclamenyoke/core/decoding.py
@@ -46,11 +46,16 @@
 They limit the depth of a value, also of fields that they skip, by a RecursionError."""
 
 
+MAX_PORT = 65535
+"""Largest port number."""
+
+Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
+"""A port that can be listened on and connected to."""
+
 _ADDRESS = re.compile(
     r"(?=.{1,253}:\d{1,5}\Z)[a-z0-9_-]{1,63}(\.[a-z0-9_-]{1,63})*:[1-9][0-9]*",
     re.ASCII | re.IGNORECASE,
 )
-MAX_PORT = 65535
 
 
 def is_address(text: str) -> bool:
--- a/src/cyclamenyoke/core/endpoint_registry.py
+++ b/src/cyclamenyoke/core/endpoint_registry.py
@@ -17,6 +17,7 @@
 
 from msgspec import Struct
 
+from cyclamenyoke.core.decoding import Count, Integer64, Number
 from cyclamenyoke.core.store_position import START, StorePosition
 from cyclamenyoke.core.units import MINUTE, SECOND
 
@@ -54,9 +55,9 @@
     service: str
     address: str
     data_centre: str
-    slots: int
+    slots: Count
     is_leaving: bool
-    born: int
+    born: Integer64
     is_cold: bool = False
 
 
@@ -69,7 +70,7 @@
 
     id: str
     endpoint: Endpoint | None
-    seen_at: float
+    seen_at: Number
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cyclamenyoke/core/engine_limits.py
+++ b/src/cyclamenyoke/core/engine_limits.py
@@ -23,6 +23,7 @@
 from msgspec import Struct
 
 from cyclamenyoke.core.cold_endpoints import ColdEndpoints, StatedRate
+from cyclamenyoke.core.decoding import Integer64, Number
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.node_ring import ring_position
 from cyclamenyoke.core.token_bucket import NO_SHARE, Share, TokenBucket
@@ -66,9 +67,9 @@
     """
 
     endpoint: str
-    born: int
-    rate: float
-    age: float
+    born: Integer64
+    rate: Number
+    age: Number
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct
 
+from cyclamenyoke.core.decoding import Integer64, Number
 from cyclamenyoke.core.endpoint_registry import Change
 from cyclamenyoke.core.engine_limits import LimitNotice
 from cyclamenyoke.core.request_quarantine import TraitEvidence
@@ -67,31 +68,31 @@
     """
 
     ip: str
-    incarnation: int
-    sequence: int
+    incarnation: Integer64
+    sequence: Integer64
     data_centre: str
     caller_address: str
     is_ready: bool
     is_draining: bool
     reads_store: bool
-    config_version: int
-    list_age: float
+    config_version: Integer64
+    list_age: Number
     list_position: StorePosition
     is_list_read_directly: bool
     list_digest: bytes
     changes: tuple[Change, ...]
-    requests: dict[str, int]
-    customers: dict[str, dict[str, int]]
-    queued: dict[str, dict[str, int]]
+    requests: dict[str, Integer64]
+    customers: dict[str, dict[str, Integer64]]
+    queued: dict[str, dict[str, Integer64]]
     suspects: tuple[str, ...]
     broken: tuple[str, ...]
-    leaving: tuple[tuple[str, int], ...]
+    leaving: tuple[tuple[str, Integer64], ...]
     evidence: tuple[TraitEvidence, ...]
     limits: tuple[LimitNotice, ...]
     evacuated: tuple[str, ...] = ()
     evacuation_position: StorePosition = START
-    unread_tokens: dict[str, int] = {}
-    evacuations_kept: dict[str, float] = {}
+    unread_tokens: dict[str, Integer64] = {}
+    evacuations_kept: dict[str, Number] = {}
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -23,6 +23,7 @@
 
 from msgspec import Struct
 
+from cyclamenyoke.core.decoding import Number
 from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.core.request_fingerprint import RequestFingerprint
 from cyclamenyoke.core.units import HOUR, MILLISECOND, MINUTE, SECOND
@@ -129,8 +130,8 @@
 
     service: str
     trait: str
-    end_ages: dict[str, float]
-    cleared_age: float
+    end_ages: dict[str, Number]
+    cleared_age: Number
 
 
 @dataclass(slots=True)
--- a/src/cyclamenyoke/core/store_position.py
+++ b/src/cyclamenyoke/core/store_position.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from cyclamenyoke.core.decoding import Integer64
+
 
 class StorePosition(NamedTuple):
     """A point in the store's history; later points compare greater.
@@ -17,8 +19,8 @@
     :param revision: the store's revision within that era.
     """
 
-    era: int = 0
-    revision: int = 0
+    era: Integer64 = 0
+    revision: Integer64 = 0
 
 
 START = StorePosition()
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -25,7 +25,7 @@
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
-from cyclamenyoke.core.decoding import Integer64, decode_json
+from cyclamenyoke.core.decoding import Count, Integer64, decode_json
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
 from cyclamenyoke.core.expert_demand import ExpertDemand
 from cyclamenyoke.core.expert_map_planner import (
@@ -185,7 +185,7 @@
     """
 
     epoch: Integer64
-    by_version: dict[Integer64, ExpertMap]
+    by_version: dict[Integer64, list[list[list[Count]]]]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cyclamenyoke/daemon/quarantine_store.py
+++ b/src/cyclamenyoke/daemon/quarantine_store.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cyclamenyoke.adapters.logs import Log
-from cyclamenyoke.core.decoding import decode_json
+from cyclamenyoke.core.decoding import Number, decode_json
 from cyclamenyoke.core.request_quarantine import (
     Quarantine,
     QuarantineObserver,
@@ -43,7 +43,7 @@
     :param saved_at: Unix time in seconds to which the ages of the evidence refer.
     """
 
-    saved_at: float
+    saved_at: Number
     evidence: list[TraitEvidence]
 
 
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -235,6 +235,8 @@
     )
     if route.service is not None:
         shares = (TrafficShare(route.service, 1.0),)
+    if not sum(share.weight for share in shares) > 0:
+        raise InvalidDocument(f"route {route.name!r} goes to no service")
     return Route(
         route.name,
         route.host.lower(),
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -53,6 +53,9 @@
 UNAVAILABLE_STATUS = 503
 SUCCESS_STATUSES = range(200, 300)
 
+MAX_RATE = 1e9
+"""Largest limit that is noted, in requests a second; a higher one limits nothing."""
+
 MAX_PAUSE = 1 * HOUR
 """Longest pause in seconds that an engine may ask for; a longer one is not credible."""
 
@@ -118,7 +121,7 @@
         rate = float(head.get(RATE_LIMIT) or b"")
     except ValueError:
         return None
-    return rate if isfinite(rate) and rate >= 0 else None
+    return min(rate, MAX_RATE) if isfinite(rate) and rate >= 0 else None
 
 
 class HttpEngineCall(EngineCall):
--- a/src/cyclamenyoke/platform/settings.py
+++ b/src/cyclamenyoke/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenyoke.core.decoding import Count, Port, Quantity
 from cyclamenyoke.core.endpoint_registry import DEFAULT_REGISTRATION_LIFETIME
 from cyclamenyoke.core.node_settings import Bounds, NodeSettings
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND
@@ -34,24 +35,24 @@
 
 
 class _Limits(msgspec.Struct):
-    cpu_share: float = 1.0
-    cores: float = 1.0
-    memory_mb: float = 256.0
-    file_descriptors: int = 1024
+    cpu_share: Quantity = 1.0
+    cores: Quantity = 1.0
+    memory_mb: Quantity = 256.0
+    file_descriptors: Count = 1024
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: float
-    grace_s: float
-    config_apply_ms: float
-    retry_budget_ratio: float
-    retry_budget_slack: float
-    budget_window_s: float
-    ttl_max_s: float = 5.0
-    stall_ms: float = 1500.0
-    evacuation_ms: float | None = None
-    cold_overage: float = 1.0
-    cold_slack: float = 0.0
+    drain_ms: Quantity
+    grace_s: Quantity
+    config_apply_ms: Quantity
+    retry_budget_ratio: Quantity
+    retry_budget_slack: Quantity
+    budget_window_s: Quantity
+    ttl_max_s: Quantity = 5.0
+    stall_ms: Quantity = 1500.0
+    evacuation_ms: Quantity | None = None
+    cold_overage: Quantity = 1.0
+    cold_slack: Quantity = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -63,13 +64,13 @@
     ip: str
     zone: str
     region: str
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     listen: _Listen
     bounds: _Bounds
     platform: _Platform
     limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: list[str] = []
-    heartbeat_ms: float | None = None
+    heartbeat_ms: Quantity | None = None
 
 
 _FIELD_TYPES: Mapping[str, Any] = {
@@ -87,7 +88,8 @@
     name = str(path)
     try:
         content = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # Malformed text and TOML raise ValueError, values nested too deeply the last.
         raise FindingsError([Finding(name, 1, 1, str(error))]) from error
     findings = [
         Finding(name, 1, 1, f"{key}: {problem}")
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -12,7 +12,7 @@
     decode_endpoints,
 )
 from cyclamenyoke.platform.settings import load_settings
-from site_fixture import API_KEY, configuration
+from site_fixture import API_KEY, configuration, route
 
 SETTINGS = """
 node = "n"
@@ -73,7 +73,7 @@
     assert caught.value.exit_code == 2
 
 
-@pytest.mark.parametrize("content", ["not toml [", "\x00"])
+@pytest.mark.parametrize("content", ["not toml [", "\x00", "a = " + "[" * 3000])
 def test_unreadable_settings_are_reported_as_finding(tmp_path, content):
     path = tmp_path / "node.toml"
     path.write_text(content)
@@ -143,11 +143,19 @@
     assert len(unreadable) == 2
 
 
-# A number that msgspec's JSON decoder takes, but no later step can carry.
+NO_SHARE = {"service": "app", "weight": 0}
+NEGATIVE_SHARE = {"service": "app", "weight": -1}
+
+
+# A number that the JSON decoder takes, but no later step can carry.
 @pytest.mark.parametrize(
     "change",
     [
         {"version": 2**70},
+        {"routes": [route("r", "safe", None)]},
+        {"routes": [route("r", "safe", None, traffic_split=[])]},
+        {"routes": [route("r", "safe", None, traffic_split=[NO_SHARE, NO_SHARE])]},
+        {"routes": [route("r", "safe", None, traffic_split=[NEGATIVE_SHARE])]},
         {"limits": {**configuration(1)["limits"], "max_body_bytes": 2**70}},
         {"limits": {**configuration(1)["limits"], "idle_timeout_ms": -1}},
         {"services": [{"name": "llm", "max_connections": -(2**70)}]},
