Refuse requests that can't end before a stopping gateway does

Callers that still used a cached address lost streams: a gateway that was sent SIGTERM accepted them up to 0.8 s before its end, passed them on and cut them at its end.

Cause: while a request was in progress, the gateway accepted new ones with no regard to whether they could end.

The shutdown now tells whether a request that is sent now can end: its deadline lies before the cut-off, or the longest recent request of its route would have ended by then. Once callers should know of the shutdown, with half as much time again, and not without a recent one. Others are answered 503 with Retry-After at once and are never sent, also orders, resumed streams, requests on kept connections and those that wait in the queue at that moment or later. Short requests are served to the last. A request that may have run already is not refused.

Weighed: closing the listener after 2.5 s leaves kept connections and the queue, and refuses short requests that could be served.

--- a/src/cyclamenyoke/core/graceful_shutdown.py
+++ b/src/cyclamenyoke/core/graceful_shutdown.py
@@ -1,4 +1,9 @@
-"""Graceful shutdown: when a node that was asked to stop may close its connections."""
+"""Graceful shutdown: what a node that was asked to stop still serves, and for how long.
+
+Callers may use a cached address for a while, so requests still arrive. One that can't
+end before the process does must be refused before it is sent, while it can truthfully
+be said that it has not run.
+"""
 
 from dataclasses import dataclass
 
@@ -15,6 +20,11 @@
 cache."""
 
 
+LATE_DURATION_MARGIN = 1.5
+"""Factor on the expected duration of a request that arrives when callers should know of
+the shutdown: they lose more by a response that is cut off than by a refusal."""
+
+
 @dataclass(slots=True)
 class GracefulShutdown:
     """One shutdown, from the request to stop until the last connection closes.
@@ -38,6 +48,20 @@
         cut_off_at = now + max(0.0, grace - KILL_MARGIN)
         return cls(cut_off_at, min(cut_off_at, now + MIN_DRAIN_DURATION), monitor)
 
+    def can_end(self, now: float, deadline: float, expected: float | None) -> bool:
+        """Return whether a request that is sent now ends before it would be cut off.
+
+        :param deadline: when the request ends in any case.
+        :param expected: seconds that it takes at most, as far as known; ``None`` if
+            nothing is known.
+        """
+        if deadline <= self.cut_off_at:
+            return True
+        if expected is None:
+            return False
+        margin = LATE_DURATION_MARGIN if now >= self.min_close_at else 1.0
+        return now + margin * expected <= self.cut_off_at
+
     def can_close(self, now: float, in_flight: int) -> bool:
         """Return whether connections may close now.
 
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -27,8 +27,10 @@
     RetryMode,
     Route,
 )
+from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.inbound_request import InboundRequest, RejectionReason
 from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
+from cyclamenyoke.core.longest_durations import LongestDurations
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.pass_model import GapRatio, PassModel
 from cyclamenyoke.core.peers import Peers
@@ -99,6 +101,10 @@
 STARTUP_RETRY_AFTER = 500 * MILLISECOND
 """Retry-After in seconds while this node has no configuration."""
 
+SHUTDOWN_RETRY_AFTER = 100 * MILLISECOND
+"""Retry-After in seconds of a request that can't end before this node stops. Other
+nodes serve it at once; the directory names their addresses."""
+
 QUEUE_POLL_INTERVAL = 50 * MILLISECOND
 """Interval in seconds at which the queues are dispatched, so that expired requests are
 rejected even without another event."""
@@ -227,6 +233,9 @@
     :param on_load_change: called when the number of requests in progress or in the
         queue has changed.
     :param on_leaving: called with an endpoint that stated that it is leaving.
+
+    The attribute ``shutdown`` is set once the node stops. Requests that can't end
+    before that are refused from then on, also those that wait in the queue.
     """
 
     def __init__(
@@ -273,6 +282,8 @@
         self._gap_ratios: dict[str, GapRatio] = {}
         self._waiting: dict[AdmissionRequest, WaitingRequest] = {}
         self._reservations = Reservations(balancer)
+        self._durations = LongestDurations()
+        self.shutdown: GracefulShutdown | None = None
         self._admission = Admission(
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
@@ -372,6 +383,8 @@
         while delivery.can_send:
             if self._clock.now() >= delivery.deadline:
                 break
+            if not self._can_end(context):
+                break
             if self._is_withheld(context) or not self._may_try(context):
                 break
             reservation = await self._find_endpoint(context, config)
@@ -379,7 +392,7 @@
                 break
             endpoint = reservation.endpoint
             with reservation:
-                if self._is_withheld(context):
+                if self._is_withheld(context) or not self._can_end(context):
                     break
                 if self._balancer.is_evacuated(endpoint):
                     # Admitted from the queue just before this node learned of it.
@@ -399,6 +412,21 @@
                 break
         return self._send_final_response(context)
 
+    def _can_end(self, context: RequestContext) -> bool:
+        """Return whether a request may be sent, with regard to the node's shutdown.
+
+        One that may have run already is sent again, since it can't be refused any more.
+        """
+        if self.shutdown is None or not context.delivery.is_confirmed_not_run:
+            return True
+        now = self._clock.now()
+        expected = self._durations.longest(context.route.name, now)
+        if self.shutdown.can_end(now, context.delivery.deadline, expected):
+            return True
+        context.detail = "node shuts down before the request can end"
+        context.retry_after = SHUTDOWN_RETRY_AFTER
+        return False
+
     def _is_withheld(self, context: RequestContext) -> bool:
         """Return whether the request is quarantined; the caller then learns until when.
 
@@ -464,6 +492,8 @@
         attempt.ended_at = self._clock.now()
         context.may_have_ended_engine = False
         if attempt.outcome is AttemptOutcome.ANSWERED:
+            seconds = attempt.ended_at - attempt.sent_at
+            self._durations.add(context.route.name, seconds, attempt.ended_at)
             if attempt.events or not context.route.is_stream:
                 self._on_written(context)
             return
@@ -569,7 +599,7 @@
             context.waited += self._clock.now() - now
         if isinstance(decision, Admitted):
             return decision.reservation
-        if self._is_withheld(context):
+        if self._is_withheld(context) or not self._can_end(context):
             return None
         context.retry_after = decision.retry_after
         context.detail = "no room in time"
@@ -619,7 +649,10 @@
         """Admit queued requests to free slots, and reject those that have expired."""
         if not self._waiting:
             return
-        self._reject_withheld()
+        if self.shutdown is not None:
+            self._reject_waiting(lambda context: not self._can_end(context))
+        if self._quarantine.quarantines:
+            self._reject_waiting(self._is_withheld)
         for admission_request, decision in self._admission.dispatch(self._clock.now()):
             waiting = self._waiting.get(admission_request)
             if waiting is not None and not waiting.decision.done():
@@ -628,12 +661,13 @@
                 # The request was cancelled in this iteration of the event loop.
                 decision.reservation.release()
 
-    def _reject_withheld(self) -> None:
-        """Reject the queued requests that were quarantined while they waited."""
-        if not self._quarantine.quarantines:
-            return
+    def _reject_waiting(self, must_reject: Callable[[RequestContext], bool]) -> None:
+        """Reject the queued requests that must not be sent any more.
+
+        :param must_reject: sets the Retry-After of such a request.
+        """
         for admission_request, waiting in self._waiting.items():
-            if not waiting.decision.done() and self._is_withheld(waiting.context):
+            if not waiting.decision.done() and must_reject(waiting.context):
                 self._admission.remove(admission_request)
                 retry_after = waiting.context.retry_after or 0.0
                 waiting.decision.set_result(Rejected(retry_after))
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -322,6 +322,7 @@
         """
         grace = self._settings.bounds.grace
         shutdown = GracefulShutdown.begin(self._clock.now(), grace, self._monitor)
+        self._forwarder.shutdown = shutdown
         self._log.info("stopping", connections=self._caller_server.connection_count)
         for _, server in self._servers:
             server.is_draining = True
--- /dev/null
+++ b/tests/test_graceful_shutdown.py
@@ -0,0 +1,188 @@
+"""What a gateway that was asked to stop serves, refuses and never cuts off."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from cyclamenyoke.core.graceful_shutdown import (
+    KILL_MARGIN,
+    MIN_DRAIN_DURATION,
+    GracefulShutdown,
+)
+from cyclamenyoke.core.invariants import CountingMonitor
+from site_fixture import (
+    BOUNDS,
+    caller_headers,
+    configuration,
+    connect,
+    encode_request,
+    read_response,
+    route,
+    running_site,
+    send_request,
+)
+
+CUT_OFF = 4.0
+GRACE = CUT_OFF + KILL_MARGIN
+DURATION = 1.0
+"""Seconds that streams and orders take in these tests."""
+
+SLOW_ROUTES = [
+    route("stream", "streaming", "llm", timeout_ms=9000, resumable=True),
+    route("order", "unsafe", "app", timeout_ms=9000, target_latency_ms=4000),
+    route("lookup", "safe", "app"),
+]
+REQUESTS = {
+    "stream": ("GET", "/stream/a", {}),
+    "resumed": ("GET", "/stream/a", {"Last-Event-Id": "1"}),
+    "order": ("POST", "/order/a", {}),
+}
+
+
+def shutdown_at(now: float) -> GracefulShutdown:
+    return GracefulShutdown.begin(now, GRACE, CountingMonitor(lambda *breach: None))
+
+
+def running_slow_site():
+    """Run one gateway with a short grace time and slow engines."""
+    return running_site(gateways=1, bounds=replace(BOUNDS, grace=GRACE))
+
+
+async def prepare(site):
+    """Slow the engines down and let the gateway learn how long requests take."""
+    site.publish(configuration(2, routes=SLOW_ROUTES))
+    await site.notify_watches()
+    for engine in site.engines.values():
+        engine.event_interval = DURATION / 5
+        engine.answer_delay = DURATION if "app" in engine.id else 0.0
+    await asyncio.sleep(0.3)
+    responses = await asyncio.gather(
+        *(send(site, each) for each in ("stream", "order"))
+    )
+    assert [each.status for each in responses] == [200, 200]
+
+
+async def send(site, kind: str):
+    method, path, extra = REQUESTS[kind]
+    headers = {**caller_headers(deadline=8000), **extra}
+    address = site.gateways[0][1].callers
+    return await send_request(address, method, path, headers, b"{}")
+
+
+def count_received(site) -> int:
+    return sum(len(each.state.received) for each in site.engines.values())
+
+
+def test_request_whose_deadline_is_before_the_cut_off_can_end():
+    shutdown = shutdown_at(100.0)
+    assert shutdown.can_end(103.9, 104.0, None)
+    assert not shutdown.can_end(100.0, 104.1, None)
+
+
+def test_callers_that_should_know_of_the_shutdown_are_refused_with_a_margin():
+    shutdown = shutdown_at(100.0)
+    early, late = 102.0, 100.0 + MIN_DRAIN_DURATION
+    assert shutdown.can_end(early, 110.0, 1.9)
+    assert not shutdown.can_end(early, 110.0, 2.1)
+    assert shutdown.can_end(late, 110.0, 0.9)
+    assert not shutdown.can_end(late, 110.0, 1.1)
+
+
+# Guards against requests that are accepted during a shutdown and then cut off.
+@pytest.mark.parametrize("kind", REQUESTS)
+async def test_request_that_cannot_end_before_the_stop_is_refused_unsent(kind):
+    async with running_slow_site() as site:
+        await prepare(site)
+        gateway, _, task = site.gateways[0]
+        gateway.stop()
+        await asyncio.sleep(2.2)
+        early = asyncio.create_task(send(site, "stream"))
+        await asyncio.sleep(0.9)
+        received = count_received(site)
+        async with asyncio.timeout(0.5):
+            late = await send(site, kind)
+        assert late.status == 503
+        assert float(late.headers["retry-after"]) > 0
+        assert late.headers["connection"] == "close"
+        assert count_received(site) == received
+        # What can end is served to its end.
+        response = await early
+        assert response.status == 200 and response.is_complete
+        await asyncio.wait_for(task, CUT_OFF)
+
+
+# Guards against the same on a connection that was opened before the shutdown.
+async def test_request_on_a_kept_connection_is_refused_if_it_cannot_end():
+    async with running_slow_site() as site:
+        await prepare(site)
+        gateway, settings, _ = site.gateways[0]
+        reader, writer = await connect(settings.callers)
+        writer.write(encode_request("GET", "/lookup/a", caller_headers(deadline=8000)))
+        assert (await read_response(reader)).status == 200
+        gateway.stop()
+        busy = asyncio.create_task(send(site, "stream"))
+        await asyncio.sleep(2.2)
+        second = asyncio.create_task(send(site, "stream"))
+        await asyncio.sleep(0.9)
+        headers = caller_headers(deadline=8000)
+        writer.write(encode_request("POST", "/order/a", headers, b"{}"))
+        response = await asyncio.wait_for(read_response(reader), 0.5)
+        assert response.status == 503 and response.is_complete
+        assert (await busy).is_complete and (await second).is_complete
+        writer.close()
+
+
+async def test_short_request_is_served_to_the_last():
+    async with running_slow_site() as site:
+        await prepare(site)
+        for engine in site.engines_of("app"):
+            engine.answer_delay = 0.0
+        gateway, settings, _ = site.gateways[0]
+        gateway.stop()
+        await asyncio.sleep(2.3)
+        early = asyncio.create_task(send(site, "stream"))
+        await asyncio.sleep(0.8)
+        headers = caller_headers(deadline=700)
+        response = await send_request(settings.callers, "GET", "/lookup/a", headers)
+        assert response.status == 200
+        assert (await early).is_complete
+
+
+# Guards against a queued request that is sent when it can no longer end in time.
+async def test_queued_request_is_refused_as_soon_as_it_cannot_end():
+    async with running_slow_site() as site:
+        await prepare(site)
+        gateway, _, _ = site.gateways[0]
+        for engine in site.engines_of("app"):
+            engine.answer_delay = 3.0
+        now = gateway._clock.now()
+        gateway._forwarder._durations.add("order", 3.0, now)
+        running = [asyncio.create_task(send(site, "order")) for _ in range(24)]
+        await asyncio.sleep(0.3)
+        waiting = asyncio.create_task(send(site, "order"))
+        await asyncio.sleep(0.1)
+        assert gateway._forwarder.queued["app"] == {"customer": 1}
+        received = count_received(site)
+        gateway.stop()
+        response = await asyncio.wait_for(waiting, 1.5)
+        assert response.status == 503
+        assert count_received(site) == received
+        responses = await asyncio.gather(*running)
+        assert {each.status for each in responses} == {200}
+
+
+# Guards against a stop during a reload that forgets the requests in progress.
+async def test_stop_during_a_reload_and_a_second_stop_cut_nothing():
+    async with running_slow_site() as site:
+        await prepare(site)
+        gateway, _, task = site.gateways[0]
+        streams = [asyncio.create_task(send(site, "stream")) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        gateway.reload()
+        gateway.stop()
+        gateway.reload()
+        gateway.stop()
+        responses = await asyncio.gather(*streams)
+        assert all(each.is_complete for each in responses)
+        await asyncio.wait_for(task, CUT_OFF)
