Send a long response to its end before a connection is reset or the process ends

After the last write a connection counted as idle although data was unsent, so a stopping gateway ended with it, and a connection that closes after its response was reset 1 s later, whatever was unsent. During a shutdown each response closes its connection.

A connection is busy until its response has been taken by the kernel, and it is reset 1 s after that, or once the caller has read nothing for the idle timeout.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -203,6 +203,9 @@
         self._is_discarding = False
         self._rejection: HTTPStatus | None = None
         self._reset_at: float | None = None
+        # Unsent bytes of the last response when its reset was last put off.
+        self._unsent_before = 0
+        self._is_lost = False
         self._deadline = server.clock.now() + server.limits.header_timeout
         self._is_receiving = False
         self._reset_message()
@@ -214,8 +217,16 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being received or handled."""
-        return self._is_receiving or self._task is not None
+        """Whether a request is received or handled, or its response not yet sent."""
+        is_handling = self._is_receiving or self._task is not None
+        return is_handling or self._unsent_bytes > 0
+
+    @property
+    def _unsent_bytes(self) -> int:
+        transport = self._transport
+        if transport is None or self._is_lost:
+            return 0
+        return transport.get_write_buffer_size()
 
     # Called by Responder.
 
@@ -234,9 +245,13 @@
             self._transport.abort()
 
     def close_gracefully(self) -> None:
-        """Send buffered data and half-close; reset after ``LINGER_TIMEOUT``."""
+        """Send buffered data and half-close.
+
+        The connection is reset ``LINGER_TIMEOUT`` after the caller has read the last of
+        the data, or once it has read nothing for the idle timeout.
+        """
         self._is_discarding = True
-        self._reset_at = self._server.clock.now() + LINGER_TIMEOUT
+        self._extend_linger()
         transport = self._transport
         if transport is None or not transport.can_write_eof():
             return
@@ -251,7 +266,9 @@
     def check_deadlines(self, now: float) -> None:
         """Close or reject if a deadline has passed."""
         if self._reset_at is not None:
-            if now >= self._reset_at:
+            if self._unsent_bytes < self._unsent_before:
+                self._extend_linger()
+            elif now >= self._reset_at:
                 self.reset()
             return
         if self._task is not None or now < self._deadline:
@@ -261,6 +278,13 @@
         elif self._transport is not None:
             self._transport.close()
 
+    def _extend_linger(self) -> None:
+        """Wait for the caller to read, or for its last bytes if all data is sent."""
+        self._unsent_before = self._unsent_bytes
+        limits = self._server.limits
+        timeout = limits.idle_timeout if self._unsent_before else LINGER_TIMEOUT
+        self._reset_at = self._server.clock.now() + timeout
+
     def close_idle(self) -> None:
         """Close unless a request is in progress."""
         if not self.is_busy and self._transport is not None:
@@ -276,6 +300,7 @@
         self._server.on_open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._is_lost = True
         self._writable.set()
         self._pending.clear()
         if self._task is not None:
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -1,10 +1,14 @@
 """What a gateway that was asked to stop serves, refuses and never cuts off."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
 
+from cyclamenyoke.adapters.clock import BootClock
+from cyclamenyoke.adapters.http_ingress import IngressServer
+from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.graceful_shutdown import (
     KILL_MARGIN,
     MIN_DRAIN_DURATION,
@@ -17,6 +21,7 @@
     configuration,
     connect,
     encode_request,
+    free_port,
     read_response,
     route,
     running_site,
@@ -186,3 +191,62 @@
         responses = await asyncio.gather(*streams)
         assert all(each.is_complete for each in responses)
         await asyncio.wait_for(task, CUT_OFF)
+
+
+LONG_BODY = b"x" * 24_000_000
+"""More than the kernel buffers of a connection take."""
+
+CLOSING_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+# Guards against a long response that is cut off as its caller reads slowly.
+@pytest.mark.parametrize("is_draining", [False, True])
+async def test_response_is_sent_to_a_slow_caller_before_the_connection_is_reset(
+    is_draining,
+):
+    async def handle(request, responder):
+        responder.respond(200, [], LONG_BODY)
+
+    server = IngressServer(handle, BootClock(), lambda status: None, lambda error: None)
+    port = free_port("127.0.0.1")
+    await server.start(f"127.0.0.1:{port}")
+    server.is_draining = is_draining
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, ("127.0.0.1", port))
+    await loop.sock_sendall(caller, CLOSING_REQUEST)
+    await asyncio.sleep(0.2)
+    # What the kernel has not taken would be lost at the end of the process.
+    assert server.busy_count == 1
+    received, data, next_pause = 0, b"-", 0
+    while data:
+        if received >= next_pause:
+            next_pause += len(LONG_BODY) // 20
+            await asyncio.sleep(0.15)
+        data = await loop.sock_recv(caller, 65536)
+        received += len(data)
+    assert received > len(LONG_BODY)
+    caller.close()
+    await asyncio.sleep(0.1)
+    assert server.busy_count == 0
+    server.close()
+
+
+async def test_caller_that_reads_nothing_is_reset_after_the_idle_timeout():
+    async def handle(request, responder):
+        responder.respond(200, [], LONG_BODY)
+
+    server = IngressServer(handle, BootClock(), lambda status: None, lambda error: None)
+    server.limits = CallerLimits(idle_timeout=1.5)
+    port = free_port("127.0.0.1")
+    await server.start(f"127.0.0.1:{port}")
+    _, writer = await connect(f"127.0.0.1:{port}")
+    writer.write(CLOSING_REQUEST)
+    await asyncio.sleep(1.2)
+    assert server.connection_count == 1
+    await asyncio.sleep(1.8)
+    assert server.connection_count == 0
+    writer.close()
+    server.close()
