Name only live gateways in the directory when this one reaches the store

Callers who asked where to connect were sent to dead machines three times out of five: with most gateways gone for good, the others went on naming them for 30 to 55 s.

Cause: a node that heard fewer than half of the peers it ever knew took itself for cut off and named all of them. From updates alone it can't tell that from the others being gone.

A node that reaches the store is not cut off: peers that were silent when the store last responded are gone, or cut off themselves, and are not named until they are heard again. When most peers fall silent, a node renews its registration at once, the cheapest call that tells. A node that reaches neither names all, as before.

The same test of silence stands behind retry budgets, limits, connections and cold shares. There, reaching the store proves nothing, since peers that can't be heard may send requests. Such peers count until their registration in the store has expired; a node reads the registrations again when the leases of the silent ones have ended, and no longer waits for the 30 s that a registration may outlive its node.

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -6,8 +6,9 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 
 from msgspec import Struct
@@ -107,6 +108,11 @@
     received_at: float | None = None
     update: PeerUpdate | None = None
 
+    @property
+    def heard_at(self) -> float:
+        """When its last update arrived, or when it was added."""
+        return self.added_at if self.received_at is None else self.received_at
+
 
 @dataclass(slots=True)
 class Peers:
@@ -122,6 +128,7 @@
     is_draining: bool = False
     are_complete: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
+    _store_reached_at: float = -inf
 
     @property
     def ips(self) -> list[str]:
@@ -177,11 +184,26 @@
             return update.sequence <= last.sequence
         return update.incarnation < last.incarnation and elapsed < REORDER_WINDOW
 
-    def remove_expired(self, now: float) -> None:
-        """Remove the nodes that have not sent an update for :data:`PEER_LIFETIME`."""
+    def on_store_reached(self, now: float) -> None:
+        """Note that the platform's store has responded to this node.
+
+        A node that reaches the store is not cut off, so those of its peers that are
+        silent then are gone, or cut off themselves.
+        """
+        self._store_reached_at = now
+
+    def on_registrations(self, registered: Collection[str], now: float) -> None:
+        """Apply the list of the nodes that are registered in the platform's store.
+
+        Silent nodes are removed once their registration has expired. The time limit of
+        :data:`PEER_LIFETIME` is for those whose registration outlives them.
+        """
         for ip, peer in list(self._peers.items()):
-            if now - (peer.received_at or peer.added_at) > PEER_LIFETIME:
+            silence = now - peer.heard_at
+            is_gone = ip not in registered and silence > MAX_SILENCE
+            if is_gone or silence > PEER_LIFETIME:
                 del self._peers[ip]
+        self.add_candidates(registered, now)
 
     def live(self, now: float) -> list[PeerUpdate]:
         """Return the last update of each live node."""
@@ -193,13 +215,32 @@
             and now - peer.received_at < PEER_TIMEOUT
         ]
 
+    def are_most_silent(self, now: float) -> bool:
+        """Return whether this node may be cut off, as far as it knows.
+
+        That is if it hears fewer than half of the nodes that had not fallen silent when
+        it last reached the store.
+        """
+        return 2 * len(self.live(now)) < len(self._not_known_gone())
+
+    def _not_known_gone(self) -> list[PeerUpdate]:
+        """Return the last update of each node that may still be there."""
+        return [
+            peer.update
+            for peer in self._peers.values()
+            if peer.update is not None
+            and peer.heard_at + PEER_TIMEOUT > self._store_reached_at
+        ]
+
     def possible_senders(self, now: float) -> list[str]:
         """Return the IP addresses of the other nodes that may be sending requests.
 
         If most of them are silent, this node itself may be cut off; it then counts all.
+        That it reaches the store does not help here: the others may do so as well and
+        send requests. They count until their registrations have expired.
         """
         known = [
-            (peer.ip, peer.received_at or peer.added_at)
+            (peer.ip, peer.heard_at)
             for peer in self._peers.values()
             if peer.update is not None or now - peer.added_at < MAX_SILENCE
         ]
@@ -216,15 +257,12 @@
     def addresses(self, now: float) -> list[str]:
         """Return the other addresses to which callers may connect.
 
-        A node that receives updates from fewer than half of the others may itself be
-        cut off. It then returns the last known addresses of all, and callers find out
-        which of them respond.
+        A node that receives updates from fewer than half of the others, and has not
+        reached the store since, may itself be cut off. It then returns the last known
+        addresses of those that may be there; callers find out which of them respond.
         """
-        known = [
-            peer.update for peer in self._peers.values() if peer.update is not None
-        ]
-        live = self.live(now)
-        candidates = live if 2 * len(live) >= len(known) else known
+        is_cut_off = self.are_most_silent(now)
+        candidates = self._not_known_gone() if is_cut_off else self.live(now)
         return [
             update.caller_address
             for update in candidates
--- a/src/cyclamenyoke/daemon/cluster_state.py
+++ b/src/cyclamenyoke/daemon/cluster_state.py
@@ -457,6 +457,7 @@
         if not self._reads_store:
             self._log.info("store regained")
         self._reads_store = True
+        self._peers.on_store_reached(self._clock.now())
         self._reported.pop("store", None)
 
     def _on_store_failed(self, error: PlatformUnavailable) -> None:
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -45,6 +45,9 @@
 """Interval in seconds at which the nodes' registrations are read. Nodes that register
 in between become known by their own updates."""
 
+DISCOVERY_POLL_INTERVAL = 500 * MILLISECOND
+"""Interval in seconds at which a task checks whether the registrations are due."""
+
 HEARTBEAT_INTERVAL = 250 * MILLISECOND
 """Longest time in seconds between two updates to peers. Four fit in the time after
 which peers skip a silent node."""
@@ -136,6 +139,9 @@
         self._era = 0
         self._rejoin_needed = asyncio.Event()
         self._next_key_check = 0.0
+        self._renewal_needed = asyncio.Event()
+        self._next_silence_check = 0.0
+        self._discover_at = 0.0
         self.queued: Callable[[], dict[str, dict[str, int]]] = dict
         self.on_peer_update: Callable[[], None] = lambda: None
         peers.add_candidates(settings.seeds, clock.now())
@@ -224,10 +230,10 @@
         # Datagrams to anything else would close the socket for all of them.
         ips = [name for name in names if is_ip_address(name)]
         now = self._clock.now()
-        # Only together with a read, which adds those that are still registered again:
-        # a node that is cut off keeps the others, and does not take their shares.
-        self._peers.remove_expired(now)
-        self._peers.add_candidates(ips, now)
+        self._peers.on_store_reached(now)
+        # Nodes are removed only by this read: a node that is cut off keeps the others,
+        # and does not take their shares.
+        self._peers.on_registrations(ips, now)
         if self._settled_at is not None and now >= self._settled_at:
             self._peers.are_complete = True
         self.announce()
@@ -238,6 +244,7 @@
             try:
                 if self._lease:
                     await self._store.renew_lease(self._lease)
+                    self._peers.on_store_reached(self._clock.now())
                 else:
                     await self._register()
                     await self._discover_nodes()
@@ -250,7 +257,20 @@
                     "registration not renewed; retrying", error=str(error)
                 )
                 delay = REGISTRATION_RETRY_INTERVAL
-            await asyncio.sleep(delay * self._random.uniform(0.75, 1.25))
+            await self._wait_for_renewal(delay * self._random.uniform(0.75, 1.25))
+
+    async def _wait_for_renewal(self, delay: float) -> None:
+        """Wait until the next renewal, or less if this node may be cut off.
+
+        The renewal is the cheapest call that tells whether it reaches the store.
+        """
+        try:
+            async with asyncio.timeout(delay):
+                await self._renewal_needed.wait()
+        except TimeoutError:
+            return
+        self._renewal_needed.clear()
+        await asyncio.sleep(self._random.uniform(0, MAX_REJOIN_JITTER))
 
     async def _register(self) -> None:
         lease = await self._store.grant_lease(LEASE_LIFETIME)
@@ -302,7 +322,11 @@
 
     async def _discover_forever(self) -> None:
         while True:
-            await asyncio.sleep(DISCOVERY_INTERVAL * self._random.uniform(0.75, 1.25))
+            now = self._clock.now()
+            interval = DISCOVERY_INTERVAL * self._random.uniform(0.75, 1.25)
+            self._discover_at = now + interval
+            while self._clock.now() < self._discover_at:
+                await asyncio.sleep(DISCOVERY_POLL_INTERVAL)
             await self._try_to_discover()
 
     async def _discover_after_start(self) -> None:
@@ -333,12 +357,25 @@
             except TimeoutError:
                 pass
             self._update_pending.clear()
+            self._check_silence()
             if self._begin_era(self._registry.position.era):
                 self._rejoin_needed.set()
             ips = self._peers.sample(FANOUT, self._random)
             self._send(ips)
             await asyncio.sleep(SEND_INTERVAL_PER_PEER * max(1, len(ips)))
 
+    def _check_silence(self) -> None:
+        """Find out whether this node is cut off, if most of the others are silent.
+
+        If they are gone, their registrations expire with their leases.
+        """
+        now = self._clock.now()
+        if now < self._next_silence_check or not self._peers.are_most_silent(now):
+            return
+        self._next_silence_check = now + REGISTRATION_RETRY_INTERVAL
+        self._discover_at = min(self._discover_at, now + LEASE_LIFETIME)
+        self._renewal_needed.set()
+
     def _send(self, ips: list[str]) -> None:
         if self._transport is None:
             return
