Leave a stopping node unregistered

A draining node neither renews nor registers. The test failed before (the key is there again) and passes now.

--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -242,7 +242,7 @@
         """Keep this node registered in the store."""
         while True:
             try:
-                if self._lease:
+                if self._lease and not self._peers.is_draining:
                     await self._store.renew_lease(self._lease)
                     self._peers.on_store_reached(self._clock.now())
                 else:
@@ -273,6 +273,9 @@
         await asyncio.sleep(self._random.uniform(0, MAX_REJOIN_JITTER))
 
     async def _register(self) -> None:
+        if self._peers.is_draining:
+            # A registration would outlive the node.
+            return
         lease = await self._store.grant_lease(LEASE_LIFETIME)
         key = NODE_PREFIX + self._settings.ip
         value = self._settings.data_centre.encode()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 
 from cyclamenyoke.core.peers import MAX_SILENCE, PEER_LIFETIME, PEER_TIMEOUT, Peers
 from cyclamenyoke.standins.platform import Faults
-from site_fixture import HOST, running_site, send_request
+from site_fixture import HOST, caller_headers, running_site, send_request
 from test_endpoint_registry import NOW, update
 
 DIRECTORY_PATH = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
@@ -130,3 +130,25 @@
         await kill(site, 3)
         await asyncio.sleep(3.0)
         assert await named_by(site.gateways[0][1]) == addresses
+
+
+# Guards against a stopping node that registers again, so that others count it as there.
+async def test_stopping_gateway_does_not_register_again(monkeypatch):
+    monkeypatch.setattr("cyclamenyoke.daemon.membership.RENEW_INTERVAL", 0.2)
+    async with running_site(gateways=2) as site:
+        for engine in site.engines.values():
+            engine.event_interval = 0.4
+        gateway, settings, task = site.gateways[0]
+        key = f"cyclamenyoke/nodes/{settings.ip}"
+        assert key in site.platform.state.values
+        stream = asyncio.create_task(
+            send_request(
+                settings.callers, "GET", "/stream/a", caller_headers(deadline=8000)
+            )
+        )
+        await asyncio.sleep(0.1)
+        gateway.stop()
+        await asyncio.sleep(1.5)
+        assert not task.done()
+        assert key not in site.platform.state.values
+        stream.cancel()
