Send no request over a connection on which one of its id was refused

The engine had refused the order, the caller sent it again under the same id, the pool chose the same connection, and the faulty engine wrote its refusal once more before the answer. Both match the request's id, which alone tells responses apart.

A connection now remembers the ids that were refused on it, and another one carries a request of such an id. After 256 refusals a connection is not reused. Within one request an engine is tried once only, so the caller's sends are the only ones of this form. A copy for another id, at once or late, is told apart by its id, as before.

--- a/src/cyclamenyoke/adapters/connection_pool.py
+++ b/src/cyclamenyoke/adapters/connection_pool.py
@@ -66,10 +66,17 @@
         self.opened_count = 0
 
     async def acquire(
-        self, address: str, endpoint: str, max_connections: int, timeout: float
+        self,
+        address: str,
+        endpoint: str,
+        max_connections: int,
+        timeout: float,
+        request_id: str | None = None,
     ) -> tuple[HttpConnection, bool]:
         """Return an idle or new connection, and whether it was used before.
 
+        :param request_id: id of the request that is to be sent; a connection over which
+            one of the same id was refused is not used.
         :param max_connections: limit of this node's connections to the endpoint.
         :param timeout: seconds in which a new connection must be established;
             ``CONNECT_TIMEOUT`` is the upper bound.
@@ -77,7 +84,7 @@
             not be established; nothing was sent.
         """
         pool = self._pools.setdefault((address, endpoint), EndpointPool())
-        reused = self._take_idle(pool)
+        reused = self._take_idle(pool, request_id)
         if reused is not None:
             return reused, True
         if pool.total >= max_connections:
@@ -165,11 +172,19 @@
             for connection, _ in expired:
                 connection.close()
 
-    def _take_idle(self, pool: EndpointPool) -> HttpConnection | None:
+    def _take_idle(
+        self, pool: EndpointPool, request_id: str | None
+    ) -> HttpConnection | None:
         now = self._clock.now()
-        while pool.idle:
+        avoided: list[tuple[HttpConnection, float]] = []
+        found: HttpConnection | None = None
+        while pool.idle and found is None:
             connection, expires_at = pool.idle.pop()
-            if connection.is_reusable and now < expires_at:
-                return connection
-            connection.close()
-        return None
+            if not connection.is_reusable or now >= expires_at:
+                connection.close()
+            elif request_id is not None and connection.has_refused(request_id):
+                avoided.append((connection, expires_at))
+            else:
+                found = connection
+        pool.idle += avoided
+        return found
--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -27,6 +27,10 @@
 body: heads of interim and final responses, and the framing of chunks. It is checked
 after each read, so that one read more than this may be buffered."""
 
+MAX_REFUSED_IDS = 256
+"""Refusals after which a connection is not reused, so that their ids need not be
+remembered."""
+
 USER_TIMEOUT = 2 * SECOND
 """Seconds for which sent data may stay unacknowledged before the connection fails: a
 few retransmissions within a region."""
@@ -151,6 +155,7 @@
         self._is_closed = False
         self._must_not_reuse = False
         self._buffered_bytes = 0
+        self._refused: set[str] = set()
         # Bytes received since the request was sent or the last part of a body.
         self._overhead_bytes = 0
 
@@ -159,6 +164,20 @@
         """Whether another request may be sent."""
         return not (self._is_closed or self._must_not_reuse or self._matches_request)
 
+    def has_refused(self, request_id: str) -> bool:
+        """Return whether the server has refused a request of this id here."""
+        return request_id in self._refused
+
+    def note_refused(self, request_id: str) -> None:
+        """Note that the server has refused the request that was sent last.
+
+        A refusal that is sent once more would be taken for the response to a request of
+        the same id, so no such request is sent over this connection again.
+        """
+        self._refused.add(request_id)
+        if len(self._refused) > MAX_REFUSED_IDS:
+            self._must_not_reuse = True
+
     def send(
         self,
         data: bytes,
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -132,8 +132,10 @@
         connection: HttpConnection,
         endpoint: Endpoint,
         pool: ConnectionPool,
+        request_id: str,
     ) -> None:
         self._connection = connection
+        self._request_id = request_id
         self._endpoint = endpoint
         self._pool = pool
         self._idle_timeout: float | None = None
@@ -171,6 +173,7 @@
         self._idle_timeout = _idle_timeout(head)
         notice = read_notice(head, self._endpoint.id)
         if head.get(NOT_EXECUTED) is not None or head.status == MISDIRECTED_STATUS:
+            self._connection.note_refused(self._request_id)
             is_other_engine = _is_from_other_engine(head, self._endpoint.id)
             faulty = head.get(FAULTY_ENGINE)
             return NotExecuted(
@@ -215,11 +218,15 @@
         remaining = deadline - self._clock.now()
         try:
             connection, _ = await self._pool.acquire(
-                endpoint.address, endpoint.id, max_connections, remaining
+                endpoint.address,
+                endpoint.id,
+                max_connections,
+                remaining,
+                request.request_id,
             )
         except ConnectionFailed as error:
             raise EngineUnreachable(str(error)) from error
-        call = HttpEngineCall(connection, endpoint, self._pool)
+        call = HttpEngineCall(connection, endpoint, self._pool, request.request_id)
         remaining = deadline - self._clock.now()
         data = encode_request(
             request.method,
