--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1030,9 +1030,13 @@
         head: EngineResponseHead,
         events: list[StreamEvent],
     ) -> bool:
-        """Forward events; return false if an event is missing or repeated."""
+        """Forward events; return false if an event is missing, repeated or foreign."""
         for event in events:
             last = context.last_event_id
+            if event.id is None and last is not None and not event.is_comment:
+                # Such as the text of an error in answer to a resumed stream.
+                context.detail = f"event without an id after {last}"
+                return False
             if event.id is not None and last is not None and event.id != last + 1:
                 if event.id <= last:
                     context.detail = f"event {event.id} repeated after {last}"
--- a/tests/test_faulty_engines.py
+++ b/tests/test_faulty_engines.py
@@ -185,6 +185,96 @@
             assert response.headers["x-request-id"] == headers["X-Request-Id"]
 
 
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+STREAM = ("Content-Type: text/event-stream", *SIGNED)
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
+ERROR_TEXTS = [
+    b"",
+    b"boom",
+    b"boom\n\n",
+    b"data: boom\n\n",
+    b"event: error\ndata: boom\n\n",
+    b"id: x\ndata: boom\n\n",
+    b"HTTP/1.1 500 Status\r\nContent-Length: 6\r\n\r\nboom\n\n",
+]
+
+
+def begun_stream(headers: dict[str, str], number: int) -> Reply:
+    """Send two events, and break off inside the third one."""
+    data = event(1) + event(2) + event(3)[:-4]
+    head = message(headers, 200, fields=STREAM, framing="chunked")[: -len(b"0\r\n\r\n")]
+    return Reply(head + b"%x\r\n%b" % (len(data), data), closes=True)
+
+
+async def resume_with(reply: Callable[[dict[str, str], int], Reply]):
+    """Return the caller's response of a stream that the second engine resumes."""
+
+    def reply_in_turn(headers, number):
+        is_resumed = "last-event-id" in headers
+        return reply(headers, number) if is_resumed else begun_stream(headers, number)
+
+    async with site_with("llm", reply_in_turn, reply_in_turn) as (site, engines):
+        address = site.gateways[0][1].callers
+        headers = caller_headers()
+        response = await send_request(address, "POST", "/stream/a", headers, b"{}")
+        assert sum(engine.requests for engine in engines) == 2
+        return response
+
+
+def assert_truthful(response) -> None:
+    """Check that a caller got a part of the stream, and its end only if whole."""
+    assert response.status == 200
+    assert WHOLE_STREAM.startswith(response.body), response.body
+    assert response.is_complete == (response.body == WHOLE_STREAM)
+
+
+# Guards against the text or the head of an error inside a stream that has begun.
+@pytest.mark.parametrize("text", ERROR_TEXTS)
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("fields", [SIGNED, STREAM, (), REFUSED])
+@pytest.mark.parametrize("status", [200, 404, 429, 500, 503])
+async def test_error_in_answer_to_a_resumed_stream_is_not_part_of_it(
+    status, fields, framing, text
+):
+    def reply(headers, number):
+        data = message(headers, status, text, fields=fields, framing=framing)
+        return Reply(data, closes=framing == "close")
+
+    response = await resume_with(reply)
+    if (status, fields, text) == (200, STREAM, b""):
+        # An engine that has nothing to add says that the stream was complete.
+        assert response.body == event(1) + event(2)
+        return
+    assert_truthful(response)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("text", ERROR_TEXTS[1:])
+async def test_error_after_more_events_of_a_resumed_stream_is_not_part_of_it(
+    framing, text
+):
+    def reply(headers, number):
+        data = message(
+            headers, 200, event(3) + event(4) + text, fields=STREAM, framing=framing
+        )
+        return Reply(data, closes=framing == "close")
+
+    assert_truthful(await resume_with(reply))
+
+
+async def test_resumed_stream_is_whole():
+    def reply(headers, number):
+        rest = event(3) + b": still here\n\n" + event(4) + event(5)
+        return Reply(message(headers, 200, rest, fields=STREAM, framing="chunked"))
+
+    response = await resume_with(reply)
+    assert response.is_complete
+    assert response.body.replace(b": still here\n\n", b"") == WHOLE_STREAM
+
+
 HEADERS = {"x-request-id": "0abc"}
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 OTHER = {"x-request-id": "ffff"}
