Let the randomised run's callers use stopping nodes, and refuse there what can't end

The run now gives its forwarders the shutdown, as the gateway does, and a tenth of the requests go to a node that shuts down, while there is one. A request that such a node accepted and cut off is a violation.

The stand-in transport of a half-close test gets the method that the connection now calls; its check is as before.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -102,6 +102,9 @@
 MAX_ENDS_UNDER_REQUEST, MAX_LATER_COPIES = 3, 3
 """The same for one request that is sent again and again."""
 
+STALE_CALLER_SHARE = 0.1
+"""Share of requests to nodes that shut down, while there are any."""
+
 CRASHING_SHARE = 0.05
 """Share of requests that are copies of the one that ends engines."""
 
@@ -664,6 +667,7 @@
         self.ip = f"10.0.0.{number}"
         self.started_at = env.clock.now()
         self.is_stopping = False
+        self.was_killed = False
         self.requests: set[asyncio.Task] = set()
         # By id and incarnation of an engine: when it told this node that it leaves, and
         # when it asked this node for a pause, with the number of arrivals since.
@@ -741,6 +745,10 @@
 
     def kill(self) -> None:
         """Kill the process."""
+        self.was_killed = True
+        self._end()
+
+    def _end(self) -> None:
         self.env.nodes.pop(self.ip, None)
         for task in [*self.tasks, *self.requests]:
             task.cancel()
@@ -752,12 +760,13 @@
         clock = self.env.clock
         shutdown = GracefulShutdown.begin(clock.now(), BOUNDS.grace, self.monitor)
         self.is_stopping = True
+        self.forwarder.shutdown = shutdown
         self.membership.announce_draining()
         await self.membership.deregister()
         while not shutdown.can_close(clock.now(), len(self.requests)):
             await asyncio.sleep(0.05)
         shutdown.on_close(clock.now(), len(self.requests))
-        self.kill()
+        self._end()
 
 
 class GatewaySoak:
@@ -786,6 +795,8 @@
         self.has_evacuations = has_evacuations
         self._actions: set[asyncio.Task] = set()
         self.numbers = itertools.count(1)
+        # Apart from the other draws, which decide what the known seeds show.
+        self.stale_callers = Random(seed)
         # Numbers of answered and of sent requests, by fault-free period.
         self.fault_free_counts: dict[int, list[int]] = defaultdict(lambda: [0, 0])
 
@@ -1156,7 +1167,8 @@
         nodes = [node for node in env.nodes.values() if not node.is_stopping]
         if not nodes:
             return
-        node = env.random.choice(nodes)
+        node = self._stopping_node() or env.random.choice(nodes)
+        was_stopping = node.is_stopping
         name = env.random.choice(ROUTES)
         id_ = f"{next(self.numbers):016x}"
         request = env.observed[id_] = ObservedRequest(name, now, now + 1.5)
@@ -1185,8 +1197,16 @@
             node.requests.discard(task)
         request.ended_at = env.clock.now()
         request.outcome = request.outcome or response.outcome or "no response"
+        if was_stopping and request.outcome == "node stopped" and not node.was_killed:
+            env.report_violation(f"{id_} was accepted by a stopping node and cut off")
         self._check_response(id_, request, response, node)
 
+    def _stopping_node(self) -> "Node | None":
+        """Return a stopping node for the few callers that still use its address."""
+        stopping = [node for node in self.env.nodes.values() if node.is_stopping]
+        is_stale = self.stale_callers.random() < STALE_CALLER_SHARE
+        return self.stale_callers.choice(stopping) if stopping and is_stale else None
+
     def _check_response(self, id_, request, response, node) -> None:
         env = self.env
         env.outcomes[f"{request.route} {request.outcome}"] += 1
--- a/tests/test_foreign_values.py
+++ b/tests/test_foreign_values.py
@@ -129,6 +129,9 @@
         def can_write_eof(self):
             return True
 
+        def get_write_buffer_size(self):
+            return 0
+
         def write_eof(self):
             raise OSError(errno.ENOTCONN, "not connected")
 
