Tell what a node counts for its part of each retry budget

Cause: a retry that the budget refuses left a detail in the request's log line only, so that a budget that a start made anew, a divisor that is too small and arrivals that nobody counts look the same. Change: counters of retries taken and refused, gauges of first attempts, retries, allowance, divisor and age, and a log line with them, once a second and service at most. Decisions are unchanged.

--- a/src/cyclamenyoke/core/retry_budget.py
+++ b/src/cyclamenyoke/core/retry_budget.py
@@ -1,6 +1,7 @@
 """Budgets that limit retries in proportion to first attempts."""
 
 from collections import deque
+from dataclasses import dataclass
 
 from cyclamenyoke.core.units import SECOND
 
@@ -45,6 +46,24 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class RetryBudgetState:
+    """What a node counts for one service, for logs and metrics.
+
+    :param since: when the node began to count, by its clock.
+    :param first_attempts: first attempts in the window.
+    :param retries: retries in the window.
+    :param allowed: retries that the node may make in the window.
+    :param nodes: number of nodes by which the fixed number is divided.
+    """
+
+    since: float
+    first_attempts: int
+    retries: int
+    allowed: float
+    nodes: int
+
+
 class WindowedRetryBudget:
     """A node's part of a retry budget that all nodes share.
 
@@ -55,9 +74,13 @@
     :param ratio: retries allowed per first attempt.
     :param fixed_retries: additional retries of all nodes together in a window.
     :param window: length of the sliding window in seconds.
+    :param now: when the node begins to count.
     """
 
-    def __init__(self, ratio: float, fixed_retries: float, window: float) -> None:
+    def __init__(
+        self, ratio: float, fixed_retries: float, window: float, now: float = 0.0
+    ) -> None:
+        self._since = now
         self._ratio = ratio * SHARED_BUDGET_FRACTION
         self._fixed = fixed_retries * SHARED_BUDGET_FRACTION
         self._window = window
@@ -81,10 +104,21 @@
     def allows(self, now: float, nodes: int) -> bool:
         """Return whether the budget allows one more retry.
 
+        :param nodes: number of nodes that share the budget.
+        """
+        state = self.state(now, nodes)
+        return state.retries + 1 <= state.allowed
+
+    def state(self, now: float, nodes: int) -> RetryBudgetState:
+        """Return what is counted in the window that ends now.
+
         :param nodes: number of nodes that share the budget.
         """
         for times in (self._first_attempts, self._retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
-        allowed = self._ratio * len(self._first_attempts) + self._fixed / max(1, nodes)
-        return len(self._retries) + 1 <= allowed
+        nodes = max(1, nodes)
+        allowed = self._ratio * len(self._first_attempts) + self._fixed / nodes
+        return RetryBudgetState(
+            self._since, len(self._first_attempts), len(self._retries), allowed, nodes
+        )
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -49,7 +49,7 @@
 )
 from cyclamenyoke.core.reservations import Reservation, Reservations
 from cyclamenyoke.core.response_memory import ResponseMemory
-from cyclamenyoke.core.retry_budget import WindowedRetryBudget
+from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
@@ -138,6 +138,9 @@
 DISCARD_TIMEOUT = 100 * MILLISECOND
 """Seconds for which the body of a rejection is read."""
 
+REFUSAL_LOG_INTERVAL = 1 * SECOND
+"""Seconds between two log lines about retries that a service's budget refused."""
+
 MAX_LOGGED_PARTS = 16
 """Largest number of a prompt's parts in a log line."""
 
@@ -278,6 +281,8 @@
             settings.memory_bytes // RESPONSE_MEMORY_DIVISOR
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
+        # By service: when the next refused retry is logged.
+        self._next_refusal_logs: dict[str, float] = {}
         self._detached: set[asyncio.Task[None]] = set()
         self._gap_ratios: dict[str, GapRatio] = {}
         self._waiting: dict[AdmissionRequest, WaitingRequest] = {}
@@ -299,6 +304,17 @@
         """Requests in this node's queues, by service and customer."""
         return self._admission.queued
 
+    def retry_budget_states(self, now: float) -> dict[str, RetryBudgetState]:
+        """Return what this node counts for its part of the retry budgets, by service.
+
+        :param now: the time by the node's clock.
+        """
+        nodes = self._peers.sharing_count(now)
+        return {
+            service: budget.state(now, nodes)
+            for service, budget in self._retry_budgets.items()
+        }
+
     def gap_ratio(self, service: str) -> float:
         """Return a service's recent average gap as a multiple of the target gap.
 
@@ -465,10 +481,8 @@
 
     def _may_try(self, context: RequestContext) -> bool:
         """Return whether the retry budget and untried endpoints allow an attempt."""
-        delivery, now = context.delivery, self._clock.now()
-        if delivery.has_arrived and not self._retry_budget(context.service).take(
-            now, self._peers.sharing_count(now)
-        ):
+        delivery = context.delivery
+        if delivery.has_arrived and not self._take_retry(context.service):
             context.detail = "retry budget exhausted"
             return False
         if not self._has_untried_endpoint(context):
@@ -476,6 +490,28 @@
             return False
         return True
 
+    def _take_retry(self, service: str) -> bool:
+        """Take a retry from a service's budget; return whether there was one."""
+        now = self._clock.now()
+        budget, nodes = self._retry_budget(service), self._peers.sharing_count(now)
+        if budget.take(now, nodes):
+            self._metrics.count("retries", service=service)
+            return True
+        self._metrics.count("retries_refused", service=service)
+        if now >= self._next_refusal_logs.get(service, now):
+            self._next_refusal_logs[service] = now + REFUSAL_LOG_INTERVAL
+            state = budget.state(now, nodes)
+            self._log.info(
+                "retry budget exhausted",
+                service=service,
+                first_attempts=state.first_attempts,
+                retries=state.retries,
+                allowed=round(state.allowed, 2),
+                nodes=state.nodes,
+                age=round(now - state.since, 3),
+            )
+        return False
+
     def _has_untried_endpoint(self, context: RequestContext) -> bool:
         available_at = self._balancer.available_at(
             context.service, context.delivery.tried_endpoints, self._clock.now()
@@ -1178,7 +1214,10 @@
         if budget is None:
             bounds = self._settings.bounds
             budget = WindowedRetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                self._clock.now(),
             )
             self._retry_budgets[service] = budget
         return budget
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -396,11 +396,25 @@
         self._metrics.gauge(
             "evacuated_data_centres", len(self._evacuation.state.active)
         )
+        self._set_retry_budget_gauges()
         for task, is_failing in self._supervisor.failing.items():
             self._metrics.gauge("task_failing", is_failing, task=task)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         responder.respond(200, [content_type], self._metrics.render().encode())
 
+    def _set_retry_budget_gauges(self) -> None:
+        now = self._clock.now()
+        for service, state in self._forwarder.retry_budget_states(now).items():
+            values = {
+                "first_attempts": state.first_attempts,
+                "retries": state.retries,
+                "allowed": state.allowed,
+                "nodes": state.nodes,
+                "age_seconds": now - state.since,
+            }
+            for name, value in values.items():
+                self._metrics.gauge(f"retry_budget_{name}", value, service=service)
+
     async def _run_housekeeping(self) -> None:
         next_totals_at = self._clock.now() + TOTALS_INTERVAL
         while True:
