Reproduce retries beyond the budget in a run without a network

Callers' requests are repeated beyond the budget when nodes restart within its window. The scripted runs play five gateways in virtual time while engines drop most requests and nodes restart, die, are replaced, are split or get other callers.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -105,6 +105,9 @@
 STALE_CALLER_SHARE = 0.1
 """Share of requests to nodes that shut down, while there are any."""
 
+DROPPED_SHARE = 0.7
+"""Share of requests that engines with the fault ``drops`` drop."""
+
 CRASHING_SHARE = 0.05
 """Share of requests that are copies of the one that ends engines."""
 
@@ -216,6 +219,9 @@
         self.store_delay_factor = 1.0
         self.lost_write_ratio = 0.0
         self.partitioned_ips: set[str] = set()
+        # The nodes on one side of a split network; those on the other side reach the
+        # store and each other as well.
+        self.split_ips: set[str] = set()
         self.transports: dict[str, SimulatedTransport] = {}
         self.engines: dict[str, SimulatedEngine] = {}
         self.nodes: dict[str, Node] = {}
@@ -413,9 +419,10 @@
             del self.env.transports[self._ip]
 
     def _can_reach(self, ip: str) -> bool:
-        return (
-            ip in self.env.transports and not {self._ip, ip} & self.env.partitioned_ips
-        )
+        env = self.env
+        if (self._ip in env.split_ips) != (ip in env.split_ips):
+            return False
+        return ip in env.transports and not {self._ip, ip} & env.partitioned_ips
 
     def send(self, update, ips):
         random = self.env.random
@@ -439,7 +446,8 @@
 
     :param drain_started_at: when its entry in the store changed to draining.
     :param fault: what happens to a part of its requests: ``rejects``, ``silent``,
-        ``fails`` or ``resets``; empty for none.
+        ``fails``, ``resets`` or ``drops`` (closes the connection in place of a
+        response); empty for none.
     :param states_leaving: whether its responses state that it is draining.
     :param limit: requests a second that its responses state; ``None`` for none.
     :param limited_since: when it stated that for the first time.
@@ -604,6 +612,9 @@
         if engine.fault == "rejects" and draw < 0.4:
             yield self._reject(engine)
             return
+        if engine.fault == "drops" and draw < DROPPED_SHARE:
+            yield EngineResponseFailed("connection reset", is_closed=True)
+            return
         request.run_times.append(self._env.clock.now())
         if engine.fault == "silent" and draw < 0.4:
             await asyncio.sleep(3600)
@@ -1167,7 +1178,7 @@
         nodes = [node for node in env.nodes.values() if not node.is_stopping]
         if not nodes:
             return
-        node = self._stopping_node() or env.random.choice(nodes)
+        node = self._stopping_node() or self._choose_node(nodes)
         was_stopping = node.is_stopping
         name = env.random.choice(ROUTES)
         id_ = f"{next(self.numbers):016x}"
@@ -1201,6 +1212,10 @@
             env.report_violation(f"{id_} was accepted by a stopping node and cut off")
         self._check_response(id_, request, response, node)
 
+    def _choose_node(self, nodes: list[Node]) -> Node:
+        """Return the node to which the next request is sent."""
+        return self.env.random.choice(nodes)
+
     def _stopping_node(self) -> "Node | None":
         """Return a stopping node for the few callers that still use its address."""
         stopping = [node for node in self.env.nodes.values() if node.is_stopping]
