Begin with an empty bucket where a limit is learned from a peer

Cause: what a start before has sent is forgotten with the process. Change: a limit that a node learns from a peer, and not from a response to itself, begins with an empty bucket, like a part that is taken over. Why it works: only nodes that saw the engine's statement themselves, in this life, have a token at once.

--- a/src/cyclamenyoke/core/engine_limits.py
+++ b/src/cyclamenyoke/core/engine_limits.py
@@ -18,7 +18,7 @@
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, inf
 
 from msgspec import Struct
 
@@ -157,7 +157,7 @@
                 return
             if sent_at < known.stated_at + REORDER_TIME:
                 return
-        self._apply(endpoint.id, endpoint.born, rate, now, now)
+        self._apply(endpoint.id, endpoint.born, rate, now, now, now)
 
     def merge(self, notices: Iterable[LimitNotice], now: float) -> None:
         """Add what a peer knows."""
@@ -169,7 +169,9 @@
             rate = each.rate if each.rate >= 0 else None
             if rate is None and known is None:
                 continue
-            self._apply(each.endpoint, each.born, rate, stated_at, now)
+            # What this node sent before a restart, and others until now, is not known.
+            since = -inf if known is None else now
+            self._apply(each.endpoint, each.born, rate, stated_at, now, since)
 
     def news(self, now: float) -> tuple[LimitNotice, ...]:
         """Return what peers may not have received yet."""
@@ -294,13 +296,24 @@
         return limit
 
     def _apply(
-        self, id_: str, born: int, rate: float | None, stated_at: float, now: float
+        self,
+        id_: str,
+        born: int,
+        rate: float | None,
+        stated_at: float,
+        now: float,
+        since: float,
     ) -> None:
+        """Note a statement.
+
+        :param since: when the limit began, unless it was known before.
+        """
         known = self._current(id_, born, now)
         is_new = known is None or known.rate != rate
         if known is None or known.rate is None or rate is None:
             self._buckets.pop(id_, None)
-        since = now if known is None or known.rate is None else known.since
+        if known is not None and known.rate is not None:
+            since = known.since
         announce_until = 0.0 if known is None else known.announce_until
         if is_new or now > announce_until + ANNOUNCE_INTERVAL:
             announce_until = now + ANNOUNCE_TIME
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -191,6 +191,22 @@
     assert fleet.most_in_window() <= 1.5 * 2.0 * WINDOW + 5
 
 
+# Guards against nodes that have a full bucket anew with each start.
+def test_limit_is_kept_while_nodes_restart_again_and_again():
+    fleet = LimitedFleet(13, 16, 2.0, seed=5)
+    fleet.state_limits(NOW)
+    fleet.play(40.0, 10.0)
+    spared = fleet.nodes[fleet.ips[0]]
+    for step in range(12):
+        now = NOW + 10 + step
+        spared.announce_all(now)
+        for ip in fleet.ips[1:]:
+            fleet.nodes[ip] = fleet.make_node(ip)
+            fleet.nodes[ip].merge(spared.news(now), now)
+        fleet.play(100.0, 1.0, now)
+    assert fleet.most_in_window() <= 1.5 * 2.0 * WINDOW + 5
+
+
 def test_silent_peer_keeps_its_part_until_it_must_be_gone():
     peers = Peers("10.0.0.1")
     for number in range(2, 8):
