Apply reloaded bounds to the retry budgets in use

Found while the budget was reworked: after a reload of the settings, services that had had a request kept the ratio, the fixed number and the window of before until the process ended, so callers' requests were repeated as the old bounds allow. Cause: bounds were read when a service's budget was made. Change: budgets get the bounds in force when these have changed; credit that was earned before is kept until it expires.

--- a/src/cyclamenyoke/core/retry_budget.py
+++ b/src/cyclamenyoke/core/retry_budget.py
@@ -104,14 +104,18 @@
         self, ratio: float, fixed_retries: float, window: float, now: float = 0.0
     ) -> None:
         self._since = now
-        self._credit_per_attempt = ratio / (1 + CREDIT_LIFETIME_WINDOWS)
-        self._fixed = fixed_retries * SHARED_BUDGET_FRACTION
-        self._window = window
+        self.change(ratio, fixed_retries, window)
         self._first_attempts: deque[float] = deque()
         self._retries: deque[float] = deque()
         self._earned: deque[Credit] = deque()
         self._spent: deque[Credit] = deque()
 
+    def change(self, ratio: float, fixed_retries: float, window: float) -> None:
+        """Apply other bounds from now on; see the class for the parameters."""
+        self._credit_per_attempt = ratio / (1 + CREDIT_LIFETIME_WINDOWS)
+        self._fixed = fixed_retries * SHARED_BUDGET_FRACTION
+        self._window = window
+
     def on_first_attempt(self, now: float) -> None:
         """Count the first attempt of a request."""
         self._drop_expired(now)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -281,6 +281,8 @@
             settings.memory_bytes // RESPONSE_MEMORY_DIVISOR
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
+        # The bounds that the budgets have.
+        self._budget_bounds = settings.bounds
         # By service: when the next refused retry is logged.
         self._next_refusal_logs: dict[str, float] = {}
         self._detached: set[asyncio.Task[None]] = set()
@@ -1214,17 +1216,17 @@
         return self._peers.budget_part(now, self._settings.bounds.retry_window)
 
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = WindowedRetryBudget(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window,
-                self._clock.now(),
+        bounds = self._settings.bounds
+        terms = bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        if bounds is not self._budget_bounds:
+            self._budget_bounds = bounds
+            for budget in self._retry_budgets.values():
+                budget.change(*terms)
+        if service not in self._retry_budgets:
+            self._retry_budgets[service] = WindowedRetryBudget(
+                *terms, self._clock.now()
             )
-            self._retry_budgets[service] = budget
-        return budget
+        return self._retry_budgets[service]
 
     def _reject(
         self,
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -266,6 +266,19 @@
     assert peers.budget_part(NOW + 17 + WINDOW, WINDOW).is_usable
 
 
+# Guards against budgets that keep the bounds of before a reload of the settings.
+async def test_reloaded_bounds_apply_to_the_budgets_in_use():
+    async with running_site() as site:
+        gateway, node, _ = site.gateways[0]
+        await site.get(node, "/lookup/a")
+        node.bounds = replace(node.bounds, retry_ratio=0.0, retry_slack=0.0)
+        for _ in range(20):
+            await site.get(node, "/lookup/a")
+        state = gateway._forwarder.retry_budget_states(gateway._clock.now())["app"]
+        # What the request before the reload has earned is left.
+        assert 0.0 < state.allowed < BOUNDS.retry_ratio
+
+
 # Guards against refused retries of which nobody can say why.
 async def test_metrics_tell_what_a_node_counts_for_its_retry_budgets():
     bounds = replace(BOUNDS, retry_ratio=0.0, retry_slack=0.0)
