Ask for the budget of a move as for that of a retry

Callers of an engine that is slower than the idle timeout got 502 from a gateway that had no part of the fixed number yet: the attempt was given up, and the retry refused. Cause: two questions for one budget with two ways to divide it. Change: both ask by the same part. The test failed before (502 in place of 200). Besides, a node that was frozen until its registration may have expired counts as started anew, also if updates that waited at it make it hear all others; its test failed without.

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -143,8 +143,10 @@
     _store_reached_at: float = -inf
     _has_registrations: bool = False
     _registered_until: float = -inf
-    # Since when all others have counted this node; ``None`` while they may not.
+    # Since when all others have counted this node, as of the last check; ``None`` while
+    # they may not.
     _counted_since: float | None = None
+    _counted_checked_at: float = -inf
     # When nodes were removed whose registrations had expired, by IP address.
     _removed_at: dict[str, float] = field(default_factory=dict)
 
@@ -282,9 +284,12 @@
     def update_counted(self, now: float) -> None:
         """Note whether the others count this node; call this at each heartbeat.
 
-        They remove a node that they do not hear once its registration has expired.
+        They remove a node that they do not hear once its registration has expired. What
+        a process hears that was frozen may have been sent long before.
         """
-        hears_all = len(self.live(now)) == len(self._peers)
+        was_running = now < self._counted_checked_at + MAX_SILENCE
+        self._counted_checked_at = now
+        hears_all = was_running and len(self.live(now)) == len(self._peers)
         is_registered = now < self._registered_until
         if not self._has_registrations or not (is_registered or hears_all):
             self._counted_since = None
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -949,7 +949,8 @@
         """Return whether another endpoint and the budget have room for a repeat."""
         now = self._clock.now()
         budget = self._retry_budget(context.service)
-        if not budget.allows(now, self._peers.sharing_count(now)):
+        part = self._budget_part(now)
+        if not budget.allows(now, part.nodes, part.is_usable):
             return False
         duration = self._admission.duration(context.service)
         return self._balancer.has_open_slot(context.service, duration, now)
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -257,6 +257,7 @@
     peers = peers_of(*NAMES)
     peers.on_registered(NOW + 15)
     peers.on_registrations(NAMES, NOW)
+    peers.update_counted(NOW + 14)
     hear(peers, NAMES, NOW + 15)
     assert peers.budget_part(NOW + 15.5, WINDOW).is_usable
     hear(peers, NAMES[:4], NOW + 16.5)
@@ -266,6 +267,25 @@
     assert peers.budget_part(NOW + 17 + WINDOW, WINDOW).is_usable
 
 
+# Guards against updates that waited at a frozen process until others had removed it.
+def test_node_that_was_frozen_beyond_its_registration_counts_as_started_anew():
+    peers = peers_of(*NAMES)
+    peers.on_registered(NOW + 15)
+    peers.on_registrations(NAMES, NOW)
+    peers.update_counted(NOW + 11)
+    hear(peers, NAMES, NOW + 30)
+    assert not peers.budget_part(NOW + 30, WINDOW).is_usable
+
+
+# Guards against a slow engine that is given up although no retry is left.
+async def test_slow_engine_is_waited_for_while_the_budget_has_no_retry():
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        for engine in site.engines_of("app"):
+            engine.answer_delay = 0.6
+        assert (await site.get(node, "/lookup/a")).status == 200
+
+
 # Guards against budgets that keep the bounds of before a reload of the settings.
 async def test_reloaded_bounds_apply_to_the_budgets_in_use():
     async with running_site() as site:
