Give the ports of a test's gateway out together, so that they differ

The gateway itself was not at fault.

Cause: the fixture probed for four free ports one after the other and closed each probe before the next, so two of the four could be the same. The second server then can't listen, Gateway.run raises, and the fixture waited for readiness without a look at the task, so that only a timeout was seen.

Evidence: of 200,000 draws of four ports, 97 had a port twice, one in 2,060.

Change: the probes of one node are open at the same time. A gateway that ends as it starts fails the test with its own error at once.

No assertion or bound of another test changed.

--- a/tests/site_fixture.py
+++ b/tests/site_fixture.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 import socket
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -81,9 +81,16 @@
 
 def free_port(host: str) -> int:
     """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    return free_ports(host, 1)[0]
+
+
+def free_ports(host: str, count: int) -> list[int]:
+    """Return different ports that nothing listens on."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class Response:
@@ -144,7 +151,7 @@
     def settings(self, number: int) -> NodeSettings:
         """Return the settings of one gateway, which gets its own loopback address."""
         ip = f"127.0.1.{number}"
-        ports = [free_port(ip) for _ in range(4)]
+        ports = free_ports(ip, 4)
         return NodeSettings(
             node=f"gateway-{number}",
             ip=ip,
@@ -167,13 +174,16 @@
         """Start a gateway.
 
         :param wait_until_ready: return once it reports that it is ready.
+        :raises OSError: when it can't listen at one of its addresses.
         """
         settings = self.settings(len(self.gateways) + 1)
         gateway = Gateway(settings, Path("/nonexistent"))
         task = asyncio.create_task(gateway.run())
         self.gateways.append((gateway, settings, task))
         if wait_until_ready:
-            await self.wait_until(lambda: self.is_ready(settings))
+            await self.wait_until(lambda: task.done() or self.is_ready(settings))
+        if task.done():
+            task.result()
         return settings
 
     async def is_ready(self, settings: NodeSettings) -> bool:
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -19,7 +19,7 @@
     configuration,
     connect,
     encode_request,
-    free_port,
+    free_ports,
     read_response,
     route,
     running_site,
@@ -255,7 +255,7 @@
 def write_settings(path, **bounds) -> str:
     """Write the settings file of a node; return the address that callers use."""
     ip = "127.0.2.1"
-    ports = [free_port(ip) for _ in range(4)]
+    ports = free_ports(ip, 4)
     lines = "\n".join(f"{name} = {value}" for name, value in bounds.items())
     path.write_text(
         f"""
