--- /dev/null
+++ b/tests/process_soak/__main__.py
@@ -0,0 +1,40 @@
+"""Plays runs of real processes."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from process_soak.run import Options, play
+from process_soak.site import GATEWAY, ROOT
+
+
+def main() -> int:
+    """Play the seeds; return 1 if a rule is broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1, help="seeds to play")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--profile", default="", help="drawn from the seed if empty")
+    parser.add_argument("--gateways", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=90)
+    parser.add_argument("--rate", type=float, default=120.0)
+    parser.add_argument("--work", type=float, default=0.02)
+    parser.add_argument("--grace", type=float, default=8.0)
+    parser.add_argument("--slack", type=float, default=40.0)
+    parser.add_argument("--busy", type=int, default=0)
+    parser.add_argument("--source", type=Path, default=ROOT / "src")
+    parser.add_argument("--gateway", default=GATEWAY, help="module of the gateways")
+    parser.add_argument("--network", default="127.20")
+    parser.add_argument("--directory", type=Path, default=Path("target/soak"))
+    values = vars(parser.parse_args())
+    first, runs = values.pop("seed"), values.pop("runs")
+    is_broken = False
+    for seed in range(first, first + runs):
+        report = play(Options(seed=seed, **values))
+        print(report.text, flush=True)
+        is_broken |= bool(report.findings)
+    return int(is_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/process_soak/callers.py
@@ -0,0 +1,353 @@
+"""Callers in one process, each with one connection that it keeps as long as it can.
+
+Callers record each request (``sent``) and how it ended (``ended``): ``answered``, a
+complete response; ``cut``, the connection ended without one; ``unconnected``, no
+connection was made; ``gave_up`` at the caller's deadline; ``left``, before that;
+``mixed``, something that is no answer to this request. They go on using a connection to
+a gateway that is no longer named, until that closes it.
+
+Run with ``python -m process_soak.callers``.
+"""
+
+import argparse
+import asyncio
+import itertools
+import time
+import zlib
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from process_soak.engine import SIGNATURE, plain_body, stream_event
+from process_soak.record import Record
+
+HOST = "soak.example"
+API_KEY = "key-of-customer"
+CONNECT_TIMEOUT = 1.0
+RESOLVE_INTERVAL = 1.0
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise that the request has not run and never will."""
+
+MAX_RETRY_SHARE = 1 / 3
+"""Share of the time left that a caller waits at most when it is told to."""
+
+
+class Route(msgspec.Struct, frozen=True):
+    """A route of the operator's configuration, as callers use it.
+
+    :param share: share of the requests.
+    :param deadline: seconds after which callers give up.
+    :param patience: seconds without an event after which they leave a stream.
+    """
+
+    name: str
+    kind: str
+    service: str
+    share: float
+    deadline: float
+    patience: float = 0.0
+
+    @property
+    def method(self) -> str:
+        """The method of its requests."""
+        return "GET" if self.kind == "safe" else "POST"
+
+
+class Directory:
+    """The gateways' addresses, as one of the gateways names them."""
+
+    def __init__(self, directories: list[str], random: Random) -> None:
+        self._directories = directories
+        self._random = random
+        self.addresses: list[str] = []
+
+    async def run(self) -> None:
+        """Ask again and again until cancelled."""
+        while True:
+            for address in self._random.sample(
+                self._directories, min(3, len(self._directories))
+            ):
+                addresses = await self._ask(address)
+                if addresses:
+                    self.addresses = addresses
+                    break
+            await asyncio.sleep(RESOLVE_INTERVAL)
+
+    async def _ask(self, address: str) -> list[str]:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                host, _, port = address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    path = f"/v1/resolve?name={HOST}&region=region&zone=dc-1"
+                    request = f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+                    writer.write(request.encode())
+                    response = await read_head(reader)
+                    if response.status != 200:
+                        return []
+                    size = int(response.headers["content-length"])
+                    body = await reader.readexactly(size)
+                    return list(msgspec.json.decode(body)["addresses"])
+                finally:
+                    writer.transport.abort()
+        except (OSError, EOFError, TimeoutError, ValueError):
+            return []
+
+
+class Head(msgspec.Struct):
+    """The head of a response; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Mixed(Exception):
+    """The response is none to this request, or is damaged."""
+
+
+async def read_head(reader: asyncio.StreamReader) -> Head:
+    """Read the head of a response.
+
+    :raises EOFError: when the connection ends before it is complete.
+    :raises Mixed: when it is none.
+    """
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
+    version, _, status = first.partition(" ")
+    if version != "HTTP/1.1":
+        raise Mixed(first[:80])
+    pairs = (line.partition(": ") for line in lines)
+    return Head(int(status[:3]), {name.lower(): value for name, _, value in pairs})
+
+
+class Caller:
+    """One caller with one connection at a time."""
+
+    def __init__(
+        self,
+        name: str,
+        routes: list[Route],
+        think_time: float,
+        leave_share: float,
+        directory: Directory,
+        record: Record,
+        random: Random,
+        connections: itertools.count,
+    ) -> None:
+        self._name = name
+        self._routes = routes
+        self._think_time = think_time
+        self._leave_share = leave_share
+        self._directory = directory
+        self._record = record
+        self._random = random
+        self._connections = connections
+        self._numbers = itertools.count(1)
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._gateway = ""
+        self._connection = 0
+        self._uses = 0
+
+    async def run(self, until: float) -> None:
+        """Send requests until a time by the monotonic clock."""
+        shares = [route.share for route in self._routes]
+        while time.monotonic() < until:
+            await asyncio.sleep(self._random.expovariate(1 / self._think_time))
+            if not self._directory.addresses:
+                continue
+            route = self._random.choices(self._routes, shares)[0]
+            deadline = time.monotonic() + route.deadline
+            retry_after = await self._request(route, deadline)
+            if retry_after is not None:
+                await asyncio.sleep(retry_after)
+                self._close()
+                await self._request(route, deadline)
+        self._close()
+
+    async def _request(self, route: Route, deadline: float) -> float | None:
+        """Send one request; return the seconds after which it may be sent once more."""
+        request_id = f"{self._name}-{next(self._numbers)}"
+        try:
+            await self._connect()
+        except (OSError, TimeoutError) as error:
+            self._close()
+            self._add("ended", route, request_id, deadline, "unconnected", 0, error)
+            return 0.0
+        self._add("sent", route, request_id, deadline)
+        self._uses += 1
+        left = max(0.0, deadline - time.monotonic())
+        is_leaving = self._random.random() < self._leave_share
+        timeout = left * self._random.uniform(0.0, 0.5) if is_leaving else left
+        result, status, detail, headers = "answered", 0, "", {}
+        try:
+            async with asyncio.timeout(timeout):
+                self._writer.write(self._encode(route, request_id, left))
+                await self._writer.drain()
+                head = await read_head(self._reader)
+                status, headers = head.status, head.headers
+                await self._read_body(route, request_id, head)
+        except TimeoutError:
+            result = "left" if is_leaving else "gave_up"
+        except Mixed as error:
+            result, detail = "mixed", str(error)
+        except (OSError, EOFError) as error:
+            result, detail = "cut", repr(error)
+        self._add("ended", route, request_id, deadline, result, status, detail)
+        if result != "answered" or headers.get("connection") == "close":
+            self._close()
+        return self._retry_after(route, result, status, headers, deadline)
+
+    def _retry_after(
+        self,
+        route: Route,
+        result: str,
+        status: int,
+        headers: dict[str, str],
+        deadline: float,
+    ) -> float | None:
+        left = deadline - time.monotonic()
+        if status in PROMISES:
+            stated = float(headers.get("retry-after", 0))
+            return min(stated, MAX_RETRY_SHARE * max(0.0, left))
+        is_failed = result == "cut" or status >= 500
+        return 0.0 if route.kind == "safe" and is_failed and left > 0 else None
+
+    async def _connect(self) -> None:
+        if self._writer is not None and not self._reader.at_eof():
+            return
+        self._close()
+        self._gateway = self._random.choice(self._directory.addresses)
+        host, _, port = self._gateway.rpartition(":")
+        self._connection, self._uses = next(self._connections), 0
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            opened = await asyncio.open_connection(host, int(port))
+        self._reader, self._writer = opened
+
+    def _close(self) -> None:
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+    def _encode(self, route: Route, request_id: str, left: float) -> bytes:
+        body = b"" if route.method == "GET" else b'{"duct":"%b"}' % request_id.encode()
+        lines = [
+            f"{route.method} /{route.name}/x HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Request-Id: {request_id}",
+            f"X-Deadline-Ms: {int(1000 * left)}",
+            f"Authorization: Bearer {API_KEY}",
+            f"Content-Length: {len(body)}",
+        ]
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+    async def _read_body(self, route: Route, request_id: str, head: Head) -> None:
+        """Read a body and check that it is the whole answer to the request."""
+        stated_id = head.headers.get("x-request-id", request_id)
+        if stated_id != request_id:
+            raise Mixed(f"answer of {stated_id}")
+        if "content-length" in head.headers:
+            body = await self._reader.readexactly(int(head.headers["content-length"]))
+            if head.status == 200 and body != plain_body(request_id):
+                raise Mixed(f"body {body[:80]!r}")
+            signature = head.headers.get(SIGNATURE.lower(), "")
+            if head.status == 200 and not signature.endswith(f".{zlib.crc32(body)}"):
+                raise Mixed(f"signature {signature}")
+            return
+        await self._read_stream(route, request_id)
+
+    async def _read_stream(self, route: Route, request_id: str) -> None:
+        body = b""
+        while True:
+            async with asyncio.timeout(route.patience):
+                size = int(await self._reader.readuntil(b"\r\n"), 16)
+                chunk = await self._reader.readexactly(size + 2)
+            if not size:
+                break
+            body += chunk[:-2]
+        events = body.split(b"\n\n")[:-1]
+        last = len(events)
+        expected = [stream_event(request_id, n, last) for n in range(1, last + 1)]
+        if body != b"".join(expected) or not events:
+            raise Mixed(f"stream of {last} events: {body[-80:]!r}")
+
+    def _add(
+        self,
+        what: str,
+        route: Route,
+        request_id: str,
+        deadline: float,
+        result: str = "",
+        status: int = 0,
+        detail: object = "",
+    ) -> None:
+        self._record.add(
+            what,
+            process=self._name,
+            request=request_id,
+            service=route.service,
+            kind=route.kind,
+            gateway=self._gateway,
+            connection=self._connection,
+            use=self._uses,
+            deadline=deadline,
+            result=result,
+            status=status,
+            detail=str(detail),
+        )
+
+
+class Plan(msgspec.Struct):
+    """What the callers of one process do.
+
+    :param name: begins the ids of their requests.
+    :param rate: requests a second of all of them together.
+    :param leave_share: share of requests that are left before they are answered.
+    :param until: when they stop, by the monotonic clock.
+    """
+
+    name: str
+    seed: int
+    callers: int
+    rate: float
+    leave_share: float
+    until: float
+    directories: list[str]
+    routes: list[Route]
+
+
+async def _main(plan: Plan, record: Record) -> None:
+    random = Random(plan.seed)
+    directory = Directory(plan.directories, random)
+    asking = asyncio.create_task(directory.run())
+    connections = itertools.count(1)
+    think_time = plan.callers / plan.rate
+    callers = [
+        Caller(
+            f"{plan.name}-{number}",
+            plan.routes,
+            think_time,
+            plan.leave_share,
+            directory,
+            record,
+            Random(random.random()),
+            connections,
+        )
+        for number in range(plan.callers)
+    ]
+    await asyncio.gather(*(caller.run(plan.until) for caller in callers))
+    asking.cancel()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description="Runs the callers of the soak.")
+    parser.add_argument("--plan", type=Path, required=True)
+    parser.add_argument("--record", type=Path, required=True)
+    options = parser.parse_args()
+    asyncio.run(
+        _main(
+            msgspec.json.decode(options.plan.read_bytes(), type=Plan),
+            Record(options.record),
+        )
+    )
--- /dev/null
+++ b/tests/process_soak/engine.py
@@ -0,0 +1,277 @@
+"""One engine, or one server of a plain service, as a process.
+
+It records each request that arrives (``arrived``, with ``result`` ``run`` or
+``refused``) and how its work ends (``left``): ``answered``; ``failed``, an answer with
+status 500; ``reset``, the engine itself broke off; ``dropped``, the gateway closed the
+connection; ``expired`` at the deadline.
+
+Run with ``python -m process_soak.engine``. ``POST /faults`` sets :class:`EngineFaults`.
+"""
+
+import argparse
+import asyncio
+import socket
+import struct
+import time
+import zlib
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from process_soak.record import Record
+
+MAX_QUEUED_PER_SLOT = 4
+"""Requests per slot that wait for one; more are refused."""
+
+SIGNATURE = "X-Response-Signature"
+FAULTS_PATH = "/faults"
+
+
+class EngineFaults(msgspec.Struct):
+    """What an engine does wrong.
+
+    :param reset: share of requests whose connection is reset before the answer.
+    :param close: share of requests whose connection is closed before the answer.
+    :param close_idle: share of answers after which the connection is closed.
+    :param fail: share of requests that are run and answered with status 500.
+    :param refuse: share of requests that are refused as not run.
+    :param slowness: factor on the time of each request.
+    """
+
+    reset: float = 0.0
+    close: float = 0.0
+    close_idle: float = 0.0
+    fail: float = 0.0
+    refuse: float = 0.0
+    slowness: float = 1.0
+
+
+class Broken(Exception):
+    """The engine breaks the connection off."""
+
+
+class Request(msgspec.Struct):
+    """One request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    arrived_at: float
+
+    @property
+    def id(self) -> str:
+        """The caller's id of the request."""
+        return self.headers.get("x-request-id", "")
+
+
+def plain_body(request_id: str) -> bytes:
+    """Return the body of the answer to a request."""
+    return f"answer to {request_id} ".encode() * 16
+
+
+def stream_event(request_id: str, number: int, last: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request_id} {number}/{last}\n\n".encode()
+
+
+class Engine:
+    """An engine that runs as many requests at once as it has slots.
+
+    :param work: seconds that a plain request takes, or a stream until its first event.
+    :param events: events of a stream; 0 for a plain service.
+    :param interval: seconds between two events.
+    """
+
+    def __init__(
+        self,
+        id_: str,
+        service: str,
+        slots: int,
+        work: float,
+        events: int,
+        interval: float,
+        record: Record,
+        random: Random,
+    ) -> None:
+        self._id = id_
+        self._service = service
+        self._slots = asyncio.Semaphore(slots)
+        self._max_waiting = slots * MAX_QUEUED_PER_SLOT
+        self._waiting = 0
+        self._work = work
+        self._events = events
+        self._interval = interval
+        self._record = record
+        self._random = random
+        self._faults = EngineFaults()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Handle one connection."""
+        requests: asyncio.Queue[Request | None] = asyncio.Queue()
+        reading = asyncio.create_task(self._read(reader, requests))
+        try:
+            while (request := await requests.get()) is not None:
+                await self._handle(request, reading, writer)
+        except (Broken, ConnectionError):
+            pass
+        finally:
+            reading.cancel()
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, requests: asyncio.Queue[Request | None]
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                first, *lines = head.decode("latin-1").strip().split("\r\n")
+                pairs = (line.partition(": ") for line in lines)
+                headers = {name.lower(): value for name, _, value in pairs}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                method, path, _ = first.split()
+                requests.put_nowait(
+                    Request(method, path, headers, body, time.monotonic())
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            requests.put_nowait(None)
+
+    async def _handle(
+        self,
+        request: Request,
+        reading: asyncio.Task[None],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if request.path == FAULTS_PATH:
+            self._faults = msgspec.json.decode(request.body, type=EngineFaults)
+            self._write(writer, request, 200, [], b"")
+            return
+        is_full = self._waiting >= self._max_waiting
+        is_other = request.headers.get("x-target-instance", self._id) != self._id
+        if is_full or is_other or self._random.random() < self._faults.refuse:
+            self._add("arrived", request, "refused")
+            status = 421 if is_other else 503
+            fields = ["X-Not-Executed: 1", f"X-Instance-Id: {self._id}"]
+            self._write(writer, request, status, fields, b"")
+            return
+        self._add("arrived", request, "run")
+        work = asyncio.create_task(self._run(request, writer))
+        try:
+            await asyncio.wait({work, reading}, return_when="FIRST_COMPLETED")
+            if not work.done():
+                # Also while it waits for a slot.
+                self._add("left", request, "dropped")
+                raise Broken
+            self._add("left", request, await work)
+        except ConnectionError as error:
+            self._add("left", request, "dropped")
+            raise Broken from error
+        finally:
+            work.cancel()
+        if self._random.random() < self._faults.close_idle:
+            raise Broken
+
+    async def _run(self, request: Request, writer: asyncio.StreamWriter) -> str:
+        """Work on a request; return how it ended."""
+        deadline = int(request.headers.get("x-deadline-ms", 60_000)) / 1000
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + deadline):
+                self._waiting += 1
+                try:
+                    await self._slots.acquire()
+                finally:
+                    self._waiting -= 1
+                try:
+                    return await self._answer(request, writer)
+                finally:
+                    self._slots.release()
+        except TimeoutError:
+            self._write(writer, request, 504, [f"{SIGNATURE}: {self._id}.0"], b"")
+            return "expired"
+
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> str:
+        faults, draw = self._faults, self._random.random()
+        if draw < faults.reset + faults.close:
+            self._add("left", request, "reset")
+            if draw < faults.reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            raise Broken
+        await asyncio.sleep(
+            self._work * faults.slowness * self._random.uniform(0.7, 1.3)
+        )
+        if self._random.random() < faults.fail:
+            self._write(writer, request, 500, [f"{SIGNATURE}: {self._id}.0"], b"")
+            return "failed"
+        if not self._events:
+            body = plain_body(request.id)
+            fields = [f"{SIGNATURE}: {self._id}.{zlib.crc32(body)}"]
+            self._write(writer, request, 200, fields, body)
+            return "answered"
+        fields = [f"{SIGNATURE}: {self._id}.0", "Content-Type: text/event-stream"]
+        self._write(writer, request, 200, fields, None)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self._events + 1):
+            event = stream_event(request.id, number, self._events)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            if number < self._events:
+                await asyncio.sleep(self._interval * faults.slowness)
+        writer.write(b"0\r\n\r\n")
+        return "answered"
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        request: Request,
+        status: int,
+        fields: list[str],
+        body: bytes | None,
+    ) -> None:
+        """Write a response; without a body the caller writes chunks."""
+        length = "Transfer-Encoding: chunked"
+        if body is not None:
+            length = f"Content-Length: {len(body)}"
+        lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {request.id}", length]
+        writer.write("\r\n".join([*lines, *fields, "", ""]).encode() + (body or b""))
+
+    def _add(self, what: str, request: Request, result: str) -> None:
+        self._record.add(
+            what,
+            request.arrived_at if what == "arrived" else None,
+            process=self._id,
+            service=self._service,
+            request=request.id,
+            result=result,
+            detail=request.headers.get("last-event-id", ""),
+        )
+
+
+async def _main(options: argparse.Namespace) -> None:
+    record = Record(options.record)
+    random = Random(options.seed)
+    sizes = options.slots, options.work, options.events, options.interval
+    engine = Engine(options.id, options.service, *sizes, record, random)
+    host, _, port = options.address.rpartition(":")
+    server = await asyncio.start_server(engine.serve, host, int(port), backlog=512)
+    record.add("started", process=options.id)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description="Runs one engine of the soak.")
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--record", type=Path, required=True)
+    parser.add_argument("--slots", type=int, required=True)
+    parser.add_argument("--work", type=float, required=True)
+    parser.add_argument("--events", type=int, default=0)
+    parser.add_argument("--interval", type=float, default=0.0)
+    parser.add_argument("--seed", type=int, default=1)
+    asyncio.run(_main(parser.parse_args()))
--- /dev/null
+++ b/tests/process_soak/record.py
@@ -0,0 +1,75 @@
+"""Records of what processes saw, as JSON lines.
+
+Times are seconds of the monotonic clock, which all processes of a machine share.
+"""
+
+import os
+import time
+from pathlib import Path
+
+import msgspec
+
+
+class Event(msgspec.Struct, omit_defaults=True):
+    """One observation. ``what`` says which; fields that do not apply are left out.
+
+    Callers record ``sent`` and ``ended``, engines ``arrived`` and ``left``, and the
+    run itself ``signal``, ``started``, ``exited``, ``fault`` and ``calm``.
+
+    :param at: when it was seen.
+    :param process: the gateway, engine or caller that it is about.
+    :param request: id of the request.
+    :param service: service of the request.
+    :param kind: ``safe``, ``unsafe`` or ``streaming``.
+    :param gateway: gateway to which the caller sent the request.
+    :param connection: number of the caller's connection.
+    :param use: how many requests the connection carried before this one.
+    :param deadline: when the caller gives up.
+    :param incarnation: start of the gateway that was running then, from 1.
+    :param result: how it ended; see :mod:`process_soak.callers` and
+        :mod:`process_soak.engine`.
+    :param status: status of the response, 0 without one.
+    :param detail: anything else, for the reader.
+    :param until: when the condition that begins here ends.
+    """
+
+    at: float
+    what: str
+    process: str = ""
+    request: str = ""
+    service: str = ""
+    kind: str = ""
+    gateway: str = ""
+    connection: int = 0
+    use: int = 0
+    deadline: float = 0.0
+    incarnation: int = 0
+    result: str = ""
+    status: int = 0
+    detail: str = ""
+    until: float = 0.0
+
+
+class Record:
+    """Appends events to a file. Each is written at once, so that a kill loses none."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = os.open(path, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
+
+    def add(self, what: str, at: float | None = None, **fields: object) -> None:
+        """Append one event.
+
+        :param at: now, if left out.
+        """
+        event = Event(time.monotonic() if at is None else at, what, **fields)
+        os.write(self._file, msgspec.json.encode(event) + b"\n")
+
+
+def read_events(directory: Path) -> list[Event]:
+    """Return the events of all records in a directory, in the order of their times."""
+    decoder = msgspec.json.Decoder(Event)
+    events: list[Event] = []
+    for path in directory.glob("*.jsonl"):
+        for line in path.read_bytes().splitlines():
+            events.append(decoder.decode(line))
+    return sorted(events, key=lambda event: event.at)
--- /dev/null
+++ b/tests/process_soak/run.py
@@ -0,0 +1,111 @@
+"""One run: starts the processes, plays the faults, and checks what was seen."""
+
+import asyncio
+import shutil
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from process_soak.faults import PROFILES, Fault, Injector, draw_faults
+from process_soak.record import read_events
+from process_soak.rules import Observations, check, summary
+from process_soak.site import PORTS, Bounds, Site, Sizes
+
+END_TIMEOUT = 15.0
+"""Seconds in which callers end after their last request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What is played.
+
+    :param profile: kinds of faults; drawn from the seed if empty.
+    :param source: tree of the gateways that run.
+    :param gateway: module that is run as a gateway.
+    :param network: first two numbers of the gateways' addresses; runs beside each
+        other need different ones.
+    :param directory: gets a directory of records for each run.
+    """
+
+    seed: int
+    seconds: float
+    profile: str
+    gateways: int
+    callers: int
+    rate: float
+    work: float
+    grace: float
+    slack: float
+    busy: int
+    source: Path
+    gateway: str
+    network: str
+    directory: Path
+
+
+@dataclass(slots=True)
+class Report:
+    """The outcome of a run."""
+
+    findings: list[str]
+    text: str
+
+
+def play(options: Options) -> Report:
+    """Play one run. The records of a run with findings are kept."""
+    random = Random(options.seed)
+    profile = options.profile or random.choice(sorted(PROFILES))
+    directory = options.directory.absolute() / f"{options.seed}-{profile}"
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    sizes = Sizes(
+        gateways=options.gateways,
+        callers=options.callers,
+        rate=options.rate,
+        work=options.work,
+        busy=options.busy,
+    )
+    bounds = Bounds(grace=options.grace, retry_slack=options.slack)
+    site = Site(
+        directory,
+        sizes,
+        bounds,
+        random,
+        options.source.absolute(),
+        options.gateway,
+        options.network,
+    )
+    faults = draw_faults(random, profile, options.seconds)
+    began = asyncio.run(_play(site, faults, options.seconds))
+    names = {f"{each.ip}:{PORTS['front']}": each.name for each in site.gateways}
+    seen = Observations(read_events(directory), bounds, names)
+    findings = check(seen)
+    played = ", ".join(f"{fault.name} {fault.at:.1f}" for fault in faults)
+    head = f"seed {options.seed} {profile}: {len(findings)} findings; {summary(seen)}"
+    text = "\n".join(
+        [head, f"  {played}; began at {began:.2f}", *(f"  {each}" for each in findings)]
+    )
+    (directory / "report.txt").write_text(text)
+    if not findings:
+        shutil.rmtree(directory)
+    return Report(findings, text)
+
+
+async def _play(site: Site, faults: list[Fault], seconds: float) -> float:
+    """Play the faults; return when the callers started."""
+    injector = Injector(site)
+    try:
+        await site.start()
+        began = time.monotonic()
+        await site.start_callers(began + seconds)
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
+                group.create_task(injector.inject(fault))
+        async with asyncio.timeout(seconds + END_TIMEOUT):
+            for callers in site.callers:
+                await callers.wait()
+        return began
+    finally:
+        await site.close()
--- /dev/null
+++ b/tests/process_soak/site.py
@@ -0,0 +1,461 @@
+"""The processes of a soak: the store, engines, gateways and callers on loopback."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from base64 import b64encode
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from process_soak.callers import API_KEY, HOST, Plan, Route
+from process_soak.engine import FAULTS_PATH, EngineFaults
+from process_soak.record import Record
+
+RESTART_DELAY = 0.5
+"""Seconds after its end in which the platform starts a gateway again."""
+
+START_TIMEOUT = 20.0
+PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
+INTERNAL_PORTS = (7340, 7355)
+GATEWAY = "cyclamenyoke.daemon.gateway"
+LLM, APP = "llm", "app"
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds of the deployment; see the settings of a gateway."""
+
+    grace: float = 8.0
+    drain: float = 2.0
+    config_apply: float = 2.0
+    loss_slack: float = 0.2
+    stability: float = 3.0
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 40.0
+
+
+@dataclass(slots=True)
+class Sizes:
+    """How much of everything a run has.
+
+    :param rate: requests a second.
+    :param work: seconds that an engine needs for a plain request.
+    :param events: events of a stream, ``interval`` seconds apart.
+    :param busy: processes that only use the processor.
+    """
+
+    gateways: int = 6
+    engines: int = 4
+    servers: int = 3
+    slots: int = 6
+    callers: int = 90
+    rate: float = 120.0
+    work: float = 0.02
+    events: int = 12
+    interval: float = 0.08
+    leave_share: float = 0.02
+    busy: int = 0
+
+
+ROUTES = [
+    Route("draft", "streaming", LLM, 0.3, 8.0, patience=2.0),
+    Route("lookup", "safe", APP, 0.45, 1.5),
+    Route("order", "unsafe", APP, 0.25, 1.5),
+]
+
+
+def configuration(version: int, extra_routes: int = 0) -> dict[str, Any]:
+    """Return the operator's configuration.
+
+    :param extra_routes: routes that nobody uses.
+    """
+    limits = {"max_header_bytes": 4096, "max_body_bytes": 10_000}
+    limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
+    names = [(route.name, route) for route in ROUTES]
+    names += [(f"more{number}", ROUTES[1]) for number in range(extra_routes)]
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": route.kind,
+            "timeout_ms": int(1000 * route.deadline),
+            "target_latency_ms": 400 if route.kind == "streaming" else 100,
+            "target_gap_ms": 120 if route.kind == "streaming" else 0,
+            "resumable": route.kind == "streaming",
+            "priority": 1,
+            "service": route.service,
+            "max_attempts": 1 if route.kind == "unsafe" else 2,
+            "public": False,
+        }
+        for name, route in names
+    ]
+    services = [{"name": name, "max_connections": 400} for name in (LLM, APP)]
+    tenants = [{"name": "customer", "api_keys": [API_KEY]}]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+        "tenants": tenants,
+    }
+
+
+@dataclass(slots=True)
+class Process:
+    """A process, which runs again whenever it ends, unless it is kept down.
+
+    :param incarnation: number of starts.
+    :param settings: the settings file of a gateway.
+    """
+
+    name: str
+    ip: str
+    settings: Path | None = None
+    child: asyncio.subprocess.Process | None = None
+    incarnation: int = 0
+    started_at: float = 0.0
+    is_wanted: bool = True
+    is_stopping: bool = False
+    keeper: asyncio.Task[None] | None = None
+    grace: float = 8.0
+
+
+@dataclass(slots=True)
+class EngineProcess:
+    """An engine: its process, the id of its start, and what it serves."""
+
+    name: str
+    service: str
+    address: str
+    id: str = ""
+    child: asyncio.subprocess.Process | None = None
+    starts: int = 0
+    faults: EngineFaults = field(default_factory=EngineFaults)
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+async def post(address: str, path: str, content: object, timeout: float = 2.0) -> None:
+    """Send a body as JSON and wait for the response.
+
+    :raises OSError: when there is none.
+    """
+    body = msgspec.json.encode(content)
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(timeout):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            head = f"POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: "
+            writer.write(f"{head}{len(body)}\r\n\r\n".encode() + body)
+            status = (await reader.readline()).split()[1:2]
+            if status != [b"200"]:
+                raise OSError(f"{path}: {status}")
+        finally:
+            writer.transport.abort()
+
+
+class Site:
+    """Starts, signals and ends the processes of one run.
+
+    :param directory: gets records, settings and logs.
+    :param source: the tree whose gateways run.
+    :param gateway_module: module that runs as a gateway.
+    :param network: first two numbers of the gateways' addresses, such as ``127.20``.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        sizes: Sizes,
+        bounds: Bounds,
+        random: Random,
+        source: Path = ROOT / "src",
+        gateway_module: str = GATEWAY,
+        network: str = "127.20",
+    ) -> None:
+        self.directory = directory
+        self.sizes = sizes
+        self.bounds = bounds
+        self.random = random
+        self._source = source
+        self._gateway_module = gateway_module
+        self._network = network
+        self.record = Record(directory / "run.jsonl")
+        self.gateways: list[Process] = []
+        self.engines: list[EngineProcess] = []
+        self._others: list[asyncio.subprocess.Process] = []
+        self.callers: list[asyncio.subprocess.Process] = []
+        self._version = 0
+        self.store = f"127.0.0.1:{free_port()}"
+
+    # Starting.
+
+    async def start(self) -> None:
+        """Start all processes but the callers; return once each gateway is ready."""
+        port = self.store.rpartition(":")[2]
+        store = ["-m", "cyclamenyoke.standins", "platform", port]
+        self._others.append(await self._spawn(store, "store"))
+        await self._until(lambda: self._put({}))
+        await self.configure()
+        for service, count in ((LLM, self.sizes.engines), (APP, self.sizes.servers)):
+            for number in range(count):
+                address = f"127.0.0.1:{free_port()}"
+                engine = EngineProcess(f"{service}-{number}", service, address)
+                self.engines.append(engine)
+                await self.start_engine(engine)
+        for number in range(self.sizes.gateways):
+            ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
+            gateway = Process(f"gateway-{number}", ip)
+            gateway.settings = self.directory / f"{gateway.name}.toml"
+            gateway.grace = self.bounds.grace
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            self.write_settings(gateway)
+            gateway.keeper = asyncio.create_task(self._keep(gateway))
+        for gateway in self.gateways:
+            await self._until(lambda gateway=gateway: self._check_ready(gateway))
+        for number in range(self.sizes.busy):
+            busy = ["-c", "while True: pass"]
+            self._others.append(await self._spawn(busy, f"busy-{number}"))
+
+    async def start_callers(self, until: float, processes: int = 2) -> None:
+        """Start the callers, which stop at a time by the monotonic clock."""
+        for number in range(processes):
+            plan = Plan(
+                f"c{number}",
+                self.random.getrandbits(32),
+                self.sizes.callers // processes,
+                self.sizes.rate / processes,
+                self.sizes.leave_share,
+                until,
+                [f"{each.ip}:{PORTS['directory']}" for each in self.gateways],
+                ROUTES,
+            )
+            path = self.directory / f"callers-{number}.json"
+            path.write_bytes(msgspec.json.encode(plan))
+            record = self.directory / f"callers-{number}.jsonl"
+            words = ["-m", "process_soak.callers", "--plan", str(path)]
+            child = await self._spawn(
+                [*words, "--record", str(record)], f"callers-{number}"
+            )
+            self.callers.append(child)
+
+    async def _spawn(
+        self, words: list[str], log: str, **variables: str
+    ) -> asyncio.subprocess.Process:
+        path = f"{self._source}:{ROOT / 'tests'}"
+        variables = {"PYTHONPATH": path, "PATH": os.environ["PATH"], **variables}
+        with (self.directory / f"{log}.log").open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *words, stdout=output, stderr=output, env=variables
+            )
+
+    async def _until(self, check: Any) -> None:
+        """Repeat a check until it raises no error."""
+        ends_at = time.monotonic() + START_TIMEOUT
+        while True:
+            try:
+                return await check()
+            except (OSError, TimeoutError):
+                if time.monotonic() > ends_at:
+                    raise
+            await asyncio.sleep(0.05)
+
+    async def _check_ready(self, gateway: Process) -> None:
+        reader, writer = await asyncio.open_connection(gateway.ip, PORTS["ready"])
+        try:
+            writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            if b" 200 " not in await reader.readline():
+                raise OSError(f"{gateway.name} is not ready")
+        finally:
+            writer.transport.abort()
+
+    # The store.
+
+    async def _put(self, values: dict[str, object]) -> None:
+        writes = [
+            {
+                "key": key,
+                "value": b64encode(json.dumps(value).encode()).decode()
+                if value
+                else "",
+            }
+            for key, value in values.items()
+        ]
+        await post(self.store, "/v1/put", writes)
+
+    async def configure(self, extra_routes: int = 0) -> None:
+        """Write the next version of the configuration."""
+        self._version += 1
+        sent_at = time.monotonic()
+        await self._put({"op/config": configuration(self._version, extra_routes)})
+        self.record.add("configured", sent_at, until=time.monotonic())
+
+    async def set_store_faults(self, **faults: object) -> None:
+        """Inject faults into the store; none ends them."""
+        await post(self.store, "/v1/faults", faults)
+
+    # Engines.
+
+    async def start_engine(self, engine: EngineProcess) -> None:
+        """Start an engine under a new id and register it."""
+        engine.starts += 1
+        engine.id = f"i-{engine.name}-{engine.starts}"
+        sizes, is_llm = self.sizes, engine.service == LLM
+        words = ["-m", "process_soak.engine", "--id", engine.id]
+        words += ["--service", engine.service, "--address", engine.address]
+        words += ["--record", str(self.directory / f"{engine.name}.jsonl")]
+        words += ["--slots", str(sizes.slots), "--work", str(sizes.work)]
+        words += ["--seed", str(self.random.getrandbits(32))]
+        if is_llm:
+            words += ["--events", str(sizes.events), "--interval", str(sizes.interval)]
+        engine.child = await self._spawn(words, engine.name)
+        await self._until(lambda: self.set_engine_faults(engine, EngineFaults()))
+        await self.register(engine)
+
+    async def register(self, engine: EngineProcess, state: str = "ready") -> None:
+        """Write an engine's entry; an empty state removes it."""
+        entry = {
+            "service": engine.service,
+            "address": engine.address,
+            "zone": "dc-1",
+            "version": "v1",
+            "slots": self.sizes.slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000 + engine.starts,
+        }
+        await self._put({f"servers/{engine.id}": entry if state else None})
+
+    async def set_engine_faults(
+        self, engine: EngineProcess, faults: EngineFaults
+    ) -> None:
+        """Inject faults into an engine."""
+        await post(engine.address, FAULTS_PATH, faults)
+        engine.faults = faults
+
+    # Gateways.
+
+    def write_settings(self, gateway: Process) -> None:
+        """Write a gateway's settings file."""
+        bounds, ip = self.bounds, gateway.ip
+        seeds = [f"{each.ip}:{PORTS['control']}" for each in self.gateways[:3]]
+        listen = "\n".join(f'{name} = "{ip}:{port}"' for name, port in PORTS.items())
+        text = f"""node = "{gateway.name}"
+ip = "{ip}"
+zone = "dc-1"
+region = "region"
+internal_ports = {list(INTERNAL_PORTS)}
+seeds = {json.dumps(seeds)}
+heartbeat_ms = 1200
+[listen]
+{listen}
+[limits]
+cpu_share = 0.731
+cores = 1
+memory_mb = 222
+file_descriptors = 1570
+[bounds]
+stability_ms = {1000 * bounds.stability}
+drain_ms = {1000 * bounds.drain}
+grace_s = {gateway.grace}
+config_apply_ms = {1000 * bounds.config_apply}
+retry_budget_ratio = {bounds.retry_ratio}
+budget_window_s = {bounds.retry_window}
+retry_budget_slack = {bounds.retry_slack}
+ttl_max_s = 5
+stall_ms = 1500
+[platform]
+address = "{self.store}"
+"""
+        assert gateway.settings is not None
+        changed = gateway.settings.with_suffix(".new")
+        changed.write_text(text)
+        changed.rename(gateway.settings)
+
+    async def _keep(self, gateway: Process) -> None:
+        """Start a gateway again whenever it ends."""
+        while gateway.is_wanted:
+            gateway.incarnation += 1
+            gateway.is_stopping = False
+            gateway.started_at = time.monotonic()
+            self.record.add(
+                "started", process=gateway.name, incarnation=gateway.incarnation
+            )
+            gateway.child = await self._spawn(
+                ["-m", self._gateway_module],
+                gateway.name,
+                CYCLAMENYOKE_NODE_FILE=str(gateway.settings),
+            )
+            code = await gateway.child.wait()
+            self.record.add(
+                "exited",
+                process=gateway.name,
+                incarnation=gateway.incarnation,
+                status=code,
+            )
+            await asyncio.sleep(RESTART_DELAY)
+
+    def send_signal(self, gateway: Process, number: signal.Signals) -> bool:
+        """Send a signal to a gateway; return whether it was there."""
+        child = gateway.child
+        if child is None or child.returncode is not None:
+            return False
+        age = time.monotonic() - gateway.started_at
+        self.record.add(
+            "signal",
+            process=gateway.name,
+            incarnation=gateway.incarnation,
+            result=number.name,
+            detail=f"{age:.3f} s after its start",
+        )
+        with contextlib.suppress(ProcessLookupError):
+            child.send_signal(number)
+        return True
+
+    async def stop_gateway(self, gateway: Process) -> None:
+        """Send SIGTERM, and SIGKILL after the grace as the platform does."""
+        child = gateway.child
+        if gateway.is_stopping or not self.send_signal(gateway, signal.SIGTERM):
+            return
+        gateway.is_stopping = True
+        grace = gateway.grace
+        try:
+            async with asyncio.timeout(grace):
+                await child.wait()
+        except TimeoutError:
+            if child.returncode is None:
+                self.send_signal(gateway, signal.SIGKILL)
+
+    # The end.
+
+    async def close(self) -> None:
+        """End all processes of the run."""
+        for gateway in self.gateways:
+            gateway.is_wanted = False
+            if gateway.keeper is not None:
+                gateway.keeper.cancel()
+        children = [each.child for each in (*self.gateways, *self.engines)]
+        for child in (*children, *self.callers, *self._others):
+            if child is not None and child.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    child.kill()
+                await child.wait()
