Close a stopping gateway's connections in the turn in which it finds none in use

The gateway had logged "closing" with no request in progress, and "stopped" 1 ms later.

Cause: it looked at the connections, then awaited the end of its tasks, and closed the idle ones after that. What it read meanwhile went to an engine and was cut by the end of the process. It closes them in the same turn of the event loop now; a connection that was accepted just before is closed unread, and a request of which only a part has arrived at the cut-off is refused with 503.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -285,10 +285,15 @@
         timeout = limits.idle_timeout if self._unsent_before else LINGER_TIMEOUT
         self._reset_at = self._server.clock.now() + timeout
 
-    def close_idle(self) -> None:
-        """Close unless a request is in progress."""
+    def close_for_stop(self) -> None:
+        """Close now, or once the request in progress has its response.
+
+        A request that has not arrived as a whole is refused: it has not run.
+        """
         if not self.is_busy and self._transport is not None:
             self._transport.close()
+        elif self._is_receiving:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     # asyncio callbacks.
 
@@ -298,6 +303,9 @@
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         set_dead_peer_timeouts(transport.get_extra_info("socket"))
         self._server.on_open(self)
+        if self._server.is_closed:
+            # Accepted just before the server closed.
+            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_lost = True
@@ -408,9 +416,13 @@
         """
         if self._is_discarding:
             return
+        self._server.on_malformed_request(status.value)
+        self._refuse(status)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Refuse the request that is being received and close the connection."""
         self._is_discarding = True
         self._is_receiving = False
-        self._server.on_malformed_request(status.value)
         self._rejection = status
         self._start_next()
 
@@ -467,6 +479,7 @@
         self.on_handler_error = on_handler_error
         self.limits = CallerLimits()
         self.is_draining = False
+        self.is_closed = False
         self._connections: set[IngressConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
@@ -496,18 +509,18 @@
         )
         self._sweep_task = asyncio.create_task(self._sweep())
 
-    def stop_accepting(self) -> None:
-        """Stop accepting connections; open ones are still served."""
+    def close(self) -> None:
+        """Close at once whatever has no request in progress, and read no new requests.
+
+        Requests in progress still get their responses; their connections close then.
+        """
+        self.is_draining = self.is_closed = True
         if self._server is not None:
             self._server.close()
-
-    def close(self) -> None:
-        """Close idle connections and stop checking deadlines."""
-        self.stop_accepting()
         if self._sweep_task is not None:
             self._sweep_task.cancel()
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.close_for_stop()
 
     def on_open(self, connection: IngressConnection) -> None:
         """Register a new connection."""
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -330,9 +330,13 @@
         await self._supervisor.run_once("deregister", self._membership.deregister)
         while not shutdown.can_close(self._clock.now(), self._caller_server.busy_count):
             await asyncio.sleep(STOP_POLL_INTERVAL)
-        shutdown.on_close(self._clock.now(), self._caller_server.busy_count)
-        self._caller_server.stop_accepting()
-        self._log.info("closing", busy=self._caller_server.busy_count)
+        # Nothing is awaited between the check and the closing: a request that is read
+        # in between would be sent to an engine and cut off.
+        busy_count = self._caller_server.busy_count
+        shutdown.on_close(self._clock.now(), busy_count)
+        for _, server in self._servers:
+            server.close()
+        self._log.info("closing", busy=busy_count)
 
     def _create_server(self, handler: object) -> IngressServer:
         return IngressServer(
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -265,6 +265,7 @@
 PROFILES = {
     "all": Profile(tuple(INJECTORS)),
     "planned": Profile(PLANNED),
+    "stops": Profile(("stop_in_turn",), 0.5, 2.0),
     "planned_early": Profile((*PLANNED, "signal_at_start")),
     "restarts": Profile(("kill_most", "engines_reset", "kill_most")),
     "budget": Profile(("kill_while_servers_fail",), 12.0, 16.0),
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -35,6 +35,7 @@
     callers: int
     rate: float
     work: float
+    events: int
     grace: float
     slack: float
     busy: int
@@ -64,6 +65,7 @@
         callers=options.callers,
         rate=options.rate,
         work=options.work,
+        events=options.events,
         busy=options.busy,
     )
     bounds = Bounds(grace=options.grace, retry_slack=options.slack)
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -271,3 +271,28 @@
     assert server.connection_count == 0
     writer.close()
     server.close()
+
+
+LOOKUP = encode_request("GET", "/lookup/a", caller_headers(deadline=1000))
+
+
+# Guards against a request that a node reads after it decided to close, and then cuts.
+async def test_request_that_arrives_as_the_node_closes_reaches_no_engine(monkeypatch):
+    on_close = GracefulShutdown.on_close
+
+    def send_request_first(self, now, in_flight):
+        writer.write(LOOKUP)
+        on_close(self, now, in_flight)
+
+    monkeypatch.setattr(GracefulShutdown, "on_close", send_request_first)
+    async with running_slow_site() as site:
+        gateway, settings, task = site.gateways[0]
+        reader, writer = await connect(settings.callers)
+        writer.write(LOOKUP)
+        assert (await read_response(reader)).status == 200
+        received = count_received(site)
+        gateway.stop()
+        await asyncio.wait_for(task, CUT_OFF)
+        await asyncio.sleep(0.1)
+        assert count_received(site) == received
+        writer.close()
