Settle what signals do before a gateway process loads anything large

A reload must end nothing, and an end by a signal is one by itself.

Cause: handlers were set once the event loop ran, after imports that take most of a start, and removed with the event loop. A process now starts in gateway_process, which sets them before it loads the gateway and keeps what arrives until the gateway acts on it; from its last statement on, signals are ignored. Blocked signals are unblocked. Some 25 ms of the interpreter's own start remain, of 380 ms on this machine.

The tests failed before (ended by signal 1; by signal 15).

--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -1,7 +1,7 @@
 """A gateway process, which forwards callers' requests to endpoints without agents.
 
-Wires the gateway's parts to the clients of the users' platform. Run as
-``python3 -m cyclamenyoke.daemon.gateway``.
+Wires the gateway's parts to the clients of the users' platform.
+``daemon/gateway_process.py`` runs it.
 """
 
 import asyncio
@@ -35,6 +35,7 @@
 from cyclamenyoke.daemon.expert_rebalancer import ExpertRebalancer
 from cyclamenyoke.daemon.forwarder import Forwarder
 from cyclamenyoke.daemon.membership import Membership
+from cyclamenyoke.daemon.process_signals import ProcessSignals
 from cyclamenyoke.daemon.quarantine_api import QuarantineHandler
 from cyclamenyoke.daemon.quarantine_store import LoggingObserver, QuarantineStore
 from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
@@ -475,18 +476,27 @@
         self._log.error("promise broken", promise=invariant.value, detail=detail)
 
 
-async def _serve(settings: NodeSettings, path: Path) -> None:
+async def _serve(settings: NodeSettings, path: Path, signals: ProcessSignals) -> None:
     gateway = Gateway(settings, path)
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, gateway.stop)
-    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     loop.set_exception_handler(gateway.on_loop_error)
-    await gateway.run()
+    actions = {
+        signal.SIGTERM: gateway.stop,
+        signal.SIGINT: gateway.stop,
+        signal.SIGHUP: gateway.reload,
+    }
+    signals.connect(loop, actions)
+    try:
+        await gateway.run()
+    finally:
+        signals.disconnect()
+
 
+def run(signals: ProcessSignals) -> None:
+    """Run the gateway of this machine; exit with the error's code if it fails.
 
-def run() -> None:
-    """Run the gateway of this machine; exit with the error's code if it fails."""
+    :param signals: installed at the start of the process.
+    """
     try:
         path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, ""))
         settings = load_settings(path)
@@ -494,13 +504,9 @@
         # Excludes the objects created so far from garbage collection.
         gc.freeze()
         try:
-            asyncio.run(_serve(settings, path))
+            asyncio.run(_serve(settings, path, signals))
         finally:
             logs.close()
     except CyclamenyokeError as error:
         print(error.format_message(), file=sys.stderr)
         sys.exit(error.exit_code)
-
-
-if __name__ == "__main__":
-    run()
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -26,7 +26,7 @@
 START_TIMEOUT = 20.0
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
-GATEWAY = "cyclamenyoke.daemon.gateway"
+GATEWAY = "cyclamenyoke.daemon.gateway_process"
 LLM, APP = "llm", "app"
 ROOT = Path(__file__).resolve().parents[2]
 
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -234,7 +234,7 @@
     path = tmp_path / "node.toml"
     path.write_text('node = 5\nip = "10.0.0.1"\n')
     completed = subprocess.run(
-        [sys.executable, "-m", "cyclamenyoke.daemon.gateway"],
+        [sys.executable, "-m", "cyclamenyoke.daemon.gateway_process"],
         env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
         capture_output=True,
         text=True,
@@ -286,7 +286,7 @@
 def start_process(path) -> subprocess.Popen:
     """Start a gateway process whose standard output is a pipe."""
     return subprocess.Popen(
-        [sys.executable, "-m", "cyclamenyoke.daemon.gateway"],
+        [sys.executable, "-m", "cyclamenyoke.daemon.gateway_process"],
         env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
         stdout=subprocess.PIPE,
         text=True,
@@ -313,6 +313,71 @@
         process.wait()
 
 
+SIGNALLED_BEFORE_LOADING = """
+import os, signal, sys
+from cyclamenyoke.daemon.process_signals import ProcessSignals
+signals = ProcessSignals()
+signals.install()
+assert "asyncio" not in sys.modules
+for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
+    os.kill(os.getpid(), number)
+from cyclamenyoke.daemon.gateway import run
+run(signals)
+"""
+
+
+# Guards against a reload or a planned stop that ends a process which still starts.
+def test_signals_that_come_before_the_gateway_is_loaded_are_kept(tmp_path):
+    path = tmp_path / "node.toml"
+    write_settings(path)
+    completed = subprocess.run(
+        [sys.executable, "-c", SIGNALLED_BEFORE_LOADING],
+        env={**os.environ, "CYCLAMENYOKE_NODE_FILE": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert completed.returncode == 0, completed.stderr
+    for message in ("started", "settings reloaded", "stopping", "stopped"):
+        assert f'"{message}"' in completed.stdout
+
+
+# Guards against a parent's blocked signals, with which no stop would ever be planned.
+def test_blocked_signals_stop_a_process(tmp_path):
+    path = tmp_path / "node.toml"
+    write_settings(path)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})
+    try:
+        process = start_process(path)
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM, signal.SIGHUP})
+    try:
+        assert any('"started"' in line for line in iter(process.stdout.readline, ""))
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(6) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+# Guards against signals that end a process once its event loop has closed.
+def test_signals_to_the_last_leave_a_stopped_process_its_exit_code(tmp_path):
+    path = tmp_path / "node.toml"
+    write_settings(path)
+    process = start_process(path)
+    try:
+        lines = iter(process.stdout.readline, "")
+        assert any('"started"' in line for line in lines)
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        assert process.returncode == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 async def test_unread_log_output_does_not_block_requests(tmp_path):
     path = tmp_path / "node.toml"
     callers = write_settings(path)
