--- a/src/cyclamenyoke/core/graceful_shutdown.py
+++ b/src/cyclamenyoke/core/graceful_shutdown.py
@@ -14,6 +14,10 @@
 """Seconds before the platform kills the process when remaining requests are cut off.
 This leaves time to close all sockets, even on a machine with half a core."""
 
+MAX_KILL_MARGIN_SHARE = 1 / 8
+"""Upper bound of that margin as a share of the grace time. Requests that engines are at
+work on may be cut off in its last sixth only."""
+
 MIN_DRAIN_DURATION = 2.5 * SECOND
 """Seconds for which a node that shuts down still accepts connections, because callers
 may use a cached address list from the directory. Must exceed the lifetime of that
@@ -31,10 +35,12 @@
 
     :param cut_off_at: when requests in flight are cut off because the kill is near.
     :param min_close_at: earliest time at which an idle node may close its connections.
+    :param flush_until: until when the last responses may be written to the sockets.
     """
 
     cut_off_at: float
     min_close_at: float
+    flush_until: float
     monitor: InvariantMonitor
 
     @classmethod
@@ -45,8 +51,10 @@
 
         :param grace: seconds until the platform kills the process.
         """
-        cut_off_at = now + max(0.0, grace - KILL_MARGIN)
-        return cls(cut_off_at, min(cut_off_at, now + MIN_DRAIN_DURATION), monitor)
+        margin = min(KILL_MARGIN, MAX_KILL_MARGIN_SHARE * grace)
+        cut_off_at = now + grace - margin
+        min_close_at = min(cut_off_at, now + MIN_DRAIN_DURATION)
+        return cls(cut_off_at, min_close_at, cut_off_at + margin / 2, monitor)
 
     def can_end(self, now: float, deadline: float, expected: float | None) -> bool:
         """Return whether a request that is sent now ends before it would be cut off.
