Answer requests that a shutdown cuts off before their response has begun

At the cut-off callers saw their connection end without a byte, also where no part of a response had been sent, and the log said "caller_gone" though the gateway had closed.

Cause: requests in progress ended with the process, by a cancelled task. The stop now ends them itself: an answer of the engine that was kept, 503 for what has not run, 502 or 504 otherwise, which promise nothing. A stream of which a part was sent is still cut. The line "request done" names the node's shutdown as the reason. The process waits for the last responses to be written, up to half of the margin before the kill.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -291,6 +291,9 @@
         self._reservations = Reservations(balancer)
         self._durations = LongestDurations()
         self.shutdown: GracefulShutdown | None = None
+        # The tasks of the requests in progress.
+        self._serving: set[asyncio.Task[object]] = set()
+        self._is_cut_off = False
         self._admission = Admission(
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
@@ -383,9 +386,18 @@
             context.priority = customer.priority
         self._retry_budget(service).on_first_attempt(self._clock.now())
         outcome = "caller_gone"
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
         try:
             outcome = await self._try_endpoints(context, config)
+        except asyncio.CancelledError:
+            if not self._is_cut_off:
+                raise
+            context.detail = "cut off by this node's shutdown"
+            outcome = self._send_final_response(context)
         finally:
+            self._serving.discard(task)
             self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
@@ -684,6 +696,15 @@
             context.prompt,
         )
 
+    def cut_off(self) -> None:
+        """End the requests in progress, since the process is about to be killed.
+
+        Their callers get a final response, unless a part of an endpoint's was sent.
+        """
+        self._is_cut_off = True
+        for task in self._serving:
+            task.cancel()
+
     def dispatch(self) -> None:
         """Admit queued requests to free slots, and reject those that have expired."""
         if not self._waiting:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -66,6 +66,9 @@
 STOP_POLL_INTERVAL = 50 * MILLISECOND
 """Interval in seconds at which a shutdown checks whether it is complete."""
 
+FLUSH_POLL_INTERVAL = 10 * MILLISECOND
+"""Interval in seconds at which it checks whether the last responses are sent."""
+
 SETTINGS_POLL_INTERVAL = 1 * SECOND
 """Interval in seconds at which the settings file is checked for changes."""
 
@@ -338,6 +341,12 @@
         for _, server in self._servers:
             server.close()
         self._log.info("closing", busy=busy_count)
+        if busy_count:
+            self._forwarder.cut_off()
+        while self._caller_server.busy_count:
+            if self._clock.now() >= shutdown.flush_until:
+                break
+            await asyncio.sleep(FLUSH_POLL_INTERVAL)
 
     def _create_server(self, handler: object) -> IngressServer:
         return IngressServer(
