--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -22,7 +22,7 @@
 
     :param profile: kinds of faults; drawn from the seed if empty.
     :param source: tree of the gateways that run.
-    :param gateway: module that is run as a gateway.
+    :param gateway: module that is run as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses; runs beside each
         other need different ones.
     :param directory: gets a directory of records for each run.
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -176,7 +176,7 @@
 
     :param directory: gets records, settings and logs.
     :param source: the tree whose gateways run.
-    :param gateway_module: module that runs as a gateway.
+    :param gateway_module: module that runs as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses, such as ``127.20``.
     """
 
@@ -401,7 +401,7 @@
                 "started", process=gateway.name, incarnation=gateway.incarnation
             )
             gateway.child = await self._spawn(
-                ["-m", self._gateway_module],
+                ["-m", *self._gateway_module.split()],
                 gateway.name,
                 CYCLAMENYOKE_NODE_FILE=str(gateway.settings),
             )
