Record a fault that never ends as a number, and the others once they have ended

Disturbances of engines and of the store were recorded with the end that was planned; what takes longer, since a frozen engine answers late, was held against the gateways.

--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from process_soak.engine import EngineFaults
+from process_soak.record import FOREVER
 from process_soak.site import APP, EngineProcess, Process, Site
 
 CALM_END = 4.0
@@ -126,11 +127,11 @@
             await asyncio.sleep(random.uniform(0.0, 1.0))
 
     async def store_down(self, random: Random) -> None:
-        seconds = random.uniform(1.0, 5.0)
-        self._record.add("store", until=time.monotonic() + seconds)
+        began = time.monotonic()
         await self._site.set_store_faults(down=True)
-        await asyncio.sleep(seconds)
+        await asyncio.sleep(random.uniform(1.0, 5.0))
         await self._site.set_store_faults()
+        self._record.add("store", began, until=time.monotonic())
 
     async def engines_reset(self, random: Random) -> None:
         """Most servers reset or close after a request has come, with good health."""
@@ -176,17 +177,20 @@
     async def _harm_all(
         self, engines: list[EngineProcess], faults: EngineFaults, seconds: float
     ) -> None:
+        began = {engine.id: time.monotonic() for engine in engines}
         for engine in engines:
-            self._record.add(
-                "harmed",
-                process=engine.id,
-                detail=repr(faults),
-                until=time.monotonic() + seconds,
-            )
             await self._set_faults(engine, faults)
         await asyncio.sleep(seconds)
         for engine in engines:
             await self._set_faults(engine, EngineFaults())
+        for id_, began_at in began.items():
+            self._record.add(
+                "harmed",
+                began_at,
+                process=id_,
+                detail=repr(faults),
+                until=time.monotonic(),
+            )
 
     async def _set_faults(self, engine: EngineProcess, faults: EngineFaults) -> None:
         try:
@@ -200,7 +204,7 @@
         site = self._site
         engine = random.choice(site.engines)
         child, id_ = engine.child, engine.id
-        self._record.add("harmed", process=id_, detail="killed", until=float("inf"))
+        self._record.add("harmed", process=id_, detail="killed", until=FOREVER)
         child.kill()
         await child.wait()
         await asyncio.sleep(random.uniform(0.2, 3.0))
@@ -210,19 +214,14 @@
 
     async def engine_frozen(self, random: Random) -> None:
         engine = random.choice(self._site.engines)
-        seconds = random.uniform(0.5, 6.0)
-        self._record.add(
-            "harmed",
-            process=engine.id,
-            detail="frozen",
-            until=time.monotonic() + seconds,
-        )
-        child = engine.child
+        child, id_, began = engine.child, engine.id, time.monotonic()
         if child.returncode is None:
             child.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
+            await asyncio.sleep(random.uniform(0.5, 6.0))
         if child.returncode is None:
             child.send_signal(signal.SIGCONT)
+        until = time.monotonic()
+        self._record.add("harmed", began, process=id_, detail="frozen", until=until)
 
 
 INJECTORS: dict[str, Callable[[Injector, Random], Awaitable[None]]] = {
--- a/tests/process_soak/record.py
+++ b/tests/process_soak/record.py
@@ -9,12 +9,18 @@
 
 import msgspec
 
+FOREVER = 1e12
+"""A time that never comes; JSON knows no infinity."""
+
 
 class Event(msgspec.Struct, omit_defaults=True):
     """One observation. ``what`` says which; fields that do not apply are left out.
 
-    Callers record ``sent`` and ``ended``, engines ``arrived`` and ``left``, and the
-    run itself ``signal``, ``started``, ``exited``, ``fault`` and ``calm``.
+    Callers record ``sent`` and ``ended``, engines ``arrived``, ``began`` and ``left``.
+    The run itself records ``signal``, ``started``, ``exited``, ``fault``, ``store``
+    (the store is disturbed), ``harmed`` (an engine is), ``leaving`` (the store has
+    accepted that an engine leaves or is gone), ``configured`` and ``asked`` (for the
+    readiness of a gateway).
 
     :param at: when it was seen.
     :param process: the gateway, engine or caller that it is about.
@@ -24,13 +30,14 @@
     :param gateway: gateway to which the caller sent the request.
     :param connection: number of the caller's connection.
     :param use: how many requests the connection carried before this one.
-    :param deadline: when the caller gives up.
+    :param deadline: when the caller gives up; as an engine was told, 0 if it was not.
     :param incarnation: start of the gateway that was running then, from 1.
     :param result: how it ended; see :mod:`process_soak.callers` and
         :mod:`process_soak.engine`.
     :param status: status of the response, 0 without one.
+    :param signer: engine whose signature the response bears.
     :param detail: anything else, for the reader.
-    :param until: when the condition that begins here ends.
+    :param until: when the condition that begins here ends, or the work as planned.
     """
 
     at: float
@@ -46,6 +53,7 @@
     incarnation: int = 0
     result: str = ""
     status: int = 0
+    signer: str = ""
     detail: str = ""
     until: float = 0.0
 
