Record when engines begin to work, what they are told, and damaged streams

Callers looked at the order of a stream only at its end, so that a stream with a repeated event that was cut later was not found; a response head that is none ended the caller itself; any 2xx needs the engine's signature. For the checks to come, the deadline and the status that engines saw are recorded, and whose signature an answer bears.

--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -3,8 +3,9 @@
 Callers record each request (``sent``) and how it ended (``ended``): ``answered``, a
 complete response; ``cut``, the connection ended without one; ``unconnected``, no
 connection was made; ``gave_up`` at the caller's deadline; ``left``, before that;
-``mixed``, something that is no answer to this request. They go on using a connection to
-a gateway that is no longer named, until that closes it.
+``mixed``, something that is no answer to this request; ``disordered``, a stream with
+events missing, repeated or changed. They go on using a connection to a gateway that is
+no longer named, until that closes it.
 
 Run with ``python -m process_soak.callers``.
 """
@@ -106,16 +107,23 @@
     """The response is none to this request, or is damaged."""
 
 
+class Disordered(Exception):
+    """The events of a stream are not those of the engine, in their order."""
+
+
 async def read_head(reader: asyncio.StreamReader) -> Head:
     """Read the head of a response.
 
     :raises EOFError: when the connection ends before it is complete.
     :raises Mixed: when it is none.
     """
-    head = await reader.readuntil(b"\r\n\r\n")
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.LimitOverrunError as error:
+        raise Mixed("endless head") from error
     first, *lines = head.decode("latin-1").strip().split("\r\n")
     version, _, status = first.partition(" ")
-    if version != "HTTP/1.1":
+    if version != "HTTP/1.1" or not status[:3].isdecimal():
         raise Mixed(first[:80])
     pairs = (line.partition(": ") for line in lines)
     return Head(int(status[:3]), {name.lower(): value for name, _, value in pairs})
@@ -181,20 +189,24 @@
         is_leaving = self._random.random() < self._leave_share
         timeout = left * self._random.uniform(0.0, 0.5) if is_leaving else left
         result, status, detail, headers = "answered", 0, "", {}
+        signer = ""
         try:
             async with asyncio.timeout(timeout):
                 self._writer.write(self._encode(route, request_id, left))
                 await self._writer.drain()
                 head = await read_head(self._reader)
                 status, headers = head.status, head.headers
+                signer = headers.get(SIGNATURE.lower(), "").rpartition(".")[0]
                 await self._read_body(route, request_id, head)
         except TimeoutError:
             result = "left" if is_leaving else "gave_up"
-        except Mixed as error:
+        except (Mixed, ValueError) as error:
             result, detail = "mixed", str(error)
+        except Disordered as error:
+            result, detail = "disordered", str(error)
         except (OSError, EOFError) as error:
             result, detail = "cut", repr(error)
-        self._add("ended", route, request_id, deadline, result, status, detail)
+        self._add("ended", route, request_id, deadline, result, status, detail, signer)
         if result != "answered" or headers.get("connection") == "close":
             self._close()
         return self._retry_after(route, result, status, headers, deadline)
@@ -249,10 +261,11 @@
             raise Mixed(f"answer of {stated_id}")
         if "content-length" in head.headers:
             body = await self._reader.readexactly(int(head.headers["content-length"]))
-            if head.status == 200 and body != plain_body(request_id):
+            if head.status // 100 == 2 and body != plain_body(request_id):
                 raise Mixed(f"body {body[:80]!r}")
             signature = head.headers.get(SIGNATURE.lower(), "")
-            if head.status == 200 and not signature.endswith(f".{zlib.crc32(body)}"):
+            is_signed = signature.endswith(f".{zlib.crc32(body)}")
+            if head.status // 100 == 2 and not is_signed:
                 raise Mixed(f"signature {signature}")
             return
         await self._read_stream(route, request_id)
@@ -266,11 +279,21 @@
             if not size:
                 break
             body += chunk[:-2]
-        events = body.split(b"\n\n")[:-1]
-        last = len(events)
-        expected = [stream_event(request_id, n, last) for n in range(1, last + 1)]
-        if body != b"".join(expected) or not events:
-            raise Mixed(f"stream of {last} events: {body[-80:]!r}")
+            self._check_events(request_id, body)
+        if not self._check_events(request_id, body):
+            raise Disordered(f"complete after {body[-80:]!r}")
+
+    def _check_events(self, request_id: str, body: bytes) -> bool:
+        """Check what has come of a stream; return whether all of it has."""
+        first, is_whole, _ = body.partition(b"\n\n")
+        if not is_whole:
+            return False
+        last = int(first.rpartition(b"/")[2])
+        events = [stream_event(request_id, n, last) for n in range(1, last + 1)]
+        expected = b"".join(events)
+        if not expected.startswith(body):
+            raise Disordered(f"events up to {body[-80:]!r}")
+        return body == expected
 
     def _add(
         self,
@@ -281,6 +304,7 @@
         result: str = "",
         status: int = 0,
         detail: object = "",
+        signer: str = "",
     ) -> None:
         self._record.add(
             what,
@@ -294,6 +318,7 @@
             deadline=deadline,
             result=result,
             status=status,
+            signer=signer,
             detail=str(detail),
         )
 
--- a/tests/process_soak/engine.py
+++ b/tests/process_soak/engine.py
@@ -1,9 +1,9 @@
 """One engine, or one server of a plain service, as a process.
 
 It records each request that arrives (``arrived``, with ``result`` ``run`` or
-``refused``) and how its work ends (``left``): ``answered``; ``failed``, an answer with
-status 500; ``reset``, the engine itself broke off; ``dropped``, the gateway closed the
-connection; ``expired`` at the deadline.
+``refused``), when it begins to work on it (``began``), and how that ends (``left``):
+``answered``; ``failed``, an answer with status 500; ``reset``, the engine itself broke
+off; ``dropped``, the gateway closed the connection; ``expired`` at the deadline.
 
 Run with ``python -m process_soak.engine``. ``POST /faults`` sets :class:`EngineFaults`.
 """
@@ -152,8 +152,8 @@
         is_full = self._waiting >= self._max_waiting
         is_other = request.headers.get("x-target-instance", self._id) != self._id
         if is_full or is_other or self._random.random() < self._faults.refuse:
-            self._add("arrived", request, "refused")
             status = 421 if is_other else 503
+            self._add("arrived", request, "refused", status)
             fields = ["X-Not-Executed: 1", f"X-Instance-Id: {self._id}"]
             self._write(writer, request, status, fields, b"")
             return
@@ -194,6 +194,10 @@
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> str:
         faults, draw = self._faults, self._random.random()
+        work = self._work * faults.slowness * self._random.uniform(0.7, 1.3)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        intervals = max(0, self._events - first) * self._interval * faults.slowness
+        self._add("began", request, "", until=time.monotonic() + work + intervals)
         if draw < faults.reset + faults.close:
             self._add("left", request, "reset")
             if draw < faults.reset:
@@ -202,9 +206,7 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
             raise Broken
-        await asyncio.sleep(
-            self._work * faults.slowness * self._random.uniform(0.7, 1.3)
-        )
+        await asyncio.sleep(work)
         if self._random.random() < faults.fail:
             self._write(writer, request, 500, [f"{SIGNATURE}: {self._id}.0"], b"")
             return "failed"
@@ -215,7 +217,6 @@
             return "answered"
         fields = [f"{SIGNATURE}: {self._id}.0", "Content-Type: text/event-stream"]
         self._write(writer, request, 200, fields, None)
-        first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self._events + 1):
             event = stream_event(request.id, number, self._events)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -240,7 +241,16 @@
         lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {request.id}", length]
         writer.write("\r\n".join([*lines, *fields, "", ""]).encode() + (body or b""))
 
-    def _add(self, what: str, request: Request, result: str) -> None:
+    def _add(
+        self,
+        what: str,
+        request: Request,
+        result: str,
+        status: int = 0,
+        until: float = 0.0,
+    ) -> None:
+        stated = request.headers.get("x-deadline-ms")
+        deadline = request.arrived_at + int(stated) / 1000 if stated else 0.0
         self._record.add(
             what,
             request.arrived_at if what == "arrived" else None,
@@ -248,6 +258,9 @@
             service=self._service,
             request=request.id,
             result=result,
+            status=status,
+            deadline=deadline,
+            until=until,
             detail=request.headers.get("last-event-id", ""),
         )
 
