--- /dev/null
+++ b/tests/process_soak/observations.py
@@ -0,0 +1,287 @@
+"""What was seen of a run, by request, gateway and engine."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from math import inf
+
+from process_soak.record import FOREVER, Event
+from process_soak.site import Bounds
+
+KILL_TOLERANCE = 0.1
+"""Seconds by which the kill at the end of a grace may seem too early."""
+
+END_DURING_DISRUPTION = 1.0
+"""Seconds after a disruption in which the end of a process is put down to it."""
+
+
+@dataclass(slots=True)
+class Request:
+    """One request with all that was seen of it."""
+
+    sent: Event
+    ended: Event | None = None
+    arrivals: list[Event] = field(default_factory=list)
+    runs: list[Event] = field(default_factory=list)
+    ends: list[Event] = field(default_factory=list)
+
+    def end_at_engine(self, arrival: Event) -> Event | None:
+        """Return how an engine's work ended on one of the arrivals."""
+        ends = (
+            end
+            for end in self.ends
+            if end.process == arrival.process and end.at >= arrival.at
+        )
+        return next(ends, None)
+
+
+@dataclass(slots=True)
+class Stop:
+    """A planned stop of a gateway, from its SIGTERM."""
+
+    gateway: str
+    incarnation: int
+    at: float
+
+
+@dataclass(slots=True)
+class Disruption:
+    """A time in which a gateway did not run as usual."""
+
+    since: float
+    until: float
+    is_planned: bool
+
+
+@dataclass(slots=True)
+class Version:
+    """A version of the configuration.
+
+    :param acknowledged_at: when the store had accepted it.
+    :param extra_routes: number of routes that only probes use.
+    """
+
+    sent_at: float
+    acknowledged_at: float
+    extra_routes: int
+
+
+class Disruptions:
+    """The disruptions of one gateway, from its signals, starts and ends in order."""
+
+    def __init__(self, grace: float) -> None:
+        self.all: list[Disruption] = []
+        self.stops: list[Stop] = []
+        self._grace = grace
+        self._frozen: Disruption | None = None
+        self._down: Disruption | None = None
+
+    def on_signal(self, event: Event) -> None:
+        """Apply a signal that the gateway was sent."""
+        handlers = {
+            "SIGTERM": self._on_stop,
+            "SIGKILL": self._on_kill,
+            "SIGSTOP": self._on_freeze,
+            "SIGCONT": self._on_thaw,
+        }
+        if event.result in handlers:
+            handlers[event.result](event)
+
+    def _add(self, since: float, until: float, is_planned: bool) -> Disruption:
+        disruption = Disruption(since, until, is_planned)
+        self.all.append(disruption)
+        return disruption
+
+    def _on_stop(self, event: Event) -> None:
+        self._add(event.at, event.at, True)
+        if not self._stop_of(event):
+            self.stops.append(Stop(event.process, event.incarnation, event.at))
+
+    def _stop_of(self, event: Event) -> Stop | None:
+        """Return the stop of the start that an event is about."""
+        stop = self.stops[-1] if self.stops else None
+        is_same = stop is not None and stop.incarnation == event.incarnation
+        return stop if is_same else None
+
+    def _on_kill(self, event: Event) -> None:
+        # The kill at the end of a grace belongs to the stop.
+        stop = self._stop_of(event)
+        ends_at = inf if stop is None else stop.at + self._grace - KILL_TOLERANCE
+        self._down = self._add(event.at, inf, event.at >= ends_at)
+
+    def _on_freeze(self, event: Event) -> None:
+        self._frozen = self._frozen or self._add(event.at, inf, False)
+
+    def _on_thaw(self, event: Event) -> None:
+        if self._frozen is not None:
+            self._frozen.until = event.at
+            self._frozen = None
+
+    def on_exited(self, event: Event) -> None:
+        """Apply the end of the process."""
+        latest = max((each.until for each in self.all), default=-inf)
+        is_disturbed = event.at <= latest + END_DURING_DISRUPTION
+        self._on_thaw(event)
+        if self._down is not None:
+            return
+        if self._stop_of(event):
+            self._down = self._add(event.at, inf, True)
+        elif is_disturbed:
+            # One that ends by itself at another time counts as running.
+            self._down = self._add(event.at, inf, False)
+
+    def on_started(self, event: Event) -> None:
+        """Apply a start of the process."""
+        if event.incarnation == 1:
+            self._add(event.at, event.at, True)
+        if self._down is not None:
+            self._down.until = event.at
+            self._down = None
+
+
+class Observations:
+    """The events of a run, by what the checks need."""
+
+    def __init__(self, events: Sequence[Event], bounds: Bounds, ips: dict[str, str]):
+        """:param ips: names of gateways by their callers' address."""
+        self.events = events
+        self.bounds = bounds
+        self.requests: dict[str, Request] = {}
+        self.strangers: list[Event] = []
+        self.gateways: dict[str, Disruptions] = defaultdict(
+            lambda: Disruptions(bounds.grace)
+        )
+        self.reloads: dict[str, list[float]] = defaultdict(list)
+        self.exits: list[Event] = []
+        self.versions: list[Version] = []
+        self.signals: list[Event] = []
+        self.left_at: dict[str, float] = {}
+        self.readiness: dict[str, list[Event]] = defaultdict(list)
+        self._names = ips
+        self._harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._ended_at: dict[str, float] = {}
+        self._core: list[tuple[float, float]] = []
+        readers = {
+            "ended": self._on_ended,
+            "arrived": self._on_arrived,
+            "began": self._on_began,
+            "left": self._on_left,
+            "signal": self._on_signal,
+            "started": self._on_started,
+            "exited": self._on_exited,
+            "configured": self._on_configured,
+            "harmed": self._on_harmed,
+            "leaving": self._on_leaving,
+            "store": self._on_store,
+            "asked": self._on_asked,
+        }
+        for event in events:
+            if event.what == "sent":
+                self._on_sent(event)
+        for event in events:
+            if event.what in readers:
+                readers[event.what](event)
+
+    def _on_sent(self, event: Event) -> None:
+        event.gateway = self._names.get(event.gateway, event.gateway)
+        self.requests[event.request] = Request(event)
+
+    def _on_ended(self, event: Event) -> None:
+        if event.request in self.requests:
+            self.requests[event.request].ended = event
+
+    def _on_arrived(self, event: Event) -> None:
+        request = self.requests.get(event.request)
+        if request is None:
+            self.strangers.append(event)
+            return
+        request.arrivals.append(event)
+
+    def _on_began(self, event: Event) -> None:
+        if event.request in self.requests:
+            self.requests[event.request].runs.append(event)
+
+    def _on_left(self, event: Event) -> None:
+        if event.request in self.requests:
+            self.requests[event.request].ends.append(event)
+
+    def _on_signal(self, event: Event) -> None:
+        self.signals.append(event)
+        if event.result == "SIGHUP":
+            self.reloads[event.process].append(event.at)
+        self.gateways[event.process].on_signal(event)
+
+    def _on_started(self, event: Event) -> None:
+        # Engines record their starts too, without a number.
+        if event.incarnation:
+            self.gateways[event.process].on_started(event)
+
+    def _on_exited(self, event: Event) -> None:
+        self.exits.append(event)
+        self.gateways[event.process].on_exited(event)
+
+    def _on_configured(self, event: Event) -> None:
+        self.versions.append(Version(event.at, event.until, event.use))
+
+    def _on_harmed(self, event: Event) -> None:
+        self._harmed[event.process].append((event.at, event.until))
+        if event.until == FOREVER:
+            self._ended_at[event.process] = event.at
+
+    def _on_leaving(self, event: Event) -> None:
+        self.left_at.setdefault(event.process, event.at)
+
+    def _on_store(self, event: Event) -> None:
+        self._core.append((event.at, event.until))
+
+    def _on_asked(self, event: Event) -> None:
+        self.readiness[event.process].append(event)
+
+    def stop_before(self, gateway: str, at: float) -> Stop | None:
+        """Return the last stop of a gateway that began before a time."""
+        stops = [stop for stop in self.gateways[gateway].stops if stop.at <= at]
+        return stops[-1] if stops else None
+
+    def is_undisturbed(self, gateway: str, since: float, until: float) -> bool:
+        """Return whether nothing unplanned disturbed a gateway over a time.
+
+        The ``stability`` bound before it belongs to it.
+        """
+        begin = since - self.bounds.stability
+        return not any(
+            each.since <= until and each.until >= begin
+            for each in self.gateways[gateway].all
+            if not each.is_planned
+        )
+
+    def is_running(self, gateway: str, since: float, until: float) -> bool:
+        """Return whether nothing disturbed a gateway, planned or not.
+
+        The ``stability`` bound before the time belongs to it.
+        """
+        begin = since - self.bounds.stability
+        return not any(
+            each.since <= until and each.until >= begin
+            for each in self.gateways[gateway].all
+        )
+
+    def is_core_stable(self, since: float, until: float) -> bool:
+        """Return whether the store was stable over a time."""
+        begin = since - self.bounds.stability
+        return not any(start <= until and end >= begin for start, end in self._core)
+
+    def is_in_touch(self, gateway: str, since: float, until: float) -> bool:
+        """Return whether a gateway was in touch over a time."""
+        return self.is_running(gateway, since, until) and self.is_core_stable(
+            since, until
+        )
+
+    def is_sound(self, engine: str, since: float, until: float) -> bool:
+        """Return whether an engine had no fault over a time."""
+        return not any(
+            start <= until and end >= since for start, end in self._harmed[engine]
+        )
+
+    def has_ended(self, engine: str, until: float) -> bool:
+        """Return whether an engine had ended at a time."""
+        return self._ended_at.get(engine, inf) <= until
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -8,8 +8,9 @@
 from random import Random
 
 from process_soak.faults import PROFILES, Fault, Injector, draw_faults
+from process_soak.observations import Observations
 from process_soak.record import read_events
-from process_soak.rules import Observations, check, summary
+from process_soak.rules import check, summary
 from process_soak.site import PORTS, Bounds, Site, Sizes
 
 END_TIMEOUT = 15.0
@@ -104,8 +105,9 @@
                 await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
                 group.create_task(injector.inject(fault))
         async with asyncio.timeout(seconds + END_TIMEOUT):
-            for callers in site.callers:
-                await callers.wait()
+            codes = [await callers.wait() for callers in site.callers]
+        if any(codes):
+            raise RuntimeError(f"callers ended with {codes}")
         return began
     finally:
         await site.close()
