Check drains, closes, configurations, deadlines and refusals on real processes

The soak did not look at engines that leave, at callers that go, at routes that versions add and remove, at the time that engines are told, or at refusals for good. Engines are now drained (said and unsaid), probes ask each gateway for routes that come and go, the platform asks for readiness, and a tenth of the callers wait beyond the timeout of their route. The new checks are GONE, DRAIN, CONFIG, DENIED, the deadlines of BUDGET, and LOST beside a configuration; each has tests that break and that keep it. A kill or a drain of an engine that another one had just replaced no longer removes the entry of the new start.

--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -30,6 +30,15 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run and never will."""
 
+PATIENT_SHARE = 0.1
+"""Share of callers' requests that wait beyond the timeout of their route."""
+
+PATIENCE = 1.0
+"""Seconds that these wait longer."""
+
+PROBE_INTERVAL = 0.4
+"""Seconds between two requests of a probe."""
+
 MAX_RETRY_SHARE = 1 / 3
 """Share of the time left that a caller waits at most when it is told to."""
 
@@ -38,7 +47,7 @@
     """A route of the operator's configuration, as callers use it.
 
     :param share: share of the requests.
-    :param deadline: seconds after which callers give up.
+    :param deadline: its timeout; seconds after which most callers give up.
     :param patience: seconds without an event after which they leave a stream.
     """
 
@@ -55,6 +64,13 @@
         return "GET" if self.kind == "safe" else "POST"
 
 
+class OneAddress:
+    """Names one gateway only, whether it is there or not."""
+
+    def __init__(self, address: str) -> None:
+        self.addresses = [address]
+
+
 class Directory:
     """The gateways' addresses, as one of the gateways names them."""
 
@@ -138,7 +154,7 @@
         routes: list[Route],
         think_time: float,
         leave_share: float,
-        directory: Directory,
+        directory: Directory | OneAddress,
         record: Record,
         random: Random,
         connections: itertools.count,
@@ -167,6 +183,8 @@
                 continue
             route = self._random.choices(self._routes, shares)[0]
             deadline = time.monotonic() + route.deadline
+            if self._random.random() < PATIENT_SHARE:
+                deadline += PATIENCE
             retry_after = await self._request(route, deadline)
             if retry_after is not None:
                 await asyncio.sleep(retry_after)
@@ -183,7 +201,7 @@
             self._close()
             self._add("ended", route, request_id, deadline, "unconnected", 0, error)
             return 0.0
-        self._add("sent", route, request_id, deadline)
+        self._add("sent", route, request_id, deadline, detail=route.name)
         self._uses += 1
         left = max(0.0, deadline - time.monotonic())
         is_leaving = self._random.random() < self._leave_share
@@ -330,6 +348,8 @@
     :param rate: requests a second of all of them together.
     :param leave_share: share of requests that are left before they are answered.
     :param until: when they stop, by the monotonic clock.
+    :param probed: gateways to which requests on the routes in ``probe_routes`` are sent
+        by a caller of their own each, whether callers are told to use them or not.
     """
 
     name: str
@@ -340,6 +360,8 @@
     until: float
     directories: list[str]
     routes: list[Route]
+    probed: list[str] = []
+    probe_routes: list[Route] = []
 
 
 async def _main(plan: Plan, record: Record) -> None:
@@ -361,6 +383,19 @@
         )
         for number in range(plan.callers)
     ]
+    callers += [
+        Caller(
+            f"{plan.name}-probe-{number}",
+            plan.probe_routes,
+            PROBE_INTERVAL,
+            0.0,
+            OneAddress(address),
+            record,
+            Random(random.random()),
+            connections,
+        )
+        for number, address in enumerate(plan.probed)
+    ]
     await asyncio.gather(*(caller.run(plan.until) for caller in callers))
     asking.cancel()
 
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -10,7 +10,7 @@
 
 from process_soak.engine import EngineFaults
 from process_soak.record import FOREVER
-from process_soak.site import APP, EngineProcess, Process, Site
+from process_soak.site import APP, MAX_EXTRA_ROUTES, EngineProcess, Process, Site
 
 CALM_END = 4.0
 """Seconds without new faults before the callers stop."""
@@ -123,7 +123,7 @@
     async def configure(self, random: Random) -> None:
         """Write one to three versions of the configuration."""
         for _ in range(random.randint(1, 3)):
-            await self._site.configure(random.randint(0, 30))
+            await self._site.configure(random.randint(0, MAX_EXTRA_ROUTES))
             await asyncio.sleep(random.uniform(0.0, 1.0))
 
     async def store_down(self, random: Random) -> None:
@@ -203,15 +203,31 @@
         """Kill an engine; it returns under another id."""
         site = self._site
         engine = random.choice(site.engines)
-        child, id_ = engine.child, engine.id
-        self._record.add("harmed", process=id_, detail="killed", until=FOREVER)
-        child.kill()
-        await child.wait()
-        await asyncio.sleep(random.uniform(0.2, 3.0))
-        await site.register(engine, "")
-        if engine.child is child:
+        async with engine.replacing:
+            await self._end(engine, "killed")
+            await asyncio.sleep(random.uniform(0.2, 3.0))
+            await site.register(engine, "")
             await site.start_engine(engine)
 
+    async def engine_drained(self, random: Random) -> None:
+        """Let an engine leave as planned, said or unsaid; it returns under another id.
+
+        It serves for the bound of a drain and a little longer.
+        """
+        site = self._site
+        engine = random.choice(site.engines)
+        async with engine.replacing:
+            await site.register(engine, random.choice(["draining", ""]))
+            await asyncio.sleep(site.bounds.drain + random.uniform(0.5, 3.0))
+            await self._end(engine, "ended")
+            await site.register(engine, "")
+            await site.start_engine(engine)
+
+    async def _end(self, engine: EngineProcess, detail: str) -> None:
+        self._record.add("harmed", process=engine.id, detail=detail, until=FOREVER)
+        engine.child.kill()
+        await engine.child.wait()
+
     async def engine_frozen(self, random: Random) -> None:
         engine = random.choice(self._site.engines)
         child, id_, began = engine.child, engine.id, time.monotonic()
@@ -243,6 +259,7 @@
         "engines_slow",
         "engines_mixed",
         "engine_killed",
+        "engine_drained",
         "engine_frozen",
     )
 }
@@ -260,7 +277,7 @@
     max_gap: float = 4.0
 
 
-PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure")
+PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
 PROFILES = {
     "all": Profile(tuple(INJECTORS)),
     "planned": Profile(PLANNED),
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from process_soak.record import FOREVER, Event
-from process_soak.site import Bounds
+from process_soak.site import TIMEOUTS, Bounds
 
 KILL_TOLERANCE = 0.1
 """Seconds by which the kill at the end of a grace may seem too early."""
@@ -25,6 +25,11 @@
     runs: list[Event] = field(default_factory=list)
     ends: list[Event] = field(default_factory=list)
 
+    @property
+    def times_out_at(self) -> float:
+        """When the timeout of its route is reached."""
+        return self.sent.at + TIMEOUTS[self.sent.kind]
+
     def end_at_engine(self, arrival: Event) -> Event | None:
         """Return how an engine's work ended on one of the arrivals."""
         ends = (
@@ -65,6 +70,11 @@
     acknowledged_at: float
     extra_routes: int
 
+    def has_route(self, name: str) -> bool:
+        """Return whether it has a route."""
+        number = name.removeprefix("more")
+        return number == name or int(number) < self.extra_routes
+
 
 class Disruptions:
     """The disruptions of one gateway, from its signals, starts and ends in order."""
@@ -153,9 +163,10 @@
         )
         self.reloads: dict[str, list[float]] = defaultdict(list)
         self.exits: list[Event] = []
+        self.starts: dict[str, list[float]] = defaultdict(list)
         self.versions: list[Version] = []
         self.signals: list[Event] = []
-        self.left_at: dict[str, float] = {}
+        self.leaving_at: dict[str, float] = {}
         self.readiness: dict[str, list[Event]] = defaultdict(list)
         self._names = ips
         self._harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
@@ -214,6 +225,7 @@
     def _on_started(self, event: Event) -> None:
         # Engines record their starts too, without a number.
         if event.incarnation:
+            self.starts[event.process].append(event.at)
             self.gateways[event.process].on_started(event)
 
     def _on_exited(self, event: Event) -> None:
@@ -229,7 +241,7 @@
             self._ended_at[event.process] = event.at
 
     def _on_leaving(self, event: Event) -> None:
-        self.left_at.setdefault(event.process, event.at)
+        self.leaving_at.setdefault(event.process, event.at)
 
     def _on_store(self, event: Event) -> None:
         self._core.append((event.at, event.until))
@@ -265,6 +277,10 @@
             for each in self.gateways[gateway].all
         )
 
+    def has_started(self, gateway: str, since: float, until: float) -> bool:
+        """Return whether a gateway was started again over a time."""
+        return any(since <= at <= until for at in self.starts[gateway])
+
     def is_core_stable(self, since: float, until: float) -> bool:
         """Return whether the store was stable over a time."""
         begin = since - self.bounds.stability
--- a/tests/process_soak/rules.py
+++ b/tests/process_soak/rules.py
@@ -7,7 +7,8 @@
 from math import inf
 
 from process_soak.callers import PROMISES
-from process_soak.observations import Observations, Request, Stop
+from process_soak.observations import Observations, Request, Stop, Version
+from process_soak.record import Event
 
 MAX_LOST_ANY_TIME = 3
 """Requests of kept connections that may be lost at any time."""
@@ -24,6 +25,50 @@
 AFTER_GRACE = 1.0
 """Seconds after the grace in which losses still belong to the stop."""
 
+AFTER_CONFIGURATION = 1.0
+"""Seconds after a configuration must be in force in which losses still belong to it."""
+
+MAX_CUT_RATIO = 3
+"""How many times as often requests may be cut beside a configuration."""
+
+LONG_SHARE = 0.7
+"""Share of its time after which a request may be cut beside a configuration."""
+
+LATE = 0.5
+"""Seconds by which something must be late to count."""
+
+MAX_AFTER_CLOSE = 3
+"""Requests that may reach engines late after their callers have gone."""
+
+MAX_AT_WORK_SHARE = 1 / 4
+"""Share of requests that engines may still be at work on late after that."""
+
+MAX_WRONG_DEADLINES = 20
+MAX_WRONG_DEADLINE_SHARE = 1 / 5
+
+MAX_UNANSWERED_SHARE = 1 / 2
+"""Share of the requests unanswered at their timeout that may be so late after it."""
+
+MIN_UNFINISHED = 8
+"""Requests without a final answer late after their timeout that are too many, if they
+are more than :data:`MAX_UNFINISHED_SHARE` of those that last so long."""
+
+MAX_UNFINISHED_SHARE = 1 / 4
+
+READY_AFTER_STOP = 4.0
+"""Seconds after SIGTERM when a gateway may no longer count as ready."""
+
+MAX_READY_AFTER_STOP = 1
+MAX_READY_SHARE = 1 / 4
+
+MIN_LATER_REQUESTS = 20
+MIN_LATER_SHARE = 1 / 4
+"""How often routes that were added later must be served, against the first routes."""
+
+MAX_DENIED = 5
+MAX_DENIED_SHARE = 1 / 500
+MAX_DENIED_OUT_OF_TOUCH = 10
+DENIALS = frozenset({401, 403, 404})
 ENGINE_STATUSES = {"answered": 200, "failed": 500, "expired": 504}
 """Status with which an engine answers, by how its work ended."""
 
@@ -62,8 +107,11 @@
     """Return the window in which a service came nearest to its retry budget."""
     bounds, length = seen.bounds, seen.bounds.retry_window
     shifts = (0.0, length, length / 2)
+    # Probes may have no route to the service.
     of_service = [
-        each for each in seen.requests.values() if each.sent.service == service
+        each
+        for each in seen.requests.values()
+        if each.sent.service == service and (each.arrivals or not _is_probe(each))
     ]
     sent = sorted(each.sent.at for each in of_service)
     repeats = sorted(
@@ -179,19 +227,60 @@
 
 def check_lost_in_planned_work(seen: Observations) -> Findings:
     """LOST: a planned stop or a reload that cuts a request."""
-    bounds = seen.bounds
     for request in _lost_requests(seen):
-        sent, ended = request.sent, request.ended
-        stop = seen.stop_before(sent.gateway, ended.at)
-        ends_at = stop.at + bounds.grace + AFTER_GRACE if stop is not None else -inf
-        is_stopping = ended.at <= ends_at
-        is_reloading = any(
-            at <= ended.at and sent.at <= at + bounds.config_apply
-            for at in seen.reloads[sent.gateway]
-        )
-        if is_stopping or is_reloading:
-            after = f" {ended.at - stop.at:.2f} s after SIGTERM" if is_stopping else ""
+        ended = request.ended
+        stop = seen.stop_before(request.sent.gateway, ended.at)
+        if _is_stopping(seen, request):
+            after = f" {ended.at - stop.at:.2f} s after SIGTERM"
             yield f"LOST: {_describe_cut(request)}{after}"
+        elif _is_reloading(seen, request):
+            yield f"LOST: {_describe_cut(request)} after SIGHUP"
+
+
+def _is_stopping(seen: Observations, request: Request) -> bool:
+    stop = seen.stop_before(request.sent.gateway, request.ended.at)
+    ends_at = seen.bounds.grace + AFTER_GRACE
+    return stop is not None and request.ended.at <= stop.at + ends_at
+
+
+def _is_reloading(seen: Observations, request: Request) -> bool:
+    return any(
+        at <= request.ended.at and request.sent.at <= at + seen.bounds.config_apply
+        for at in seen.reloads[request.sent.gateway]
+    )
+
+
+def check_lost_beside_configuration(seen: Observations) -> Findings:
+    """LOST: requests that are cut more often while a configuration is applied."""
+    lost = [
+        request
+        for request in _lost_requests(seen)
+        if not _is_stopping(seen, request) and not _is_reloading(seen, request)
+    ]
+    for gateway in sorted({request.sent.gateway for request in lost}):
+        ends = Counter(
+            _is_configuring(seen, request.ended.at)
+            for request in seen.requests.values()
+            if request.sent.gateway == gateway and request.ended is not None
+        )
+        there = [request for request in lost if request.sent.gateway == gateway]
+        cuts = Counter(_is_configuring(seen, request.ended.at) for request in there)
+        if cuts[True] * ends[False] <= MAX_CUT_RATIO * cuts[False] * ends[True]:
+            continue
+        for request in there:
+            lasts_until = min(request.sent.deadline, request.times_out_at)
+            used = request.ended.at - request.sent.at
+            is_long = used >= LONG_SHARE * (lasts_until - request.sent.at)
+            if _is_configuring(seen, request.ended.at) and not is_long:
+                yield f"LOST: {_describe_cut(request)} beside a configuration"
+
+
+def _is_configuring(seen: Observations, at: float) -> bool:
+    after = seen.bounds.config_apply + AFTER_CONFIGURATION
+    return any(
+        version.sent_at <= at <= version.acknowledged_at + after
+        for version in seen.versions
+    )
 
 
 def _describe_cut(request: Request) -> str:
@@ -220,7 +309,9 @@
     """Return the requests that ended without a complete answer, at no one's fault."""
     for request in seen.requests.values():
         sent, ended = request.sent, request.ended
-        if ended is None or ended.result != "cut" or ended.at >= sent.deadline:
+        if ended is None or ended.result != "cut":
+            continue
+        if ended.at >= min(sent.deadline, request.times_out_at):
             continue
         if not _engine_broke_off(seen, request):
             yield request
@@ -258,6 +349,270 @@
     return ended.at >= last_part and at_work
 
 
+def check_deadlines(seen: Observations) -> Findings:
+    """BUDGET: engines are handed more time than is left."""
+    wrong, counted = [], 0
+    for id_, request in seen.requests.items():
+        if request.sent.kind == "streaming":
+            continue
+        arrivals = sorted(request.arrivals, key=lambda event: event.at)
+        for arrival in arrivals:
+            if not seen.is_in_touch(request.sent.gateway, request.sent.at, arrival.at):
+                continue
+            is_late = arrival.at > arrivals[0].at + LATE
+            is_wrong = _has_wrong_deadline(request.sent, arrivals[0], arrival, is_late)
+            counted += is_late or is_wrong
+            if is_wrong:
+                wrong.append(id_)
+    is_often = len(wrong) > MAX_WRONG_DEADLINE_SHARE * counted
+    if len(wrong) > MAX_WRONG_DEADLINES and is_often:
+        yield f"BUDGET: {len(wrong)} wrong deadlines, of {counted}: {wrong[:4]}"
+
+
+def _has_wrong_deadline(
+    sent: Event, first: Event, arrival: Event, is_late: bool
+) -> bool:
+    if not arrival.deadline:
+        return True
+    if arrival.deadline - arrival.at > sent.deadline - sent.at + LATE:
+        return True
+    return is_late and arrival.deadline > max(first.deadline, sent.deadline) + LATE
+
+
+def check_gone(seen: Observations) -> Findings:
+    """GONE: engines get, or work on, requests whose callers have gone."""
+    late, at_work, would_last = [], [], 0
+    for id_, request in seen.requests.items():
+        ended = request.ended
+        if ended is None or ended.result not in ("left", "gave_up"):
+            continue
+        late += [
+            id_ for each in request.arrivals if _is_after_close(seen, request, each)
+        ]
+        if request.sent.kind == "unsafe":
+            continue
+        for run in request.runs:
+            end = request.end_at_engine(run)
+            if _would_last(seen, request, run, end):
+                would_last += 1
+                if end is None or end.at > ended.at + LATE:
+                    at_work.append(id_)
+    if len(late) > MAX_AFTER_CLOSE:
+        yield f"GONE: {len(late)} requests of callers that had gone: {late[:4]}"
+    if len(at_work) > MAX_AT_WORK_SHARE * would_last:
+        yield f"GONE: at work on {len(at_work)} of {would_last}: {at_work[:4]}"
+
+
+def _is_after_close(seen: Observations, request: Request, arrival: Event) -> bool:
+    closed_at = request.ended.at
+    if arrival.at <= closed_at + LATE or _is_held_up(seen, arrival):
+        return False
+    return seen.is_in_touch(request.sent.gateway, closed_at, arrival.at)
+
+
+def _is_held_up(seen: Observations, arrival: Event) -> bool:
+    """Return whether an engine's trouble may have made an arrival late."""
+    since = arrival.at - seen.bounds.stability
+    return not seen.is_sound(arrival.process, since, arrival.at)
+
+
+def _would_last(
+    seen: Observations, request: Request, run: Event, end: Event | None
+) -> bool:
+    """Return whether an engine was at work at the close, and would be late after it."""
+    closed_at, counted_at = request.ended.at, request.ended.at + LATE
+    if run.at > closed_at or (end is not None and end.at <= closed_at):
+        return False
+    if min(run.until, run.deadline or inf) <= counted_at:
+        return False
+    is_sound = seen.is_sound(run.process, run.at, counted_at)
+    return is_sound and seen.is_in_touch(request.sent.gateway, closed_at, counted_at)
+
+
+def check_drain(seen: Observations) -> Findings:
+    """DRAIN: a request reaches an engine long after it was known to leave."""
+    for id_, request in seen.requests.items():
+        sent = request.sent
+        for arrival in request.arrivals:
+            known_at = seen.leaving_at.get(arrival.process, inf)
+            if arrival.at <= known_at + seen.bounds.drain or arrival.status == 421:
+                continue
+            if not seen.is_core_stable(known_at, arrival.at):
+                continue
+            is_in_touch = seen.is_in_touch(sent.gateway, sent.at, arrival.at)
+            if is_in_touch and not _is_held_up(seen, arrival):
+                after = arrival.at - known_at
+                yield f"DRAIN: {id_} at {arrival.process} {after:.2f} s after its leave"
+
+
+def check_readiness(seen: Observations) -> Findings:
+    """DRAIN: gateways count as ready long after SIGTERM."""
+    ready, still = 0, []
+    for gateway, disruptions in seen.gateways.items():
+        for stop in disruptions.stops:
+            if not _is_ready(seen, gateway, stop.at):
+                continue
+            ready += 1
+            counted_at = stop.at + READY_AFTER_STOP
+            has_ended = any(
+                event.process == gateway and stop.at <= event.at <= counted_at
+                for event in seen.exits
+            )
+            if not has_ended and _is_ready(seen, gateway, counted_at):
+                still.append(gateway)
+    if len(still) > MAX_READY_AFTER_STOP and len(still) > MAX_READY_SHARE * ready:
+        yield f"DRAIN: {len(still)} of {ready} ready 4 s after SIGTERM: {still}"
+
+
+def _is_ready(seen: Observations, gateway: str, at: float) -> bool:
+    """Return whether a gateway counts as ready for the platform at a time."""
+    is_ready, misses = False, 0
+    for event in seen.readiness[gateway]:
+        if event.at > at:
+            break
+        misses = 0 if event.status == 200 else misses + 1
+        is_ready = misses == 0 or (is_ready and misses < 2)
+    return is_ready
+
+
+def check_configuration(seen: Observations) -> Findings:
+    """CONFIG: a request is handled as only an older version allows."""
+    for id_, request in seen.requests.items():
+        sent, ended = request.sent, request.ended
+        if ended is None or not seen.is_in_touch(sent.gateway, sent.at, ended.at):
+            continue
+        has_route = [each.has_route(sent.detail) for each in _versions(seen, request)]
+        if request.runs and has_route and not any(has_route):
+            yield f"CONFIG: {id_} at {sent.gateway} ran on dropped route {sent.detail}"
+        if _is_denied(ended) and has_route and all(has_route):
+            yield f"CONFIG: {id_} at {sent.gateway} got {ended.status}: {sent.detail}"
+
+
+def _versions(seen: Observations, request: Request) -> list[Version]:
+    """Return the versions that may decide about a request; none if it is too early."""
+    applied = [
+        number
+        for number, version in enumerate(seen.versions)
+        if version.acknowledged_at + seen.bounds.config_apply < request.sent.at
+    ]
+    if not applied:
+        return []
+    later = seen.versions[applied[-1] :]
+    return [version for version in later if version.sent_at <= request.ended.at]
+
+
+def _is_denied(ended: Event) -> bool:
+    return ended.result == "answered" and ended.status in DENIALS and not ended.signer
+
+
+def check_regress(seen: Observations) -> Findings:
+    """CONFIG: a gateway goes back to an older version."""
+    for gateway in sorted({each.sent.gateway for each in seen.requests.values()}):
+        probes = [
+            each
+            for each in seen.requests.values()
+            if each.sent.gateway == gateway and _is_probe(each) and each.ended
+        ]
+        effects = [effect for each in probes if (effect := _effect(seen, each))]
+        for probe in probes:
+            sent, ended = probe.sent, probe.ended
+            newest = max(_matches(seen, probe), default=len(seen.versions))
+            if any(
+                at + seen.bounds.rollback_slack < sent.at
+                and newest < oldest
+                and not seen.has_started(gateway, at, ended.at)
+                for at, oldest in effects
+            ):
+                yield f"CONFIG: {sent.request} at {gateway}: back to version {newest}"
+
+
+def _effect(seen: Observations, probe: Request) -> tuple[float, int] | None:
+    """Return when an engine saw an effect, and the oldest version that has it."""
+    matches = _matches(seen, probe)
+    if not probe.runs or not matches:
+        return None
+    return probe.runs[0].at, min(matches)
+
+
+def _matches(seen: Observations, probe: Request) -> list[int]:
+    """Return the numbers of the versions that explain how a probe was handled."""
+    if not probe.runs and not _is_denied(probe.ended):
+        return []
+    return [
+        number
+        for number, version in enumerate(seen.versions)
+        if version.sent_at <= probe.ended.at
+        and version.has_route(probe.sent.detail) == bool(probe.runs)
+    ]
+
+
+def _is_probe(request: Request) -> bool:
+    return request.sent.detail.startswith("more")
+
+
+def check_later_routes(seen: Observations) -> Findings:
+    """CONFIG: routes that were added later are served less often than the first."""
+    counts: Counter[tuple[bool, bool]] = Counter()
+    for request in seen.requests.values():
+        sent, ended = request.sent, request.ended
+        if ended is None or not seen.is_in_touch(sent.gateway, sent.at, ended.at):
+            continue
+        has_route = [each.has_route(sent.detail) for each in _versions(seen, request)]
+        if has_route and all(has_route):
+            counts[_is_probe(request), ended.status == 200] += 1
+    later, first = (counts[each, True] + counts[each, False] for each in (True, False))
+    if later < MIN_LATER_REQUESTS or not first:
+        return
+    if counts[True, True] / later < MIN_LATER_SHARE * counts[False, True] / first:
+        yield f"CONFIG: {counts[True, True]} of {later} served on later routes"
+
+
+def check_timeouts(seen: Observations) -> Findings:
+    """CONFIG: requests have no answer late after the timeout of their route."""
+    unfinished, unanswered, last, wait = [], [], 0, 0
+    for id_, request in seen.requests.items():
+        sent, ended = request.sent, request.ended
+        counted_at = request.times_out_at + LATE
+        # Most callers give up at the timeout.
+        if sent.deadline <= counted_at:
+            continue
+        if ended is None or ended.at <= request.times_out_at:
+            continue
+        if not seen.is_in_touch(sent.gateway, sent.at, counted_at):
+            continue
+        last += 1
+        is_waiting = not ended.status or sent.kind != "streaming"
+        wait += is_waiting
+        if ended.at > counted_at:
+            unfinished.append(id_)
+            unanswered += [id_] * is_waiting
+    if len(unanswered) > MAX_UNANSWERED_SHARE * wait:
+        yield f"CONFIG: {len(unanswered)} of {wait} unanswered: {unanswered[:4]}"
+    many = len(unfinished) >= MIN_UNFINISHED
+    if many and len(unfinished) > MAX_UNFINISHED_SHARE * last:
+        yield f"CONFIG: {len(unfinished)} of {last} unfinished: {unfinished[:4]}"
+
+
+def check_denied(seen: Observations) -> Findings:
+    """DENIED: proper requests are refused for good."""
+    denied, out_of_touch = [], []
+    for id_, request in seen.requests.items():
+        sent, ended = request.sent, request.ended
+        if ended is None or _is_probe(request) or ended.signer:
+            continue
+        if ended.status // 100 not in (3, 4) or ended.status in PROMISES:
+            continue
+        if seen.is_in_touch(sent.gateway, sent.at, ended.at):
+            denied.append(id_)
+        elif ended.status in DENIALS:
+            out_of_touch.append(id_)
+    allowed = MAX_DENIED + MAX_DENIED_SHARE * len(seen.requests)
+    if len(denied) + len(out_of_touch) > allowed:
+        yield f"DENIED: {len(denied)} and {len(out_of_touch)}: {denied[:4]}"
+    elif len(out_of_touch) > MAX_DENIED_OUT_OF_TOUCH:
+        yield f"DENIED: {len(out_of_touch)} out of touch: {out_of_touch[:4]}"
+
+
 def check_ends(seen: Observations) -> Findings:
     """A process that ends otherwise than by its stop or a kill."""
     killed, stopped = (
@@ -281,6 +636,16 @@
     check_answers,
     check_lost_at_any_time,
     check_lost_in_planned_work,
+    check_lost_beside_configuration,
+    check_deadlines,
+    check_gone,
+    check_drain,
+    check_readiness,
+    check_configuration,
+    check_regress,
+    check_later_routes,
+    check_timeouts,
+    check_denied,
     check_ends,
 )
 
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -24,6 +24,12 @@
 """Seconds after its end in which the platform starts a gateway again."""
 
 START_TIMEOUT = 20.0
+READINESS_INTERVAL = 1.0
+"""Seconds between two questions of the platform for a gateway's readiness."""
+
+MAX_EXTRA_ROUTES = 30
+"""Routes that versions of the configuration add and remove; only probes use them."""
+
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
 GATEWAY = "cyclamenyoke.daemon.gateway"
@@ -38,6 +44,7 @@
     grace: float = 8.0
     drain: float = 2.0
     config_apply: float = 2.0
+    rollback_slack: float = 0.25
     loss_slack: float = 0.2
     stability: float = 3.0
     retry_ratio: float = 0.2
@@ -73,22 +80,31 @@
     Route("lookup", "safe", APP, 0.45, 1.5),
     Route("order", "unsafe", APP, 0.25, 1.5),
 ]
+TIMEOUTS = {route.kind: route.deadline for route in ROUTES}
+"""Timeouts of routes by their kind."""
+
+
+def extra_routes(count: int) -> list[Route]:
+    """Return the first of the routes that only probes use."""
+    lookup = ROUTES[1]
+    return [
+        Route(f"more{number}", lookup.kind, lookup.service, 1.0, lookup.deadline)
+        for number in range(count)
+    ]
 
 
-def configuration(version: int, extra_routes: int = 0) -> dict[str, Any]:
+def configuration(version: int, extra_count: int = 0) -> dict[str, Any]:
     """Return the operator's configuration.
 
-    :param extra_routes: routes that nobody uses.
+    :param extra_count: routes that only probes use.
     """
     limits = {"max_header_bytes": 4096, "max_body_bytes": 10_000}
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
-    names = [(route.name, route) for route in ROUTES]
-    names += [(f"more{number}", ROUTES[1]) for number in range(extra_routes)]
     routes = [
         {
-            "name": name,
+            "name": route.name,
             "host": HOST,
-            "prefix": f"/{name}/",
+            "prefix": f"/{route.name}/",
             "kind": route.kind,
             "timeout_ms": int(1000 * route.deadline),
             "target_latency_ms": 400 if route.kind == "streaming" else 100,
@@ -99,7 +115,7 @@
             "max_attempts": 1 if route.kind == "unsafe" else 2,
             "public": False,
         }
-        for name, route in names
+        for route in [*ROUTES, *extra_routes(extra_count)]
     ]
     services = [{"name": name, "max_connections": 400} for name in (LLM, APP)]
     tenants = [{"name": "customer", "api_keys": [API_KEY]}]
@@ -143,6 +159,7 @@
     child: asyncio.subprocess.Process | None = None
     starts: int = 0
     faults: EngineFaults = field(default_factory=EngineFaults)
+    replacing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 def free_port(host: str = "127.0.0.1") -> int:
@@ -203,6 +220,8 @@
         self._others: list[asyncio.subprocess.Process] = []
         self.callers: list[asyncio.subprocess.Process] = []
         self._version = 0
+        self._configuring = asyncio.Lock()
+        self._asking: list[asyncio.Task[None]] = []
         self.store = f"127.0.0.1:{free_port()}"
 
     # Starting.
@@ -231,6 +250,7 @@
             gateway.keeper = asyncio.create_task(self._keep(gateway))
         for gateway in self.gateways:
             await self._until(lambda gateway=gateway: self._check_ready(gateway))
+            self._asking.append(asyncio.create_task(self._ask_readiness(gateway)))
         for number in range(self.sizes.busy):
             busy = ["-c", "while True: pass"]
             self._others.append(await self._spawn(busy, f"busy-{number}"))
@@ -238,6 +258,7 @@
     async def start_callers(self, until: float, processes: int = 2) -> None:
         """Start the callers, which stop at a time by the monotonic clock."""
         for number in range(processes):
+            fronts = [f"{each.ip}:{PORTS['front']}" for each in self.gateways]
             plan = Plan(
                 f"c{number}",
                 self.random.getrandbits(32),
@@ -247,6 +268,8 @@
                 until,
                 [f"{each.ip}:{PORTS['directory']}" for each in self.gateways],
                 ROUTES,
+                fronts[number::processes],
+                extra_routes(MAX_EXTRA_ROUTES),
             )
             path = self.directory / f"callers-{number}.json"
             path.write_bytes(msgspec.json.encode(plan))
@@ -287,6 +310,19 @@
         finally:
             writer.transport.abort()
 
+    async def _ask_readiness(self, gateway: Process) -> None:
+        """Ask a gateway for its readiness again and again, as the platform does."""
+        while True:
+            status = 0
+            try:
+                async with asyncio.timeout(READINESS_INTERVAL):
+                    await self._check_ready(gateway)
+                status = 200
+            except (OSError, TimeoutError):
+                pass
+            self.record.add("asked", process=gateway.name, status=status)
+            await asyncio.sleep(READINESS_INTERVAL)
+
     # The store.
 
     async def _put(self, values: dict[str, object]) -> None:
@@ -301,12 +337,16 @@
         ]
         await post(self.store, "/v1/put", writes)
 
-    async def configure(self, extra_routes: int = 0) -> None:
-        """Write the next version of the configuration."""
-        self._version += 1
-        sent_at = time.monotonic()
-        await self._put({"op/config": configuration(self._version, extra_routes)})
-        self.record.add("configured", sent_at, until=time.monotonic())
+    async def configure(self, extra_count: int = 0) -> None:
+        """Write the next version of the configuration, again until it is accepted."""
+        async with self._configuring:
+            self._version += 1
+            version = configuration(self._version, extra_count)
+            sent_at = time.monotonic()
+            await self._until(lambda: self._put({"op/config": version}))
+            self.record.add(
+                "configured", sent_at, use=extra_count, until=time.monotonic()
+            )
 
     async def set_store_faults(self, **faults: object) -> None:
         """Inject faults into the store; none ends them."""
@@ -343,7 +383,10 @@
             "sequence": 1,
             "born": 1_700_000_000_000 + engine.starts,
         }
-        await self._put({f"servers/{engine.id}": entry if state else None})
+        values = {f"servers/{engine.id}": entry if state else None}
+        await self._until(lambda: self._put(values))
+        if state != "ready":
+            self.record.add("leaving", process=engine.id, detail=state)
 
     async def set_engine_faults(
         self, engine: EngineProcess, faults: EngineFaults
@@ -449,6 +492,8 @@
 
     async def close(self) -> None:
         """End all processes of the run."""
+        for task in self._asking:
+            task.cancel()
         for gateway in self.gateways:
             gateway.is_wanted = False
             if gateway.keeper is not None:
--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -25,6 +25,7 @@
 
 def arrived(at, id_="r", engine="e1", service="app", result="run", **fields):
     fields |= {"request": id_, "service": service, "result": result}
+    fields.setdefault("deadline", at + 1.0)
     return Event(at, "arrived", process=engine, **fields)
 
 
@@ -337,8 +338,8 @@
 
 def cut_late(sent_at, ended_at, left_at):
     return [
-        sent(sent_at, deadline=30.0),
-        *run(sent_at),
+        sent(sent_at, kind="streaming", deadline=30.0),
+        *run(sent_at, service="llm"),
         ended(ended_at, result="cut"),
         left(left_at, result="dropped"),
     ]
@@ -383,3 +384,314 @@
 def test_a_process_that_ends_by_its_stop_or_a_kill_is_allowed():
     assert findings(signal(1.0, "SIGTERM"), exited(5.0, 0)) == []
     assert findings(signal(1.0, "SIGKILL"), exited(1.0, -9)) == []
+
+
+def test_a_request_whose_timeout_is_reached_may_end_in_a_planned_stop():
+    cut = sent(10.0, deadline=30.0), run(10.0), ended(11.6, result="cut")
+    assert findings(signal(9.9, "SIGTERM"), *cut) == []
+
+
+def configured(at, extra=0, until=None):
+    return Event(at, "configured", use=extra, until=until or at + 0.01)
+
+
+def answered(at, count, first=0):
+    """Return requests that are answered."""
+    return [
+        each
+        for number in range(first, first + count)
+        for each in [
+            sent(at, f"a{number}"),
+            *run(at, f"a{number}"),
+            left(at + 0.02, f"a{number}"),
+            ended(at + 0.02, f"a{number}", status=200, signer="e1"),
+        ]
+    ]
+
+
+def test_cuts_while_a_configuration_is_applied_are_found():
+    assert findings(configured(10.0), lost(10.1), answered(20.0, 9)) == ["LOST"]
+
+
+def test_cuts_that_are_as_frequent_without_a_configuration_are_allowed():
+    cut = sent(20.0, "other"), run(20.0, "other"), ended(20.02, "other", "cut")
+    assert findings(configured(10.0), lost(10.1), answered(10.5, 9), *cut) == []
+
+
+def test_a_cut_late_in_the_time_of_a_request_beside_a_configuration_is_allowed():
+    cut = sent(10.0), run(10.0), ended(11.06, result="cut")
+    assert findings(configured(10.5), *cut) == []
+
+
+def handed(count, deadline):
+    """Return requests whose engine is told a deadline; their callers wait until 13."""
+    return [
+        each
+        for number in range(count)
+        for each in (
+            sent(10.0, f"r{number}", deadline=13.0),
+            arrived(10.1, f"r{number}", deadline=deadline),
+        )
+    ]
+
+
+@pytest.mark.parametrize("deadline", [0.0, 13.7])
+def test_engines_that_are_handed_too_much_time_or_none_stated_are_found(deadline):
+    assert findings(handed(21, deadline)) == ["BUDGET"]
+
+
+@pytest.mark.parametrize(("count", "deadline"), [(20, 0.0), (30, 13.5)])
+def test_engines_that_are_handed_the_time_that_is_left_are_allowed(count, deadline):
+    assert findings(handed(count, deadline)) == []
+
+
+def handed_again(count, deadline, first=0):
+    """Return requests that arrive again 0.8 s after the first time."""
+    return [
+        each
+        for number in range(first, first + count)
+        for each in (
+            sent(10.0, f"r{number}", deadline=13.0),
+            arrived(10.1, f"r{number}", deadline=13.0),
+            arrived(10.9, f"r{number}", "e2", deadline=deadline),
+        )
+    ]
+
+
+def test_repeats_whose_deadline_begins_anew_are_found():
+    events = handed_again(21, 13.8)
+    assert findings(events, retry_slack=100.0) == ["BUDGET"]
+
+
+def test_repeats_that_keep_the_deadline_are_allowed():
+    assert findings(handed_again(21, 13.0), retry_slack=100.0) == []
+
+
+def test_wrong_deadlines_of_a_fifth_of_the_repeats_are_allowed():
+    events = handed_again(21, 13.8), handed_again(84, 13.0, 21)
+    assert findings(*events, retry_slack=200.0) == []
+
+
+def gone(count, left_at, until=20.0, kind="safe", at=10.0):
+    """Return requests whose callers leave half a second after they were sent."""
+    return [
+        each
+        for number in range(count)
+        for each in [
+            sent(at, f"g{number}", kind=kind),
+            *run(at, f"g{number}", service=SERVICES[kind], until=until),
+            ended(at + 0.5, f"g{number}", "left"),
+            left(left_at, f"g{number}", result="dropped"),
+        ]
+    ]
+
+
+def test_engines_at_work_for_callers_that_have_gone_are_found():
+    assert findings(gone(4, 11.1)) == ["GONE"]
+
+
+def test_engines_that_stop_work_when_callers_leave_are_allowed():
+    assert findings(gone(4, 10.9)) == []
+
+
+def test_work_that_would_have_ended_does_not_count_as_stopped_late():
+    assert findings(gone(4, 11.1, until=10.9)) == []
+
+
+def test_work_on_orders_may_go_on_when_callers_leave():
+    assert findings(gone(4, 11.1, kind="unsafe")) == []
+
+
+def test_work_at_gateways_out_of_touch_may_go_on_when_callers_leave():
+    assert findings(signal(10.6, "SIGTERM"), gone(4, 11.1)) == []
+
+
+def arrived_after_close(count, at):
+    return [
+        each
+        for number in range(count)
+        for each in (
+            sent(10.0, f"g{number}"),
+            ended(10.5, f"g{number}", "gave_up"),
+            arrived(at, f"g{number}"),
+        )
+    ]
+
+
+def test_requests_that_reach_engines_after_their_callers_have_gone_are_found():
+    assert findings(arrived_after_close(4, 11.1)) == ["GONE"]
+
+
+@pytest.mark.parametrize(("count", "at"), [(3, 11.1), (9, 10.9)])
+def test_a_few_requests_or_prompt_ones_may_reach_engines_after_a_close(count, at):
+    assert findings(arrived_after_close(count, at)) == []
+
+
+def leaving(at, engine="e1"):
+    return Event(at, "leaving", process=engine)
+
+
+def test_a_request_that_reaches_an_engine_long_after_it_leaves_is_found():
+    assert findings(leaving(7.9), sent(10.0), arrived(10.0)) == ["DRAIN"]
+
+
+def test_a_request_may_reach_an_engine_until_the_bound_of_a_drain():
+    assert findings(leaving(8.1), sent(10.0), arrived(10.0)) == []
+
+
+def test_a_misdirected_request_may_reach_an_engine_that_has_left():
+    misdirected = arrived(10.0, result="refused", status=421)
+    assert findings(leaving(1.0), sent(10.0), misdirected) == []
+
+
+def test_a_drain_while_the_store_is_disturbed_binds_nobody():
+    store = Event(6.0, "store", until=8.0)
+    assert findings(leaving(7.0), store, sent(10.0), arrived(10.0)) == []
+
+
+def asked(at, status, gateway="g1"):
+    return Event(at, "asked", process=gateway, status=status)
+
+
+def stopped(gateway, statuses):
+    """Return a stop at 10 s, and the readiness at each second from 9 s on."""
+    questions = [
+        asked(9.1 + number, status, gateway) for number, status in enumerate(statuses)
+    ]
+    return [signal(10.0, "SIGTERM", gateway), *questions]
+
+
+def test_gateways_that_are_ready_long_after_their_stop_are_found():
+    ready = [200] * 6
+    assert findings(stopped("g1", ready), stopped("g2", ready)) == ["DRAIN"]
+
+
+def test_gateways_that_are_not_ready_after_their_stop_are_allowed():
+    leaves = [200, 200, 200, 503, 503, 503]
+    assert findings(stopped("g1", leaves), stopped("g2", leaves)) == []
+
+
+def test_one_gateway_may_be_ready_after_its_stop():
+    assert findings(stopped("g1", [200] * 6)) == []
+
+
+def test_gateways_that_have_ended_are_not_ready():
+    events = [stopped(name, [200] * 6) for name in ("g1", "g2")]
+    ends = [exited(13.0, gateway=name) for name in ("g1", "g2")]
+    assert findings(*events, *ends) == []
+
+
+def probed(at, route, status, id_="p", is_run=True):
+    """Return a request on a route that versions add and remove."""
+    answer = ended(at + 0.02, id_, status=status, signer="e1" if is_run else "")
+    request = [sent(at, id_, detail=route), answer]
+    return [*request, *run(at, id_), left(at + 0.01, id_)] if is_run else request
+
+
+def test_a_route_that_was_dropped_and_is_served_is_found():
+    versions = configured(1.0, 9), configured(5.0, 4)
+    assert findings(*versions, probed(7.1, "more4", 200)) == ["CONFIG"]
+
+
+def test_a_route_that_was_just_dropped_may_be_served():
+    versions = configured(1.0, 9), configured(5.0, 4)
+    assert findings(*versions, probed(6.9, "more4", 200)) == []
+
+
+def test_a_route_that_was_added_and_is_not_found_is_found():
+    versions = configured(1.0, 4), configured(5.0, 9)
+    refused = probed(7.1, "more4", 404, is_run=False)
+    assert findings(*versions, refused) == ["CONFIG"]
+
+
+def test_a_route_that_a_version_in_transit_drops_may_be_refused():
+    versions = configured(1.0, 9), configured(6.9, 4)
+    refused = probed(7.1, "more4", 404, is_run=False)
+    assert findings(*versions, refused) == []
+
+
+def test_a_gateway_that_goes_back_to_an_older_version_is_found():
+    versions = configured(1.0, 0), configured(10.0, 9)
+    served = probed(10.1, "more3", 200)
+    refused = probed(10.5, "more3", 404, "q", is_run=False)
+    assert findings(*versions, served, refused) == ["CONFIG"]
+
+
+def test_a_gateway_that_starts_again_may_begin_with_an_older_version():
+    versions = configured(1.0, 0), configured(10.0, 9)
+    served = probed(10.1, "more3", 200)
+    refused = probed(10.5, "more3", 404, "q", is_run=False)
+    assert findings(*versions, served, started(10.3), refused) == []
+
+
+def test_a_newer_version_that_drops_a_route_is_no_way_back():
+    versions = configured(1.0, 0), configured(10.0, 9), configured(10.2, 0)
+    served = probed(10.1, "more3", 200)
+    refused = probed(10.5, "more3", 404, "q", is_run=False)
+    assert findings(*versions, served, refused) == []
+
+
+def test_later_routes_that_are_served_less_often_are_found():
+    probes = [
+        probed(20.0, "more1", 503, f"p{number}", is_run=False) for number in range(20)
+    ]
+    assert findings(configured(1.0, 9), answered(20.0, 9), *probes) == ["CONFIG"]
+
+
+def test_later_routes_that_are_served_as_often_are_allowed():
+    probes = [probed(20.0, "more1", 200, f"p{number}") for number in range(20)]
+    assert findings(configured(1.0, 9), answered(20.0, 9), *probes) == []
+
+
+def unanswered(count, ends_at, result="gave_up", first=0, status=0):
+    """Return lookups, whose route times out 1.5 s after 10 s."""
+    return [
+        each
+        for number in range(first, first + count)
+        for each in (
+            sent(10.0, f"t{number}", deadline=12.5),
+            ended(ends_at, f"t{number}", result, status),
+        )
+    ]
+
+
+def test_requests_without_an_answer_after_the_timeout_of_their_route_are_found():
+    assert findings(unanswered(1, 12.5)) == ["CONFIG"]
+    assert findings(unanswered(8, 12.5)) == ["CONFIG", "CONFIG"]
+
+
+def test_requests_that_are_answered_soon_after_the_timeout_are_allowed():
+    late = unanswered(8, 11.9, "answered", status=504)
+    assert findings(late) == []
+
+
+def test_eight_requests_without_an_answer_among_many_are_found():
+    late = unanswered(10, 11.9, "answered", first=8, status=504)
+    assert findings(unanswered(8, 12.5), late) == ["CONFIG"]
+    assert findings(unanswered(7, 12.5), late) == []
+
+
+def denied(count, at=10.0):
+    return [
+        each
+        for number in range(count)
+        for each in (sent(at, f"d{number}"), ended(at, f"d{number}", status=400))
+    ]
+
+
+def test_proper_requests_that_are_refused_for_good_are_found():
+    assert findings(denied(6)) == ["DENIED"]
+
+
+def test_a_few_requests_may_be_refused_for_good():
+    assert findings(denied(5)) == []
+
+
+def test_gateways_without_a_configuration_that_deny_requests_are_found():
+    starts = signal(8.0, "SIGKILL"), started(9.0)
+    refused = [
+        each
+        for number in range(11)
+        for each in (sent(10.0, f"d{number}"), ended(10.0, f"d{number}", status=404))
+    ]
+    assert findings(*starts, refused) == ["DENIED"]
