--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -39,6 +39,9 @@
 PROBE_INTERVAL = 0.4
 """Seconds between two requests of a probe."""
 
+DENIALS = frozenset({401, 403, 404})
+"""Statuses that say that the configuration does not allow the request."""
+
 MAX_RETRY_SHARE = 1 / 3
 """Share of the time left that a caller waits at most when it is told to."""
 
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -1,12 +1,17 @@
 """What was seen of a run, by request, gateway and engine."""
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
 from process_soak.record import FOREVER, Event
-from process_soak.site import TIMEOUTS, Bounds
+from process_soak.site import EXTRA_ROUTE, TIMEOUTS, Bounds
+
+Findings = Iterator[str]
+
+LATE = 0.5
+"""Seconds by which something must be late to count."""
 
 KILL_TOLERANCE = 0.1
 """Seconds by which the kill at the end of a grace may seem too early."""
@@ -30,6 +35,11 @@
         """When the timeout of its route is reached."""
         return self.sent.at + TIMEOUTS[self.sent.kind]
 
+    @property
+    def is_probe(self) -> bool:
+        """Whether it is on a route that versions add and remove."""
+        return self.sent.detail.startswith(EXTRA_ROUTE)
+
     def end_at_engine(self, arrival: Event) -> Event | None:
         """Return how an engine's work ended on one of the arrivals."""
         ends = (
@@ -72,7 +82,7 @@
 
     def has_route(self, name: str) -> bool:
         """Return whether it has a route."""
-        number = name.removeprefix("more")
+        number = name.removeprefix(EXTRA_ROUTE)
         return number == name or int(number) < self.extra_routes
 
 
@@ -249,6 +259,11 @@
     def _on_asked(self, event: Event) -> None:
         self.readiness[event.process].append(event)
 
+    @property
+    def services(self) -> list[str]:
+        """The services that requests were for."""
+        return sorted({each.sent.service for each in self.requests.values()})
+
     def stop_before(self, gateway: str, at: float) -> Stop | None:
         """Return the last stop of a gateway that began before a time."""
         stops = [stop for stop in self.gateways[gateway].stops if stop.at <= at]
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -27,8 +27,11 @@
 READINESS_INTERVAL = 1.0
 """Seconds between two questions of the platform for a gateway's readiness."""
 
+EXTRA_ROUTE = "more"
+"""Begins the names of routes that only probes use."""
+
 MAX_EXTRA_ROUTES = 30
-"""Routes that versions of the configuration add and remove; only probes use them."""
+"""Routes that versions of the configuration add and remove."""
 
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
@@ -88,7 +91,9 @@
     """Return the first of the routes that only probes use."""
     lookup = ROUTES[1]
     return [
-        Route(f"more{number}", lookup.kind, lookup.service, 1.0, lookup.deadline)
+        Route(
+            f"{EXTRA_ROUTE}{number}", lookup.kind, lookup.service, 1.0, lookup.deadline
+        )
         for number in range(count)
     ]
 
