--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= 1
 STEPS ?= 100000
 SECONDS_PLAYED ?= 120
+RUNS ?= 4
 
 .PHONY: demo test check soak bench clean
 
@@ -28,6 +29,7 @@
 	PYTHONPATH=tests $(BIN)/python -m soak --seed $(SEED) --steps $(STEPS)
 	PYTHONPATH=tests $(BIN)/python -m gateway_soak --seed $(SEED) --seconds $(SECONDS_PLAYED)
 	PYTHONPATH=tests $(BIN)/python -m gateway_soak --seed $(SEED) --seconds $(SECONDS_PLAYED) --crashing-requests
+	PYTHONPATH=tests $(BIN)/python -m process_soak --seed $(SEED) --runs $(RUNS)
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -47,10 +47,14 @@
 
 @dataclass(slots=True)
 class Report:
-    """The outcome of a run."""
+    """The outcome of a run.
+
+    :param answered: requests that were answered with success.
+    """
 
     findings: list[str]
     text: str
+    answered: int
 
 
 def play(options: Options) -> Report:
@@ -90,7 +94,11 @@
     (directory / "report.txt").write_text(text)
     if not findings:
         shutil.rmtree(directory)
-    return Report(findings, text)
+    answered = sum(
+        each.ended is not None and each.ended.status == 200
+        for each in seen.requests.values()
+    )
+    return Report(findings, text, answered)
 
 
 async def _play(site: Site, faults: list[Fault], seconds: float) -> float:
