--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -36,6 +36,7 @@
     callers: int
     rate: float
     work: float
+    events: int
     grace: float
     slack: float
     busy: int
@@ -69,6 +70,7 @@
         callers=options.callers,
         rate=options.rate,
         work=options.work,
+        events=options.events,
         busy=options.busy,
     )
     bounds = Bounds(grace=options.grace, retry_slack=options.slack)
