--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -6,10 +6,15 @@
 import sys
 from collections.abc import Callable
 
+from cyclamenyoke.adapters.http_ingress import IngressConnection
 from cyclamenyoke.core.gateway_config import RetryMode, Route
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
+from cyclamenyoke.core.inbound_request import Header
 from cyclamenyoke.core.peers import BudgetPart, Peers
+from cyclamenyoke.daemon import cluster_state
+from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.daemon.gateway import run
+from cyclamenyoke.platform.engine_client import HttpEngineClient
 
 
 def forget_budget() -> None:
@@ -39,10 +44,54 @@
     Route.__init__ = create_repeatable
 
 
+def forget_leaving() -> None:
+    """Read the list of endpoints so rarely that drains are noticed late."""
+    cluster_state.LIST_READS_PER_DRAIN = 0.2
+    cluster_state.MAX_LIST_AGES_PER_DRAIN = 0.2
+
+
+def keep_gone_callers() -> None:
+    """Go on with requests whose callers have closed the connection."""
+    lose = IngressConnection.connection_lost
+
+    def lose_and_go_on(self: IngressConnection, error: Exception | None) -> None:
+        task, self._task = self._task, None
+        lose(self, error)
+        self._task = task
+
+    IngressConnection.connection_lost = lose_and_go_on
+
+
+def keep_first_configuration() -> None:
+    """Ignore all versions of the configuration but the first."""
+    apply = ClusterState._apply_config
+
+    def apply_first(self: ClusterState, raw: bytes, position: object) -> None:
+        if self.config_version <= 0:
+            apply(self, raw, position)
+
+    ClusterState._apply_config = apply_first
+
+
+def hand_more_time() -> None:
+    """State deadlines to engines that are later than those of callers."""
+    build = HttpEngineClient._headers
+
+    def build_later(self: HttpEngineClient, *values: object) -> list[Header]:
+        *others, remaining = values
+        return build(self, *others, remaining + 1.0)
+
+    HttpEngineClient._headers = build_later
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "forgets_budget": forget_budget,
     "cuts_on_stop": cut_on_stop,
     "repeats_orders": repeat_orders,
+    "forgets_leaving": forget_leaving,
+    "keeps_gone_callers": keep_gone_callers,
+    "keeps_first_configuration": keep_first_configuration,
+    "hands_more_time": hand_more_time,
 }
 
 if __name__ == "__main__":
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -21,6 +21,7 @@
             callers=60,
             rate=80.0,
             work=0.02,
+            events=12,
             grace=8.0,
             slack=40.0,
             busy=0,
