--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -8,8 +8,9 @@
 from random import Random
 
 from process_soak.faults import PROFILES, Fault, Injector, draw_faults
+from process_soak.observations import Observations
 from process_soak.record import read_events
-from process_soak.rules import Observations, check, summary
+from process_soak.rules import check, summary
 from process_soak.site import PORTS, Bounds, Site, Sizes
 
 END_TIMEOUT = 15.0
@@ -22,7 +23,7 @@
 
     :param profile: kinds of faults; drawn from the seed if empty.
     :param source: tree of the gateways that run.
-    :param gateway: module that is run as a gateway.
+    :param gateway: module that is run as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses; runs beside each
         other need different ones.
     :param directory: gets a directory of records for each run.
@@ -47,10 +48,14 @@
 
 @dataclass(slots=True)
 class Report:
-    """The outcome of a run."""
+    """The outcome of a run.
+
+    :param answered: requests that were answered with success.
+    """
 
     findings: list[str]
     text: str
+    answered: int
 
 
 def play(options: Options) -> Report:
@@ -91,7 +96,11 @@
     (directory / "report.txt").write_text(text)
     if not findings:
         shutil.rmtree(directory)
-    return Report(findings, text)
+    answered = sum(
+        each.ended is not None and each.ended.status == 200
+        for each in seen.requests.values()
+    )
+    return Report(findings, text, answered)
 
 
 async def _play(site: Site, faults: list[Fault], seconds: float) -> float:
@@ -106,8 +115,9 @@
                 await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
                 group.create_task(injector.inject(fault))
         async with asyncio.timeout(seconds + END_TIMEOUT):
-            for callers in site.callers:
-                await callers.wait()
+            codes = [await callers.wait() for callers in site.callers]
+        if any(codes):
+            raise RuntimeError(f"callers ended with {codes}")
         return began
     finally:
         await site.close()
