Leave a silent engine only for one that the request has not tried

Callers saw a 502 after 2.5 x the target latency, or a stream that was cut, from an engine that was at work on the request and merely slow: a request at the only engine of its service, or one whose other engines had all been tried or had asked for a pause.

Cause: before a request leaves a silent engine, has_open_slot is asked for room elsewhere. It counted the silent engine's own free slots, and those of engines that the request can't be sent to.

Change: has_open_slot counts only untried engines without a pause. With none of these the request waits for its engine, as it did already without room or budget.

--- a/src/cyclamenyoke/core/balancer.py
+++ b/src/cyclamenyoke/core/balancer.py
@@ -180,17 +180,21 @@
         slots = self._limits.slots(endpoints, duration, now)
         return slots - sum(self.load(each) for each in endpoints), slots
 
-    def has_open_slot(self, service: str, duration: float, now: float) -> bool:
-        """Return whether an endpoint of a service has a slot that limits let it fill.
+    def has_open_slot(
+        self, service: str, tried: frozenset[str], duration: float, now: float
+    ) -> bool:
+        """Return whether an untried endpoint has a slot that limits let it fill.
 
         Unlike in :meth:`free_slots`, requests that wait at one endpoint do not offset
-        the free slots of another.
+        the free slots of another. An endpoint that asked for a pause has none.
 
+        :param tried: endpoints that have already received the request.
         :param duration: seconds that a request takes.
         """
         return any(
             self._limits.slots([each], duration, now) > self.load(each)
             for each in self._registry.usable(service)
+            if each.id not in tried and self._rest_of(each, now) is None
         )
 
     def customers(self, service: str) -> Counter[str]:
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -953,7 +953,8 @@
         if not budget.allows(now, part.nodes, part.is_usable):
             return False
         duration = self._admission.duration(context.service)
-        return self._balancer.has_open_slot(context.service, duration, now)
+        tried = context.delivery.tried_endpoints
+        return self._balancer.has_open_slot(context.service, tried, duration, now)
 
     def _on_notice(
         self, context: RequestContext, endpoint: Endpoint, event: EngineEvent
