Do not take a caller that pauses to read for a dead one

A caller that read nothing for 2 s of a response larger than its receive buffer had its connection reset, and the rest of the answer was lost: in the tests after 4 s, with bodies of 300 kB and of 24 MB, on a kept connection and on one that closes.

Cause: callers' connections had a TCP_USER_TIMEOUT of 2 s. Since Linux 5.11 it also ends a connection whose peer acknowledges everything and keeps its window at zero.

Change: callers' connections keep the probes of idle peers and lose this timeout. What then bounds a caller that is gone without a sign: the request's deadline while it is in progress; the idle timeout after it, which now also applies to a kept connection whose response was not read. Connections to engines keep the timeout.

The four tests failed before with a reset and pass now, on Linux 6.18. Not run: a caller behind a partition, whose unacknowledged stream now lasts until its deadline rather than 2 s; loopback can't show it.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -111,8 +111,8 @@
 ResponseEvent = ResponseHead | BodyPart | ResponseEnd | ResponseFailed
 
 
-def set_dead_peer_timeouts(sock: socket.socket) -> None:
-    """Make the kernel fail the connection when the peer stops responding.
+def probe_idle_peer(sock: socket.socket) -> None:
+    """Make the kernel fail an idle connection whose peer stops responding.
 
     Also disables Nagle's algorithm.
     """
@@ -122,17 +122,26 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(USER_TIMEOUT * MILLISECONDS_PER_SECOND),
-        ),
     )
     for level, option, value in options:
-        # If an option is not supported, the others and the timeouts of this package
-        # still apply.
-        with contextlib.suppress(OSError):
-            sock.setsockopt(level, option, value)
+        _set_option(sock, level, option, value)
+
+
+def set_dead_peer_timeouts(sock: socket.socket) -> None:
+    """Make the kernel fail the connection when the peer stops responding or reading.
+
+    Also disables Nagle's algorithm.
+    """
+    probe_idle_peer(sock)
+    timeout = int(USER_TIMEOUT * MILLISECONDS_PER_SECOND)
+    _set_option(sock, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
+
+
+def _set_option(sock: socket.socket, level: int, option: int, value: int) -> None:
+    # If an option is not supported, the others and the timeouts of this package still
+    # apply.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(level, option, value)
 
 
 class HttpConnection(asyncio.Protocol):
--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from cyclamenyoke.adapters.http_connection import Header, set_dead_peer_timeouts
+from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
@@ -275,6 +275,8 @@
             return
         if self._is_receiving:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif self._unsent_bytes:
+            self.close_gracefully()
         elif self._transport is not None:
             self._transport.close()
 
@@ -296,7 +298,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        set_dead_peer_timeouts(transport.get_extra_info("socket"))
+        # No timeout of the kernel for unacknowledged data: it would also end responses
+        # whose callers are alive and pause to read.
+        probe_idle_peer(transport.get_extra_info("socket"))
         self._server.on_open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -1,11 +1,31 @@
 """Each way in which a gateway could end a request without a complete answer."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
+from cyclamenyoke.adapters.clock import BootClock
+from cyclamenyoke.adapters.http_ingress import IngressServer
+from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.standins.engine import STREAM_EVENTS, Behaviour
-from site_fixture import configuration, running_site
+from site_fixture import configuration, connect, free_port, running_site
+
+REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def running_server(handle, **limits):
+    """Run a server of callers with a handler; yield it with its address."""
+    server = IngressServer(handle, BootClock(), lambda status: None, lambda error: None)
+    server.limits = CallerLimits(**limits)
+    address = f"127.0.0.1:{free_port('127.0.0.1')}"
+    await server.start(address)
+    try:
+        yield server, address
+    finally:
+        server.close()
 
 
 async def publish(site, **changes):
@@ -63,3 +83,53 @@
         response = await stream
         assert (response.status, response.is_complete) == (200, True)
         assert response.body.count(b"id: ") == STREAM_EVENTS
+
+
+LONG_BODY = b"x" * 24_000_000
+"""More than the kernel buffers of a connection take."""
+
+READING_PAUSE = 4.0
+"""Seconds, longer than a dead peer may leave data unacknowledged."""
+
+
+# Guards against a caller that pauses to read and is taken for a dead one.
+@pytest.mark.parametrize("is_closing", [False, True])
+@pytest.mark.parametrize("body", [LONG_BODY, LONG_BODY[:300_000]])
+async def test_caller_that_reads_nothing_for_seconds_gets_the_whole_response(
+    is_closing, body
+):
+    async def handle(request, responder):
+        responder.respond(200, [], body)
+
+    async with running_server(handle) as (_, address):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, (host, int(port)))
+            end = b"Connection: close\r\n\r\n" if is_closing else b"\r\n"
+            await loop.sock_sendall(caller, (REQUEST % 1)[:-2] + end)
+            await asyncio.sleep(READING_PAUSE)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+            received = 0
+            async with asyncio.timeout(20):
+                while received < len(body):
+                    data = await loop.sock_recv(caller, 1 << 20)
+                    assert data
+                    received += len(data)
+
+
+# Guards against connections that a caller without interest in its response keeps open.
+async def test_caller_that_never_reads_is_given_up_on_a_kept_connection():
+    async def handle(request, responder):
+        responder.respond(200, [], LONG_BODY)
+
+    async with running_server(handle, idle_timeout=1.0) as (server, address):
+        _, writer = await connect(address)
+        writer.write(REQUEST % 1)
+        await asyncio.sleep(0.8)
+        assert server.connection_count == 1
+        await asyncio.sleep(2.5)
+        assert server.connection_count == 0
+        writer.close()
