Answer the requests that a connection holds before a draining node closes it

A caller that had sent several requests at once to a node that drains got one response with "Connection: close"; the others had been read and were dropped without an answer.

Cause: while draining each response closed its connection, whatever was read behind it.

Change: a response closes the connection only if no further request was read and no rejection waits there; the last one says "Connection: close".

Two tests failed before (the second response was missing, with 2 and with 12 requests) and pass now, beside test_graceful_shutdown and test_gateway_lifecycle.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -175,7 +175,7 @@
 
     def _write_head(self, status: int, fields: list[Header], body: bytes) -> None:
         self._is_started = True
-        if not self._request.keep_alive or self._connection.is_draining:
+        if not self._request.keep_alive or self._connection.closes_after_response:
             self._request.keep_alive = False
             fields.append((b"Connection", b"close"))
         self._connection.write(encode_head(status, fields) + body)
@@ -211,9 +211,10 @@
         self._reset_message()
 
     @property
-    def is_draining(self) -> bool:
-        """Whether the server is draining; each response then closes the connection."""
-        return self._server.is_draining
+    def closes_after_response(self) -> bool:
+        """Whether the server is draining and has read no further request here."""
+        has_next = self._pending or self._rejection is not None
+        return self._server.is_draining and not has_next
 
     @property
     def is_busy(self) -> bool:
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -10,7 +10,13 @@
 from cyclamenyoke.adapters.http_ingress import IngressServer
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.standins.engine import STREAM_EVENTS, Behaviour
-from site_fixture import configuration, connect, free_port, running_site
+from site_fixture import (
+    configuration,
+    connect,
+    free_port,
+    read_response,
+    running_site,
+)
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -28,6 +34,11 @@
         server.close()
 
 
+async def echo_target(request, responder):
+    await asyncio.sleep(0.1)
+    responder.respond(200, [], request.target)
+
+
 async def publish(site, **changes):
     site.publish(configuration(2, **changes))
     await site.notify_watches()
@@ -133,3 +144,42 @@
         await asyncio.sleep(2.5)
         assert server.connection_count == 0
         writer.close()
+
+
+# Guards against requests that were read, and are dropped behind "Connection: close".
+@pytest.mark.parametrize("count", [2, 12])
+async def test_pipelined_requests_are_all_answered_while_draining(count):
+    async with running_server(echo_target) as (server, address):
+        server.is_draining = True
+        reader, writer = await connect(address)
+        writer.write(b"".join(REQUEST % number for number in range(count)))
+        async with asyncio.timeout(3):
+            responses = [await read_response(reader) for _ in range(count)]
+            assert await reader.read() == b""
+        assert [each.body for each in responses] == [
+            b"/%d" % number for number in range(count)
+        ]
+        closing = ["connection" in each.headers for each in responses]
+        assert closing == [False] * (count - 1) + [True]
+        writer.close()
+
+
+# Guards against a request that is dropped as the shutdown begins during a response.
+async def test_request_behind_a_response_that_has_begun_is_answered_while_draining():
+    async def handle(request, responder):
+        responder.start(200, [])
+        await asyncio.sleep(0.2)
+        responder.finish()
+
+    async with running_server(handle) as (server, address):
+        reader, writer = await connect(address)
+        writer.write((REQUEST % 1) * 2)
+        await asyncio.sleep(0.1)
+        server.is_draining = True
+        async with asyncio.timeout(2):
+            first, second = [await read_response(reader) for _ in range(2)]
+            assert await reader.read() == b""
+        assert (first.is_complete, second.is_complete) == (True, True)
+        assert "connection" not in first.headers
+        assert second.headers["connection"] == "close"
+        writer.close()
