Answer a request whose handler fails with a 500

A caller whose request met an error in its handler saw its connection reset without a byte. If a task within the handler was cancelled, or the handler returned without a response, the caller saw nothing until the idle timeout.

Change: a handler that ends without a complete response gets one from the server: a 500 with "Connection: close" if nothing was sent, which promises nothing, and otherwise an incomplete response as before.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -173,6 +174,20 @@
         """Close the connection, so that the caller sees an incomplete response."""
         self._connection.reset()
 
+    def end_unanswered(self) -> None:
+        """End a response that the handler has not completed.
+
+        Without a part of it the caller gets an error, and otherwise sees that it is
+        incomplete.
+        """
+        if self._is_complete:
+            return
+        if self._is_started:
+            self.abort()
+            return
+        self._request.keep_alive = False
+        self.respond(HTTPStatus.INTERNAL_SERVER_ERROR.value)
+
     def _write_head(self, status: int, fields: list[Header], body: bytes) -> None:
         self._is_started = True
         if not self._request.keep_alive or self._connection.closes_after_response:
@@ -434,15 +449,15 @@
         request = self._pending.popleft()
         responder = Responder(self, request)
         self._task = asyncio.create_task(self._server.handler(request, responder))
-        self._task.add_done_callback(self._on_done)
+        self._task.add_done_callback(partial(self._on_done, responder))
 
-    def _on_done(self, task: asyncio.Task[None]) -> None:
+    def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         if not task.cancelled() and task.exception() is not None:
             self._server.on_handler_error(task.exception())
-            self.reset()
-            return
+        if self._transport is not None and not self._transport.is_closing():
+            responder.end_unanswered()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
             # Not after a response that closes the connection.
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -183,3 +183,45 @@
         assert "connection" not in first.headers
         assert second.headers["connection"] == "close"
         writer.close()
+
+
+async def fail(request, responder):
+    raise ValueError
+
+
+async def cancel_itself(request, responder):
+    raise asyncio.CancelledError
+
+
+async def return_without_a_response(request, responder):
+    return
+
+
+# Guards against callers that see a closed connection, or nothing, as a handler fails.
+@pytest.mark.parametrize("handle", [fail, cancel_itself, return_without_a_response])
+async def test_request_whose_handler_fails_is_answered(handle):
+    async with running_server(handle) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(REQUEST % 1)
+        async with asyncio.timeout(1):
+            response = await read_response(reader)
+            assert await reader.read() == b""
+        assert (response.status, response.is_complete) == (500, True)
+        assert response.headers["connection"] == "close"
+        writer.close()
+
+
+# Guards against a response that looks complete though its handler failed midway.
+async def test_response_whose_handler_fails_midway_is_incomplete():
+    async def handle(request, responder):
+        responder.start(200, [])
+        responder.write(b"part")
+        raise ValueError
+
+    async with running_server(handle) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(REQUEST % 1)
+        async with asyncio.timeout(1):
+            response = await read_response(reader)
+        assert (response.body, response.is_complete) == (b"part", False)
+        writer.close()
