Send "100 Continue" only after the responses that come before it

A caller that sent a request with "Expect: 100-continue" behind another one got "100 Continue" in the midst of the first one's response; the bytes were no answer in the protocol, and the response was lost. A caller whose body is too large was asked to send it before it was refused.

Cause: the interim response was written as the headers were read, whatever was being sent on the connection, and before the size was checked.

Change: it waits its turn like a rejection.

Two tests failed before and pass now, beside test_gateway and test_foreign_values. The tests of slow bodies and of a process that stands still passed before too: the sockets are read before the time-outs are checked.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -39,6 +39,7 @@
 """Unsent bytes for a slow caller at which the source of the response is paused."""
 
 LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 SINGLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
@@ -375,9 +376,11 @@
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._must_continue = True
             if name.lower() == b"content-length":
                 self._check_body_size(int(value))
+        if self._must_continue and not self._is_discarding:
+            self._start_next()
 
     def on_body(self, data: bytes) -> None:
         if self._is_discarding:
@@ -399,7 +402,7 @@
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             self._parser.get_http_version() == "1.0",
         )
-        self._is_receiving = False
+        self._is_receiving = self._must_continue = False
         self._pending.append(request)
         self._start_next()
 
@@ -410,6 +413,7 @@
         self._header_size = 0
         self._body: list[bytes] = []
         self._body_size = 0
+        self._must_continue = False
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
@@ -435,7 +439,7 @@
         self._start_next()
 
     def _start_next(self) -> None:
-        """Handle the next request, or send the rejection that is next."""
+        """Handle the next request, or send the rejection or interim response."""
         if self._task is not None:
             return
         if not self._pending:
@@ -443,6 +447,9 @@
                 head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
                 self.write(encode_head(self._rejection.value, head))
                 self.close_gracefully()
+            elif self._must_continue:
+                self._must_continue = False
+                self.write(CONTINUE)
             return
         if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -225,3 +226,96 @@
             response = await read_response(reader)
         assert (response.body, response.is_complete) == (b"part", False)
         writer.close()
+
+
+# Guards against a response that is spoilt by "100 Continue" for the next request.
+async def test_interim_response_waits_for_the_response_before_it():
+    async def handle(request, responder):
+        if request.method == b"GET":
+            responder.start(200, [])
+            responder.write(b"one")
+            await asyncio.sleep(0.2)
+            responder.write(b"two")
+            responder.finish()
+            return
+        responder.respond(200, [], request.body)
+
+    async with running_server(handle) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(REQUEST % 1)
+        await asyncio.sleep(0.1)
+        writer.write(
+            b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 3\r\n\r\n"
+        )
+        async with asyncio.timeout(2):
+            first = await read_response(reader)
+            assert (first.body, first.is_complete) == (b"onetwo", True)
+            assert await reader.readuntil(b"\r\n\r\n") == (
+                b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+            writer.write(b"abc")
+            assert (await read_response(reader)).body == b"abc"
+        writer.close()
+
+
+# Guards against a slow body that is taken for a silent caller.
+async def test_body_that_arrives_slowly_but_steadily_is_read_to_its_end():
+    async def handle(request, responder):
+        responder.respond(200, [], request.body)
+
+    limits = {"header_timeout": 0.6, "idle_timeout": 0.7}
+    async with running_server(handle, **limits) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(
+            b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 8\r\n\r\n"
+        )
+        assert b"100 Continue" in await reader.readuntil(b"\r\n\r\n")
+        for _ in range(8):
+            await asyncio.sleep(0.4)
+            writer.write(b"x")
+        async with asyncio.timeout(2):
+            assert (await read_response(reader)).body == b"x" * 8
+        writer.close()
+
+
+# Guards against time-outs that pass while the process does not run and end requests
+# that have arrived meanwhile.
+@pytest.mark.parametrize("sent_before", [b"", b"GET /1 HT", REQUEST % 1])
+async def test_request_that_arrives_while_the_process_stands_still_is_answered(
+    sent_before,
+):
+    limits = {"header_timeout": 0.6, "idle_timeout": 0.6}
+    async with running_server(echo_target, **limits) as (_, address):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            await loop.sock_connect(caller, (host, int(port)))
+            await loop.sock_sendall(caller, sent_before)
+            await asyncio.sleep(0.3)
+            rest = (REQUEST % 1)[len(sent_before) :] or REQUEST % 1
+            time.sleep(0.2)
+            caller.send(rest)
+            time.sleep(1)
+            received = b""
+            async with asyncio.timeout(2):
+                while received.count(b"HTTP/1.1 200") < 1 + (len(sent_before) > 20):
+                    data = await loop.sock_recv(caller, 65536)
+                    assert data
+                    received += data
+
+
+# Guards against a caller that is asked for a body that is refused.
+async def test_body_that_is_too_large_is_refused_without_asking_for_it():
+    async with running_server(echo_target, max_body_bytes=3) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(
+            b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 4\r\n\r\n"
+        )
+        async with asyncio.timeout(1):
+            assert (await read_response(reader)).status == 413
+            assert await reader.read() == b""
+        writer.close()
