Refuse a request that offers an upgrade and has a body

Cause: httptools takes what follows the headers of such a request for the other protocol, and reports the request as complete.

Change: it gets a 501 and the connection is closed. An offer without a body is still declined, and the request handled.

The test failed before (200 to a request with a body, the handler got none).

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -110,6 +110,22 @@
     return None
 
 
+def check_upgrade(headers: Sequence[Header]) -> HTTPStatus | None:
+    """Return the status of a request that offers an upgrade and can't be read whole.
+
+    The parser skips the body of such a request; without one the offer is declined.
+
+    >>> check_upgrade([(b"Content-Length", b"0")])
+    >>> check_upgrade([(b"Content-Length", b"3")])
+    <HTTPStatus.NOT_IMPLEMENTED: 501>
+    """
+    for name, value in headers:
+        is_length = name.lower() == b"content-length"
+        if name.lower() == b"transfer-encoding" or (is_length and int(value)):
+            return HTTPStatus.NOT_IMPLEMENTED
+    return None
+
+
 def encode_head(status: int, headers: Sequence[Header]) -> bytes:
     """Encode the status line and headers of a response."""
     reason = REASON_PHRASES.get(status, b"Unknown")
@@ -370,6 +386,8 @@
         if self._is_discarding:
             return
         framing_error = check_framing(self._headers)
+        if framing_error is None and self._parser.should_upgrade():
+            framing_error = check_upgrade(self._headers)
         if framing_error is not None:
             self._reject(framing_error)
             return
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -319,3 +319,30 @@
             assert (await read_response(reader)).status == 413
             assert await reader.read() == b""
         writer.close()
+
+
+# Guards against engines that get a request without its body, as it offers an upgrade.
+async def test_request_with_an_upgrade_and_a_body_is_refused_whole():
+    requests = []
+
+    async def handle(request, responder):
+        requests.append(request.body)
+        responder.respond(200)
+
+    async with running_server(handle) as (_, address):
+        for body, status in ((b"", 200), (b"abc", 501)):
+            reader, writer = await connect(address)
+            writer.write(
+                b"PUT / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+                b"Upgrade: h2c\r\nHTTP2-Settings: AAM\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(body) + body
+            )
+            async with asyncio.timeout(3):
+                response = await read_response(reader)
+                assert await reader.read() == b""
+            assert (response.status, response.headers["connection"]) == (
+                status,
+                "close",
+            )
+            writer.close()
+    assert requests == [b""]
