--- a/tests/process_soak/bound_process.py
+++ b/tests/process_soak/bound_process.py
@@ -3,7 +3,7 @@
 On a real machine a gateway connects from the machine's address; on loopback all would
 come from the same one.
 
-Run with ``python -m process_soak.bound_process IP MODULE``.
+Run with ``python -m process_soak.bound_process IP MODULE ARGUMENTS``.
 """
 
 import asyncio
@@ -35,6 +35,7 @@
 
 
 if __name__ == "__main__":
-    BoundEventLoop.ip = sys.argv[1]
+    BoundEventLoop.ip, module, *arguments = sys.argv[1:]
+    sys.argv[1:] = arguments
     asyncio.set_event_loop_policy(BoundPolicy())
-    runpy.run_module(sys.argv[2], run_name="__main__", alter_sys=True)
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a run: a seeded series that overlaps, and how each is injected."""
 
 import asyncio
+import itertools
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -9,8 +10,16 @@
 import msgspec
 
 from process_soak.engine import EngineFaults
+from process_soak.link_proxy import LinkFaults
 from process_soak.record import FOREVER
-from process_soak.site import APP, MAX_EXTRA_ROUTES, EngineProcess, Process, Site
+from process_soak.site import (
+    APP,
+    MAX_EXTRA_ROUTES,
+    STORE,
+    EngineProcess,
+    Process,
+    Site,
+)
 
 CALM_END = 4.0
 """Seconds without new faults before the callers stop."""
@@ -239,6 +248,97 @@
         until = time.monotonic()
         self._record.add("harmed", began, process=id_, detail="frozen", until=until)
 
+    async def links_delayed(self, random: Random) -> None:
+        faults = LinkFaults(delay=random.uniform(0.05, 1.0))
+        await self._harm_links(random, faults, random.uniform(2, 8))
+
+    async def links_reset(self, random: Random) -> None:
+        """Reset the connections of the same links a few times."""
+        gateways, links = self._draw_links(random)
+        for _ in range(random.randint(1, 4)):
+            began = time.monotonic()
+            reset = LinkFaults(reset=True)
+            await self._site.set_link_faults(gateways, links, reset)
+            self._add_disturbed(gateways, links, reset, began)
+            await asyncio.sleep(random.uniform(0.1, 2.0))
+
+    async def links_one_way(self, random: Random) -> None:
+        """Bytes vanish in one direction, and come through in the other."""
+        faults = LinkFaults(**{random.choice(["up", "down"]): "drop"})
+        await self._harm_links(random, faults, random.uniform(1, 6))
+
+    async def links_silent(self, random: Random) -> None:
+        """Connections stay open and carry nothing; new ones work afterwards."""
+        faults = LinkFaults(up="drop", down="drop")
+        await self._harm_links(random, faults, random.uniform(0.3, 6))
+
+    async def links_held(self, random: Random) -> None:
+        """All bytes of some seconds arrive together, often in a later window."""
+        held = random.choice([("hold", "pass"), ("pass", "hold"), ("hold", "hold")])
+        await self._harm_links(random, LinkFaults(*held), random.uniform(1, 12))
+
+    async def store_cut(self, random: Random) -> None:
+        """Cut one to three gateways off from the store, in any direction."""
+        ways = ("pass", "hold", "drop")
+        up, down = random.choice(list(itertools.product(ways, ways))[1:])
+        gateways = random.sample(self._site.gateways, random.randint(1, 3))
+        seconds = random.uniform(1, 8)
+        await self._set_links(gateways, [STORE], LinkFaults(up, down), seconds)
+
+    def _draw_links(self, random: Random) -> tuple[list[Process], list[str]]:
+        """Return one, two or all gateways, and names of engines."""
+        gateways, engines = self._site.gateways, self._site.engines
+        some = random.sample(gateways, random.choice([1, 2, len(gateways)]))
+        links = random.sample(engines, random.randint(1, len(engines)))
+        return some, [engine.name for engine in links]
+
+    async def _harm_links(
+        self, random: Random, faults: LinkFaults, seconds: float
+    ) -> None:
+        await self._set_links(*self._draw_links(random), faults, seconds)
+
+    async def _set_links(
+        self,
+        gateways: list[Process],
+        links: list[str],
+        faults: LinkFaults,
+        seconds: float,
+    ) -> None:
+        began = time.monotonic()
+        try:
+            await self._site.set_link_faults(gateways, links, faults)
+            await asyncio.sleep(seconds)
+            await self._site.set_link_faults(gateways, links, LinkFaults())
+        finally:
+            self._add_disturbed(gateways, links, faults, began)
+
+    def _add_disturbed(
+        self,
+        gateways: list[Process],
+        links: list[str],
+        faults: LinkFaults,
+        began: float,
+    ) -> None:
+        """Record that links of gateways were harmed until now."""
+        for gateway in gateways:
+            self._record.add(
+                "disturbed",
+                began,
+                process=gateway.name,
+                detail=f"{', '.join(links)}: {faults}",
+                until=time.monotonic(),
+            )
+
+
+LINK_FAULTS = (
+    "links_delayed",
+    "links_reset",
+    "links_one_way",
+    "links_silent",
+    "links_held",
+    "store_cut",
+)
+"""Faults that need a link proxy."""
 
 INJECTORS: dict[str, Callable[[Injector, Random], Awaitable[None]]] = {
     name: getattr(Injector, name)
@@ -261,6 +361,7 @@
         "engine_killed",
         "engine_drained",
         "engine_frozen",
+        *LINK_FAULTS,
     )
 }
 
@@ -293,6 +394,7 @@
             *("engine_killed", "engine_frozen"),
         )
     ),
+    "links": Profile(LINK_FAULTS),
 }
 
 
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from random import Random
 
-from process_soak.faults import PROFILES, Fault, Injector, draw_faults
+from process_soak.faults import LINK_FAULTS, PROFILES, Fault, Injector, draw_faults
 from process_soak.observations import Observations
 from process_soak.record import read_events
 from process_soak.rules import check, summary
@@ -74,6 +74,7 @@
         busy=options.busy,
     )
     bounds = Bounds(grace=options.grace, retry_slack=options.slack)
+    faults = draw_faults(random, profile, options.seconds)
     site = Site(
         directory,
         sizes,
@@ -82,8 +83,8 @@
         options.source.absolute(),
         options.gateway,
         options.network,
+        any(fault.name in LINK_FAULTS for fault in faults),
     )
-    faults = draw_faults(random, profile, options.seconds)
     began = asyncio.run(_play(site, faults, options.seconds))
     names = {f"{each.ip}:{PORTS['front']}": each.name for each in site.gateways}
     seen = Observations(read_events(directory), bounds, names)
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -1,4 +1,4 @@
-"""The processes of a soak: the store, engines, gateways and callers on loopback."""
+"""The processes of a soak: the store, engines, links, gateways and callers."""
 
 import asyncio
 import contextlib
@@ -18,6 +18,7 @@
 
 from process_soak.callers import API_KEY, HOST, Plan, Route
 from process_soak.engine import FAULTS_PATH, EngineFaults
+from process_soak.link_proxy import LinkFaults, LinkOrder
 from process_soak.record import Record
 
 RESTART_DELAY = 0.5
@@ -37,6 +38,9 @@
 INTERNAL_PORTS = (7340, 7355)
 GATEWAY = "cyclamenyoke.daemon.gateway"
 LLM, APP = "llm", "app"
+STORE = "store"
+"""Name of the link to the store; those to engines are named like the engines."""
+
 ROOT = Path(__file__).resolve().parents[2]
 
 
@@ -200,6 +204,7 @@
     :param source: the tree whose gateways run.
     :param gateway_module: module that runs as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses, such as ``127.20``.
+    :param has_links: whether gateways reach engines and the store over a link proxy.
     """
 
     def __init__(
@@ -211,6 +216,7 @@
         source: Path = ROOT / "src",
         gateway_module: str = GATEWAY,
         network: str = "127.20",
+        has_links: bool = False,
     ) -> None:
         self.directory = directory
         self.sizes = sizes
@@ -228,6 +234,9 @@
         self._configuring = asyncio.Lock()
         self._asking: list[asyncio.Task[None]] = []
         self.store = f"127.0.0.1:{free_port()}"
+        self._has_links = has_links
+        self._links_control = f"127.0.0.1:{free_port()}"
+        self._links: dict[str, str] = {}
 
     # Starting.
 
@@ -243,7 +252,10 @@
                 address = f"127.0.0.1:{free_port()}"
                 engine = EngineProcess(f"{service}-{number}", service, address)
                 self.engines.append(engine)
-                await self.start_engine(engine)
+        if self._has_links:
+            await self._start_links()
+        for engine in self.engines:
+            await self.start_engine(engine)
         for number in range(self.sizes.gateways):
             ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
             gateway = Process(f"gateway-{number}", ip)
@@ -357,6 +369,28 @@
         """Inject faults into the store; none ends them."""
         await post(self.store, "/v1/faults", faults)
 
+    # Links.
+
+    async def _start_links(self) -> None:
+        targets = {each.name: each.address for each in self.engines}
+        targets[STORE] = self.store
+        self._links = {name: f"127.0.0.1:{free_port()}" for name in targets}
+        words = ["-m", "process_soak.link_proxy", "--control", self._links_control]
+        for name, target in targets.items():
+            words += ["--link", f"{name},{self._links[name]},{target}"]
+        self._others.append(await self._spawn(words, "links"))
+        await self._until(lambda: self._order_links([]))
+
+    async def set_link_faults(
+        self, gateways: list[Process], links: list[str], faults: LinkFaults
+    ) -> None:
+        """Inject faults into the gateways' parts of links."""
+        ips = [gateway.ip for gateway in gateways]
+        await self._order_links([LinkOrder(link, ips, faults) for link in links])
+
+    async def _order_links(self, orders: list[LinkOrder]) -> None:
+        await post(self._links_control, FAULTS_PATH, orders)
+
     # Engines.
 
     async def start_engine(self, engine: EngineProcess) -> None:
@@ -379,7 +413,7 @@
         """Write an engine's entry; an empty state removes it."""
         entry = {
             "service": engine.service,
-            "address": engine.address,
+            "address": self._links.get(engine.name, engine.address),
             "zone": "dc-1",
             "version": "v1",
             "slots": self.sizes.slots,
@@ -432,7 +466,7 @@
 ttl_max_s = 5
 stall_ms = 1500
 [platform]
-address = "{self.store}"
+address = "{self._links.get(STORE, self.store)}"
 """
         assert gateway.settings is not None
         changed = gateway.settings.with_suffix(".new")
@@ -448,8 +482,11 @@
             self.record.add(
                 "started", process=gateway.name, incarnation=gateway.incarnation
             )
+            words = self._gateway_module.split()
+            if self._has_links:
+                words = ["process_soak.bound_process", gateway.ip, *words]
             gateway.child = await self._spawn(
-                ["-m", *self._gateway_module.split()],
+                ["-m", *words],
                 gateway.name,
                 CYCLAMENYOKE_NODE_FILE=str(gateway.settings),
             )
--- a/tests/test_link_proxy.py
+++ b/tests/test_link_proxy.py
@@ -12,8 +12,8 @@
 
 from process_soak.engine import FAULTS_PATH
 from process_soak.link_proxy import LinkFaults, LinkOrder, LinkProxy, reset
-from process_soak.record import Event
 from process_soak.observations import Observations
+from process_soak.record import Event
 from process_soak.site import Bounds, free_port, post
 
 CLIENT, OTHER = "127.0.0.1", "127.0.0.2"
@@ -224,7 +224,7 @@
 def test_bound_process_connects_from_its_own_address(tmp_path):
     (tmp_path / "connecting.py").write_text(
         "import asyncio, sys\n"
-        "asyncio.run(asyncio.open_connection('127.0.0.1', int(sys.argv[3])))\n"
+        "asyncio.run(asyncio.open_connection('127.0.0.1', int(sys.argv[1])))\n"
     )
     with socket.create_server(("127.0.0.1", 0)) as server:
         port = server.getsockname()[1]
