--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -36,7 +36,7 @@
 
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
-GATEWAY = "cyclamenyoke.daemon.gateway"
+GATEWAY = "cyclamenyoke.daemon.gateway_process"
 LLM, APP = "llm", "app"
 STORE = "store"
 """Name of the link to the store; those to engines are named like the engines."""
