Bind the gateways' sockets instead of their event loops

Signals end a gateway until its entry point has settled them, and importing asyncio before that made this time longer than on a real machine. The wrapper loads only socket now.

--- a/tests/process_soak/bound_process.py
+++ b/tests/process_soak/bound_process.py
@@ -1,41 +1,34 @@
 """Runs a module whose TCP connections leave from its own address.
 
 On a real machine a gateway connects from the machine's address; on loopback all would
-come from the same one.
+come from the same one. Imports little, since signals end a process that loads.
 
 Run with ``python -m process_soak.bound_process IP MODULE ARGUMENTS``.
 """
 
-import asyncio
 import runpy
 import socket
 import sys
-from typing import Any
 
 IP_BIND_ADDRESS_NO_PORT = 24
 """Socket option: the port is chosen with the connection. Python does not name it."""
 
 
-class BoundEventLoop(asyncio.SelectorEventLoop):
-    """Connects from one address."""
+def bind_connections(ip: str) -> None:
+    """Make the TCP connections of this process leave from an address."""
+    connect = socket.socket.connect
 
-    ip = ""
+    def bind_and_connect(sock: socket.socket, address: tuple[str, int]) -> None:
+        if sock.type == socket.SOCK_STREAM:
+            sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+            sock.bind((ip, 0))
+        connect(sock, address)
 
-    async def sock_connect(self, sock: socket.socket, address: Any) -> None:
-        """Connect a socket."""
-        sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
-        sock.bind((self.ip, 0))
-        await super().sock_connect(sock, address)
-
-
-class BoundPolicy(asyncio.DefaultEventLoopPolicy):
-    """Makes such loops."""
-
-    _loop_factory = BoundEventLoop
+    socket.socket.connect = bind_and_connect
 
 
 if __name__ == "__main__":
-    BoundEventLoop.ip, module, *arguments = sys.argv[1:]
+    own_ip, module, *arguments = sys.argv[1:]
     sys.argv[1:] = arguments
-    asyncio.set_event_loop_policy(BoundPolicy())
+    bind_connections(own_ip)
     runpy.run_module(module, run_name="__main__", alter_sys=True)
