Let the soak of real processes show repeats and latency of lookups

New profiles: gateways killed without a fault at any engine (kills), one server of the plain service frozen (dark), and both (dark_kills). The line of a run tells how many lookups were repeated and how long they took, of all and of those sent while a server was harmed. No check changes.

--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -210,7 +210,14 @@
 
     async def engine_frozen(self, random: Random) -> None:
         engine = random.choice(self._site.engines)
-        seconds = random.uniform(0.5, 6.0)
+        await self._freeze_engine(engine, random.uniform(0.5, 6.0))
+
+    async def server_frozen(self, random: Random) -> None:
+        """Freeze one server of the plain service."""
+        servers = [each for each in self._site.engines if each.service == APP]
+        await self._freeze_engine(random.choice(servers), random.uniform(3.0, 6.0))
+
+    async def _freeze_engine(self, engine: EngineProcess, seconds: float) -> None:
         self._record.add(
             "harmed",
             process=engine.id,
@@ -245,6 +252,7 @@
         "engines_mixed",
         "engine_killed",
         "engine_frozen",
+        "server_frozen",
     )
 }
 
@@ -268,6 +276,9 @@
     "planned_early": Profile((*PLANNED, "signal_at_start")),
     "restarts": Profile(("kill_most", "engines_reset", "kill_most")),
     "budget": Profile(("kill_while_servers_fail",), 12.0, 16.0),
+    "kills": Profile(("kill_most",), 3.0, 6.0),
+    "dark": Profile(("server_frozen",), 6.0, 9.0),
+    "dark_kills": Profile(("server_frozen", "kill_most"), 2.0, 5.0),
     "slow": Profile(("kill_most", "engines_slow", "stop_in_turn")),
     "signals": Profile((*PLANNED, "kill_one", "kill_most", "freeze", "stop_frozen")),
     "engines": Profile(
--- a/tests/process_soak/rules.py
+++ b/tests/process_soak/rules.py
@@ -6,7 +6,7 @@
 
 from process_soak.callers import PROMISES
 from process_soak.record import Event
-from process_soak.site import Bounds
+from process_soak.site import APP, Bounds
 
 MAX_LOST_ANY_TIME = 3
 """Requests of kept connections that may be lost at any time."""
@@ -60,7 +60,7 @@
         self.configured: list[Event] = []
         self.signals: list[Event] = []
         self._names = ips
-        self._harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
         readers = {
             "sent": self._on_sent,
             "ended": self._on_ended,
@@ -121,7 +121,7 @@
             self.unplanned[name].append((event.at, event.at))
 
     def _on_harmed(self, event: Event) -> None:
-        self._harmed[event.process].append((event.at, event.until))
+        self.harmed[event.process].append((event.at, event.until))
 
     def stop_before(self, gateway: str, at: float) -> Stop | None:
         """Return the last stop of a gateway that began before a time."""
@@ -141,7 +141,7 @@
     def is_sound(self, engine: str, since: float, until: float) -> bool:
         """Return whether an engine had no fault over a time."""
         return not any(
-            start <= until and end >= since for start, end in self._harmed[engine]
+            start <= until and end >= since for start, end in self.harmed[engine]
         )
 
 
@@ -352,4 +352,37 @@
         for service in sorted({each.sent.service for each in seen.requests.values()})
         if (worst := worst_window(seen, service)) is not None
     }
-    return f"{dict(results.most_common())}; budget used {used}"
+    lookups = "; ".join(_lookup_lines(seen))
+    return f"{dict(results.most_common())}; budget used {used}; {lookups}"
+
+
+def _lookup_lines(seen: Observations) -> Iterator[str]:
+    """Return how lookups fared: all of them, and those sent beside harmed servers."""
+    lookups = [each for each in seen.requests.values() if each.sent.kind == "safe"]
+    harmed = [
+        span
+        for engine, spans in seen.harmed.items()
+        if f"-{APP}-" in engine
+        for span in spans
+    ]
+    beside = [
+        each
+        for each in lookups
+        if any(begin <= each.sent.at <= end for begin, end in harmed)
+    ]
+    for name, requests in (("lookups", lookups), ("beside harm", beside)):
+        if not requests:
+            continue
+        times = sorted(
+            each.ended.at - each.sent.at
+            for each in requests
+            if each.ended is not None and each.ended.status == 200
+        )
+        repeated = sum(len(each.arrivals) > 1 for each in requests)
+        line = f"{name}: {len(requests)}, repeated {100 * repeated / len(requests):.1f}"
+        line += f" in 100, {len(times)} succeeded"
+        if times:
+            shares = (0.5, 0.9, 0.99)
+            parts = [f"{times[int(share * len(times))]:.3f}" for share in shares]
+            line += f" (p50, p90, p99: {', '.join(parts)} s)"
+        yield line
