Count a retry when it is sent, not before it waits for a slot

Callers: a repeat that waited in the admission queue was counted before it waited and reached its engine in a later window, so that two windows' parts could arrive in one. A repeat that found no slot or no endpoint was counted and never sent: the budget was used up, and a later request with a real loss was refused its repeat.

Cause: the retry was taken before an endpoint was looked for. One that was admitted to an evacuated data centre took another one each time round.

Change: before the wait the budget is only asked; the retry is taken once the endpoint is reserved, in the turn of the event loop that sends it. If the budget has none by then, the request ends as before.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -410,11 +410,11 @@
                 break
             endpoint = reservation.endpoint
             with reservation:
-                if self._is_withheld(context) or not self._can_end(context):
-                    break
                 if self._balancer.is_evacuated(endpoint):
                     # Admitted from the queue just before this node learned of it.
                     continue
+                if not self._may_send(context):
+                    break
                 load = self._balancer.load(endpoint) - 1
                 attempt = delivery.start_attempt(endpoint.id, load, self._clock.now())
                 attempt.outcome = await self._attempt(
@@ -483,38 +483,61 @@
 
     def _may_try(self, context: RequestContext) -> bool:
         """Return whether the retry budget and untried endpoints allow an attempt."""
-        delivery = context.delivery
-        if delivery.has_arrived and not self._take_retry(context.service):
-            context.detail = "retry budget exhausted"
+        if context.delivery.has_arrived and not self._has_retry(context.service):
+            self._on_retry_refused(context)
             return False
         if not self._has_untried_endpoint(context):
             context.detail = context.detail or "no untried endpoint"
             return False
         return True
 
-    def _take_retry(self, service: str) -> bool:
-        """Take a retry from a service's budget; return whether there was one."""
+    def _may_send(self, context: RequestContext) -> bool:
+        """Return whether a request may be sent now; a retry then counts as sent.
+
+        It may have waited for a slot. So a retry counts in the window in which it
+        arrives, and one that is not sent does not count.
+        """
+        if self._is_withheld(context) or not self._can_end(context):
+            return False
+        return not context.delivery.has_arrived or self._take_retry(context)
+
+    def _has_retry(self, service: str) -> bool:
+        """Return whether a service's budget allows one more retry."""
+        now = self._clock.now()
+        part = self._budget_part(now)
+        return self._retry_budget(service).allows(now, part.nodes, part.is_usable)
+
+    def _take_retry(self, context: RequestContext) -> bool:
+        """Take a retry from the budget; return whether there was one."""
         now = self._clock.now()
-        budget, part = self._retry_budget(service), self._budget_part(now)
+        part = self._budget_part(now)
+        budget = self._retry_budget(context.service)
         if budget.take(now, part.nodes, part.is_usable):
-            self._metrics.count("retries", service=service)
+            self._metrics.count("retries", service=context.service)
             return True
-        self._metrics.count("retries_refused", service=service)
-        if now >= self._next_refusal_logs.get(service, now):
-            self._next_refusal_logs[service] = now + REFUSAL_LOG_INTERVAL
-            state = budget.state(now, part.nodes, part.is_usable)
-            self._log.info(
-                "retry budget exhausted",
-                service=service,
-                first_attempts=state.first_attempts,
-                retries=state.retries,
-                allowed=round(state.allowed, 2),
-                nodes=state.nodes,
-                has_fixed_part=state.has_fixed_part,
-                age=round(now - state.since, 3),
-            )
+        self._on_retry_refused(context)
         return False
 
+    def _on_retry_refused(self, context: RequestContext) -> None:
+        context.detail = "retry budget exhausted"
+        service, now = context.service, self._clock.now()
+        self._metrics.count("retries_refused", service=service)
+        if now < self._next_refusal_logs.get(service, now):
+            return
+        self._next_refusal_logs[service] = now + REFUSAL_LOG_INTERVAL
+        part = self._budget_part(now)
+        state = self._retry_budget(service).state(now, part.nodes, part.is_usable)
+        self._log.info(
+            "retry budget exhausted",
+            service=service,
+            first_attempts=state.first_attempts,
+            retries=state.retries,
+            allowed=round(state.allowed, 2),
+            nodes=state.nodes,
+            has_fixed_part=state.has_fixed_part,
+            age=round(now - state.since, 3),
+        )
+
     def _has_untried_endpoint(self, context: RequestContext) -> bool:
         available_at = self._balancer.available_at(
             context.service, context.delivery.tried_endpoints, self._clock.now()
@@ -947,13 +970,12 @@
 
     def _can_move(self, context: RequestContext) -> bool:
         """Return whether another endpoint and the budget have room for a repeat."""
-        now = self._clock.now()
-        budget = self._retry_budget(context.service)
-        part = self._budget_part(now)
-        if not budget.allows(now, part.nodes, part.is_usable):
+        if not self._has_retry(context.service):
             return False
         duration = self._admission.duration(context.service)
-        return self._balancer.has_open_slot(context.service, duration, now)
+        return self._balancer.has_open_slot(
+            context.service, duration, self._clock.now()
+        )
 
     def _on_notice(
         self, context: RequestContext, endpoint: Endpoint, event: EngineEvent
