Repeat a request at a silent engine, not where all engines are slow alike

Callers: where all engines of a service take longer than 2.5 times the target latency, as on a machine that is slow as a whole, each lookup counted as silent and was sent again as far as the budget went. The repeats added load, answered later than the attempts they replaced, and left no budget for requests that were really lost.

Cause: an attempt was given up after 2.5 times the target latency, whatever engines need.

Change: core/silence_timeout.py keeps the recent durations of answered attempts by route. The timeout is 2.5 times the target or the median, whichever is longer; a median above the target gives at most half of the attempt's time, and no repeat if engines need more than that. It is never shorter than before, and asked again when it is up, so that attempts in progress follow what a start learns. Streams stay as they are. Weighed: the longest recent duration, which one engine that wakes after a freeze would raise for all; keeping first attempts of a start that knows nothing to their deadline, which makes callers at a dark engine wait where traffic is low; a start has few retries anyway.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -50,6 +50,7 @@
 from cyclamenyoke.core.reservations import Reservation, Reservations
 from cyclamenyoke.core.response_memory import ResponseMemory
 from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
+from cyclamenyoke.core.silence_timeout import SilenceTimeout
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
@@ -82,10 +83,6 @@
 """Share of the callers' timeout after which a stream without events is retried at
 another engine, which has the rest of the timeout to send an event."""
 
-IDLE_TIMEOUT_LATENCIES = 2.5
-"""Idle timeout of retryable requests that are not streams, as a multiple of the target
-latency."""
-
 STARTUP_SYNC_TIMEOUT = 250 * MILLISECOND
 """Seconds after the start of the process for which requests wait for the first sync,
 enough for several reads of the store. Without a configuration by then, they are
@@ -290,6 +287,7 @@
         self._waiting: dict[AdmissionRequest, WaitingRequest] = {}
         self._reservations = Reservations(balancer)
         self._durations = LongestDurations()
+        self._silence = SilenceTimeout()
         self.shutdown: GracefulShutdown | None = None
         self._admission = Admission(
             self._reserve_endpoint,
@@ -556,6 +554,8 @@
         if attempt.outcome is AttemptOutcome.ANSWERED:
             seconds = attempt.ended_at - attempt.sent_at
             self._durations.add(context.route.name, seconds, attempt.ended_at)
+            if not context.route.is_stream:
+                self._silence.add(context.route.name, seconds, attempt.ended_at)
             if attempt.events or not context.route.is_stream:
                 self._on_written(context)
             return
@@ -933,7 +933,7 @@
     ) -> AttemptOutcome:
         """Read one response.
 
-        It is incomplete if the idle timeout expires and the request can be moved.
+        It is incomplete if the endpoint is silent and the request can be moved.
         Without room elsewhere an endpoint in overload is the first to answer. A caller
         that reads slowly has until the deadline: a stream that is left while an event
         is being written can't be resumed after the right one.
@@ -944,11 +944,16 @@
         while True:
             if response.progress != last_progress:
                 last_progress = response.progress
-                idle_until = loop.time() + self._idle_timeout(context)
+                progress_at = loop.time()
+                idle_until = self._silent_at(context, progress_at)
             try:
                 async with asyncio.timeout_at(idle_until):
                     event = await engine_call.receive()
             except TimeoutError:
+                # Other endpoints may have shown meanwhile that all are slow.
+                idle_until = self._silent_at(context, progress_at)
+                if loop.time() < idle_until:
+                    continue
                 remaining = context.delivery.deadline - self._clock.now()
                 if remaining <= 0 or self._can_move(context):
                     context.detail = "endpoint is silent"
@@ -1066,16 +1071,27 @@
         except TimeoutError:
             return
 
-    def _idle_timeout(self, context: RequestContext) -> float:
-        """Return the seconds for which the endpoint may send nothing from now on."""
-        route = context.route
-        remaining = max(0.0, context.delivery.deadline - self._clock.now())
+    def _silent_at(self, context: RequestContext, progress_at: float) -> float:
+        """Return when the endpoint counts as silent if it sends nothing more.
+
+        :param progress_at: when it last brought the response forward. Both times are
+            those of the event loop.
+        """
+        route, delivery = context.route, context.delivery
+        now = self._clock.now()
+        remaining = max(0.0, delivery.deadline - now)
+        deadline = asyncio.get_running_loop().time() + remaining
         is_retryable = route.retry_mode is not RetryMode.NEVER
-        if not is_retryable or context.delivery.sent_attempts >= route.max_attempts:
-            return remaining
-        if not route.is_stream:
-            return min(remaining, IDLE_TIMEOUT_LATENCIES * route.target_latency)
-        return min(remaining, IDLE_TIMEOUT_SHARE * self._caller_timeout(route))
+        if not is_retryable or delivery.sent_attempts >= route.max_attempts:
+            return deadline
+        if route.is_stream:
+            timeout = IDLE_TIMEOUT_SHARE * self._caller_timeout(route)
+        else:
+            time_limit = delivery.deadline - delivery.attempts[-1].sent_at
+            timeout = self._silence.seconds(
+                route.name, route.target_latency, time_limit, now
+            )
+        return min(deadline, progress_at + timeout)
 
     @staticmethod
     def _caller_timeout(route: Route) -> float:
