--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -239,10 +239,18 @@
 
     async def engine_frozen(self, random: Random) -> None:
         engine = random.choice(self._site.engines)
+        await self._freeze_engine(engine, random.uniform(0.5, 6.0))
+
+    async def server_frozen(self, random: Random) -> None:
+        """Freeze one server of the plain service."""
+        servers = [each for each in self._site.engines if each.service == APP]
+        await self._freeze_engine(random.choice(servers), random.uniform(3.0, 6.0))
+
+    async def _freeze_engine(self, engine: EngineProcess, seconds: float) -> None:
         child, id_, began = engine.child, engine.id, time.monotonic()
         if child.returncode is None:
             child.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(random.uniform(0.5, 6.0))
+            await asyncio.sleep(seconds)
         if child.returncode is None:
             child.send_signal(signal.SIGCONT)
         until = time.monotonic()
@@ -361,6 +369,7 @@
         "engine_killed",
         "engine_drained",
         "engine_frozen",
+        "server_frozen",
         *LINK_FAULTS,
     )
 }
@@ -386,6 +395,9 @@
     "planned_early": Profile((*PLANNED, "signal_at_start")),
     "restarts": Profile(("kill_most", "engines_reset", "kill_most")),
     "budget": Profile(("kill_while_servers_fail",), 12.0, 16.0),
+    "kills": Profile(("kill_most",), 3.0, 6.0),
+    "dark": Profile(("server_frozen",), 6.0, 9.0),
+    "dark_kills": Profile(("server_frozen", "kill_most"), 2.0, 5.0),
     "slow": Profile(("kill_most", "engines_slow", "stop_in_turn")),
     "signals": Profile((*PLANNED, "kill_one", "kill_most", "freeze", "stop_frozen")),
     "engines": Profile(
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -183,7 +183,7 @@
         self.leaving_at: dict[str, float] = {}
         self.readiness: dict[str, list[Event]] = defaultdict(list)
         self._names = ips
-        self._harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.harmed: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self._ended_at: dict[str, float] = {}
         self._core: list[tuple[float, float]] = []
         readers = {
@@ -251,7 +251,7 @@
         self.versions.append(Version(event.at, event.until, event.use))
 
     def _on_harmed(self, event: Event) -> None:
-        self._harmed[event.process].append((event.at, event.until))
+        self.harmed[event.process].append((event.at, event.until))
         if event.until == FOREVER:
             self._ended_at[event.process] = event.at
 
@@ -318,7 +318,7 @@
     def is_sound(self, engine: str, since: float, until: float) -> bool:
         """Return whether an engine had no fault over a time."""
         return not any(
-            start <= until and end >= since for start, end in self._harmed[engine]
+            start <= until and end >= since for start, end in self.harmed[engine]
         )
 
     def has_ended(self, engine: str, until: float) -> bool:
--- a/tests/process_soak/rules.py
+++ b/tests/process_soak/rules.py
@@ -1,6 +1,7 @@
 """Checks what callers and engines recorded against the rules of the deployment."""
 
 from collections import Counter
+from collections.abc import Iterator
 
 from process_soak.answer_rules import check_answers, check_denied, check_runs
 from process_soak.budget_rules import (
@@ -23,6 +24,7 @@
     check_lost_in_planned_work,
 )
 from process_soak.observations import Observations
+from process_soak.site import APP
 
 CHECKS = (
     check_budget,
@@ -65,4 +67,37 @@
         for service in seen.services
         if (worst := worst_window(seen, service)) is not None
     }
-    return f"{dict(results.most_common())}; budget used {used}"
+    lookups = "; ".join(_lookup_lines(seen))
+    return f"{dict(results.most_common())}; budget used {used}; {lookups}"
+
+
+def _lookup_lines(seen: Observations) -> Iterator[str]:
+    """Return how lookups fared: all of them, and those sent beside harmed servers."""
+    lookups = [each for each in seen.requests.values() if each.sent.kind == "safe"]
+    harmed = [
+        span
+        for engine, spans in seen.harmed.items()
+        if f"-{APP}-" in engine
+        for span in spans
+    ]
+    beside = [
+        each
+        for each in lookups
+        if any(begin <= each.sent.at <= end for begin, end in harmed)
+    ]
+    for name, requests in (("lookups", lookups), ("beside harm", beside)):
+        if not requests:
+            continue
+        times = sorted(
+            each.ended.at - each.sent.at
+            for each in requests
+            if each.ended is not None and each.ended.status == 200
+        )
+        repeated = sum(len(each.arrivals) > 1 for each in requests)
+        line = f"{name}: {len(requests)}, repeated {100 * repeated / len(requests):.1f}"
+        line += f" in 100, {len(times)} succeeded"
+        if times:
+            shares = (0.5, 0.9, 0.99)
+            parts = [f"{times[int(share * len(times))]:.3f}" for share in shares]
+            line += f" (p50, p90, p99: {', '.join(parts)} s)"
+        yield line
