Count no end of a process by its stop before it had a caller

An end by SIGTERM after a caller was answered or cut is found, and each end by SIGHUP; both and the allowed case have a test.

--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -386,6 +386,22 @@
     assert findings(signal(1.0, "SIGKILL"), exited(1.0, -9)) == []
 
 
+def test_a_process_that_a_signal_ends_after_it_had_callers_is_found():
+    served = answered(4.0, 1)
+    stop = started(1.0), signal(5.0, "SIGTERM"), exited(5.0, -15)
+    assert findings(*served, *stop) == ["ENDED"]
+
+
+def test_a_process_that_a_stop_ends_before_it_had_callers_is_allowed():
+    stop = started(4.95), signal(5.0, "SIGTERM"), exited(5.0, -15)
+    assert findings(*stop) == []
+
+
+def test_a_process_that_a_reload_ends_is_found():
+    reload = started(4.95), signal(5.0, "SIGHUP"), exited(5.0, -1)
+    assert findings(*reload) == ["ENDED"]
+
+
 def test_a_request_whose_timeout_is_reached_may_end_in_a_planned_stop():
     cut = sent(10.0, deadline=30.0), run(10.0), ended(11.6, result="cut")
     assert findings(signal(9.9, "SIGTERM"), *cut) == []
