Do not take a line break between requests for a request

A caller that sends a line break after a request, as some do after a body, had its idle connection rejected with a 408 after the header timeout, and the next request that it sent there was lost. A shutdown took the connection for one with a request in progress.

Change: empty lines do not begin a request (RFC 9112, section 2.2).

The test failed before: the second response was the 408.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -353,7 +353,8 @@
     def data_received(self, data: bytes) -> None:
         if self._is_discarding:
             return
-        if not self._is_receiving:
+        # Empty lines before a request are no part of it.
+        if not self._is_receiving and data.lstrip(b"\r\n"):
             self._is_receiving = True
             self._received_at = self._server.clock.now()
             self._deadline = self._received_at + self._server.limits.header_timeout
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -346,3 +346,17 @@
             )
             writer.close()
     assert requests == [b""]
+
+
+# Guards against line breaks between requests that are taken for a slow request.
+async def test_line_break_between_requests_is_no_request():
+    async with running_server(echo_target, header_timeout=0.3) as (server, address):
+        reader, writer = await connect(address)
+        for number in (1, 2):
+            writer.write(REQUEST % number)
+            async with asyncio.timeout(1):
+                assert (await read_response(reader)).body == b"/%d" % number
+            writer.write(b"\r\n")
+            await asyncio.sleep(1.2)
+            assert server.busy_count == 0
+        writer.close()
