End a stream to an HTTP/1.0 caller that breaks off with a reset

Cause: reset() closes the socket, which sends a FIN as after a complete response, unless data of the caller was unread.

Change: an aborted response without chunks ends with a TCP reset. With chunks the missing last one shows it, and what the kernel has not sent yet still goes out.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import socket
+import struct
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -38,6 +39,9 @@
 WRITE_HIGH_WATER_BYTES = 64 * KIBIBYTE
 """Unsent bytes for a slow caller at which the source of the response is paused."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER: no seconds to send what is left."""
+
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -189,6 +193,9 @@
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees an incomplete response."""
+        if not self._is_chunked:
+            # Its proper end would look the same as the end of the response.
+            self._connection.reset_on_close()
         self._connection.reset()
 
     def end_unanswered(self) -> None:
@@ -272,8 +279,14 @@
         """Wait until the send buffer has room."""
         await self._writable.wait()
 
+    def reset_on_close(self) -> None:
+        """Make the connection end with a TCP reset when it is closed."""
+        if self._transport is not None and not self._transport.is_closing():
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def reset(self) -> None:
-        """Close with a TCP reset."""
+        """Close at once, without data that is not yet passed to the kernel."""
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -360,3 +360,22 @@
             await asyncio.sleep(1.2)
             assert server.busy_count == 0
         writer.close()
+
+
+# Guards against a stream that broke off and looks complete, as only the end of its
+# connection delimits it.
+async def test_stream_to_http_1_0_that_breaks_off_ends_with_a_reset():
+    async def handle(request, responder):
+        responder.start(200, [])
+        responder.write(b"part")
+        await asyncio.sleep(0.1)
+        responder.abort()
+
+    async with running_server(handle) as (_, address):
+        reader, writer = await connect(address)
+        writer.write(b"GET /1 HTTP/1.0\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(1):
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+                await reader.read()
+        writer.close()
