--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -50,6 +50,7 @@
 from cyclamenyoke.core.reservations import Reservation, Reservations
 from cyclamenyoke.core.response_memory import ResponseMemory
 from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
+from cyclamenyoke.core.silence_timeout import SilenceTimeout
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
@@ -82,10 +83,6 @@
 """Share of the callers' timeout after which a stream without events is retried at
 another engine, which has the rest of the timeout to send an event."""
 
-IDLE_TIMEOUT_LATENCIES = 2.5
-"""Idle timeout of retryable requests that are not streams, as a multiple of the target
-latency."""
-
 STARTUP_SYNC_TIMEOUT = 250 * MILLISECOND
 """Seconds after the start of the process for which requests wait for the first sync,
 enough for several reads of the store. Without a configuration by then, they are
@@ -290,7 +287,11 @@
         self._waiting: dict[AdmissionRequest, WaitingRequest] = {}
         self._reservations = Reservations(balancer)
         self._durations = LongestDurations()
+        self._silence = SilenceTimeout()
         self.shutdown: GracefulShutdown | None = None
+        # The tasks of the requests in progress.
+        self._serving: set[asyncio.Task[object]] = set()
+        self._is_cut_off = False
         self._admission = Admission(
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
@@ -383,9 +384,18 @@
             context.priority = customer.priority
         self._retry_budget(service).on_first_attempt(self._clock.now())
         outcome = "caller_gone"
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
         try:
             outcome = await self._try_endpoints(context, config)
+        except asyncio.CancelledError:
+            if not self._is_cut_off:
+                raise
+            context.detail = "cut off by this node's shutdown"
+            outcome = self._send_final_response(context)
         finally:
+            self._serving.discard(task)
             self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
@@ -410,11 +420,11 @@
                 break
             endpoint = reservation.endpoint
             with reservation:
-                if self._is_withheld(context) or not self._can_end(context):
-                    break
                 if self._balancer.is_evacuated(endpoint):
                     # Admitted from the queue just before this node learned of it.
                     continue
+                if not self._may_send(context):
+                    break
                 load = self._balancer.load(endpoint) - 1
                 attempt = delivery.start_attempt(endpoint.id, load, self._clock.now())
                 attempt.outcome = await self._attempt(
@@ -483,38 +493,61 @@
 
     def _may_try(self, context: RequestContext) -> bool:
         """Return whether the retry budget and untried endpoints allow an attempt."""
-        delivery = context.delivery
-        if delivery.has_arrived and not self._take_retry(context.service):
-            context.detail = "retry budget exhausted"
+        if context.delivery.has_arrived and not self._has_retry(context.service):
+            self._on_retry_refused(context)
             return False
         if not self._has_untried_endpoint(context):
             context.detail = context.detail or "no untried endpoint"
             return False
         return True
 
-    def _take_retry(self, service: str) -> bool:
-        """Take a retry from a service's budget; return whether there was one."""
+    def _may_send(self, context: RequestContext) -> bool:
+        """Return whether a request may be sent now; a retry then counts as sent.
+
+        It may have waited for a slot. So a retry counts in the window in which it
+        arrives, and one that is not sent does not count.
+        """
+        if self._is_withheld(context) or not self._can_end(context):
+            return False
+        return not context.delivery.has_arrived or self._take_retry(context)
+
+    def _has_retry(self, service: str) -> bool:
+        """Return whether a service's budget allows one more retry."""
         now = self._clock.now()
-        budget, part = self._retry_budget(service), self._budget_part(now)
+        part = self._budget_part(now)
+        return self._retry_budget(service).allows(now, part.nodes, part.is_usable)
+
+    def _take_retry(self, context: RequestContext) -> bool:
+        """Take a retry from the budget; return whether there was one."""
+        now = self._clock.now()
+        part = self._budget_part(now)
+        budget = self._retry_budget(context.service)
         if budget.take(now, part.nodes, part.is_usable):
-            self._metrics.count("retries", service=service)
+            self._metrics.count("retries", service=context.service)
             return True
-        self._metrics.count("retries_refused", service=service)
-        if now >= self._next_refusal_logs.get(service, now):
-            self._next_refusal_logs[service] = now + REFUSAL_LOG_INTERVAL
-            state = budget.state(now, part.nodes, part.is_usable)
-            self._log.info(
-                "retry budget exhausted",
-                service=service,
-                first_attempts=state.first_attempts,
-                retries=state.retries,
-                allowed=round(state.allowed, 2),
-                nodes=state.nodes,
-                has_fixed_part=state.has_fixed_part,
-                age=round(now - state.since, 3),
-            )
+        self._on_retry_refused(context)
         return False
 
+    def _on_retry_refused(self, context: RequestContext) -> None:
+        context.detail = "retry budget exhausted"
+        service, now = context.service, self._clock.now()
+        self._metrics.count("retries_refused", service=service)
+        if now < self._next_refusal_logs.get(service, now):
+            return
+        self._next_refusal_logs[service] = now + REFUSAL_LOG_INTERVAL
+        part = self._budget_part(now)
+        state = self._retry_budget(service).state(now, part.nodes, part.is_usable)
+        self._log.info(
+            "retry budget exhausted",
+            service=service,
+            first_attempts=state.first_attempts,
+            retries=state.retries,
+            allowed=round(state.allowed, 2),
+            nodes=state.nodes,
+            has_fixed_part=state.has_fixed_part,
+            age=round(now - state.since, 3),
+        )
+
     def _has_untried_endpoint(self, context: RequestContext) -> bool:
         available_at = self._balancer.available_at(
             context.service, context.delivery.tried_endpoints, self._clock.now()
@@ -533,6 +566,8 @@
         if attempt.outcome is AttemptOutcome.ANSWERED:
             seconds = attempt.ended_at - attempt.sent_at
             self._durations.add(context.route.name, seconds, attempt.ended_at)
+            if not context.route.is_stream:
+                self._silence.add(context.route.name, seconds, attempt.ended_at)
             if attempt.events or not context.route.is_stream:
                 self._on_written(context)
             return
@@ -684,6 +719,15 @@
             context.prompt,
         )
 
+    def cut_off(self) -> None:
+        """End the requests in progress, since the process is about to be killed.
+
+        Their callers get a final response, unless a part of an endpoint's was sent.
+        """
+        self._is_cut_off = True
+        for task in self._serving:
+            task.cancel()
+
     def dispatch(self) -> None:
         """Admit queued requests to free slots, and reject those that have expired."""
         if not self._waiting:
@@ -910,7 +954,7 @@
     ) -> AttemptOutcome:
         """Read one response.
 
-        It is incomplete if the idle timeout expires and the request can be moved.
+        It is incomplete if the endpoint is silent and the request can be moved.
         Without room elsewhere an endpoint in overload is the first to answer. A caller
         that reads slowly has until the deadline: a stream that is left while an event
         is being written can't be resumed after the right one.
@@ -921,11 +965,16 @@
         while True:
             if response.progress != last_progress:
                 last_progress = response.progress
-                idle_until = loop.time() + self._idle_timeout(context)
+                progress_at = loop.time()
+                idle_until = self._silent_at(context, progress_at)
             try:
                 async with asyncio.timeout_at(idle_until):
                     event = await engine_call.receive()
             except TimeoutError:
+                # Other endpoints may have shown meanwhile that all are slow.
+                idle_until = self._silent_at(context, progress_at)
+                if loop.time() < idle_until:
+                    continue
                 remaining = context.delivery.deadline - self._clock.now()
                 if remaining <= 0 or self._can_move(context):
                     context.detail = "endpoint is silent"
@@ -947,14 +996,15 @@
 
     def _can_move(self, context: RequestContext) -> bool:
         """Return whether another endpoint and the budget have room for a repeat."""
-        now = self._clock.now()
-        budget = self._retry_budget(context.service)
-        part = self._budget_part(now)
-        if not budget.allows(now, part.nodes, part.is_usable):
+        if not self._has_retry(context.service):
             return False
         duration = self._admission.duration(context.service)
-        tried = context.delivery.tried_endpoints
-        return self._balancer.has_open_slot(context.service, tried, duration, now)
+        return self._balancer.has_open_slot(
+            context.service,
+            context.delivery.tried_endpoints,
+            duration,
+            self._clock.now(),
+        )
 
     def _on_notice(
         self, context: RequestContext, endpoint: Endpoint, event: EngineEvent
@@ -1045,16 +1095,27 @@
         except TimeoutError:
             return
 
-    def _idle_timeout(self, context: RequestContext) -> float:
-        """Return the seconds for which the endpoint may send nothing from now on."""
-        route = context.route
-        remaining = max(0.0, context.delivery.deadline - self._clock.now())
+    def _silent_at(self, context: RequestContext, progress_at: float) -> float:
+        """Return when the endpoint counts as silent if it sends nothing more.
+
+        :param progress_at: when it last brought the response forward. Both times are
+            those of the event loop.
+        """
+        route, delivery = context.route, context.delivery
+        now = self._clock.now()
+        remaining = max(0.0, delivery.deadline - now)
+        deadline = asyncio.get_running_loop().time() + remaining
         is_retryable = route.retry_mode is not RetryMode.NEVER
-        if not is_retryable or context.delivery.sent_attempts >= route.max_attempts:
-            return remaining
-        if not route.is_stream:
-            return min(remaining, IDLE_TIMEOUT_LATENCIES * route.target_latency)
-        return min(remaining, IDLE_TIMEOUT_SHARE * self._caller_timeout(route))
+        if not is_retryable or delivery.sent_attempts >= route.max_attempts:
+            return deadline
+        if route.is_stream:
+            timeout = IDLE_TIMEOUT_SHARE * self._caller_timeout(route)
+        else:
+            time_limit = delivery.deadline - delivery.attempts[-1].sent_at
+            timeout = self._silence.seconds(
+                route.name, route.target_latency, time_limit, now
+            )
+        return min(deadline, progress_at + timeout)
 
     @staticmethod
     def _caller_timeout(route: Route) -> float:
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a run: a seeded series that overlaps, and how each is injected."""
 
 import asyncio
+import itertools
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -9,7 +10,16 @@
 import msgspec
 
 from process_soak.engine import EngineFaults
-from process_soak.site import APP, EngineProcess, Process, Site
+from process_soak.link_proxy import LinkFaults
+from process_soak.record import FOREVER
+from process_soak.site import (
+    APP,
+    MAX_EXTRA_ROUTES,
+    STORE,
+    EngineProcess,
+    Process,
+    Site,
+)
 
 CALM_END = 4.0
 """Seconds without new faults before the callers stop."""
@@ -122,15 +132,15 @@
     async def configure(self, random: Random) -> None:
         """Write one to three versions of the configuration."""
         for _ in range(random.randint(1, 3)):
-            await self._site.configure(random.randint(0, 30))
+            await self._site.configure(random.randint(0, MAX_EXTRA_ROUTES))
             await asyncio.sleep(random.uniform(0.0, 1.0))
 
     async def store_down(self, random: Random) -> None:
-        seconds = random.uniform(1.0, 5.0)
-        self._record.add("store", until=time.monotonic() + seconds)
+        began = time.monotonic()
         await self._site.set_store_faults(down=True)
-        await asyncio.sleep(seconds)
+        await asyncio.sleep(random.uniform(1.0, 5.0))
         await self._site.set_store_faults()
+        self._record.add("store", began, until=time.monotonic())
 
     async def engines_reset(self, random: Random) -> None:
         """Most servers reset or close after a request has come, with good health."""
@@ -176,17 +186,20 @@
     async def _harm_all(
         self, engines: list[EngineProcess], faults: EngineFaults, seconds: float
     ) -> None:
+        began = {engine.id: time.monotonic() for engine in engines}
         for engine in engines:
-            self._record.add(
-                "harmed",
-                process=engine.id,
-                detail=repr(faults),
-                until=time.monotonic() + seconds,
-            )
             await self._set_faults(engine, faults)
         await asyncio.sleep(seconds)
         for engine in engines:
             await self._set_faults(engine, EngineFaults())
+        for id_, began_at in began.items():
+            self._record.add(
+                "harmed",
+                began_at,
+                process=id_,
+                detail=repr(faults),
+                until=time.monotonic(),
+            )
 
     async def _set_faults(self, engine: EngineProcess, faults: EngineFaults) -> None:
         try:
@@ -199,31 +212,141 @@
         """Kill an engine; it returns under another id."""
         site = self._site
         engine = random.choice(site.engines)
-        child, id_ = engine.child, engine.id
-        self._record.add("harmed", process=id_, detail="killed", until=float("inf"))
-        child.kill()
-        await child.wait()
-        await asyncio.sleep(random.uniform(0.2, 3.0))
-        await site.register(engine, "")
-        if engine.child is child:
+        async with engine.replacing:
+            await self._end(engine, "killed")
+            await asyncio.sleep(random.uniform(0.2, 3.0))
+            await site.register(engine, "")
+            await site.start_engine(engine)
+
+    async def engine_drained(self, random: Random) -> None:
+        """Let an engine leave as planned, said or unsaid; it returns under another id.
+
+        It serves for the bound of a drain and a little longer.
+        """
+        site = self._site
+        engine = random.choice(site.engines)
+        async with engine.replacing:
+            await site.register(engine, random.choice(["draining", ""]))
+            await asyncio.sleep(site.bounds.drain + random.uniform(0.5, 3.0))
+            await self._end(engine, "ended")
+            await site.register(engine, "")
             await site.start_engine(engine)
 
+    async def _end(self, engine: EngineProcess, detail: str) -> None:
+        self._record.add("harmed", process=engine.id, detail=detail, until=FOREVER)
+        engine.child.kill()
+        await engine.child.wait()
+
     async def engine_frozen(self, random: Random) -> None:
         engine = random.choice(self._site.engines)
-        seconds = random.uniform(0.5, 6.0)
-        self._record.add(
-            "harmed",
-            process=engine.id,
-            detail="frozen",
-            until=time.monotonic() + seconds,
-        )
-        child = engine.child
+        await self._freeze_engine(engine, random.uniform(0.5, 6.0))
+
+    async def server_frozen(self, random: Random) -> None:
+        """Freeze one server of the plain service."""
+        servers = [each for each in self._site.engines if each.service == APP]
+        await self._freeze_engine(random.choice(servers), random.uniform(3.0, 6.0))
+
+    async def _freeze_engine(self, engine: EngineProcess, seconds: float) -> None:
+        child, id_, began = engine.child, engine.id, time.monotonic()
         if child.returncode is None:
             child.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
         if child.returncode is None:
             child.send_signal(signal.SIGCONT)
+        until = time.monotonic()
+        self._record.add("harmed", began, process=id_, detail="frozen", until=until)
+
+    async def links_delayed(self, random: Random) -> None:
+        faults = LinkFaults(delay=random.uniform(0.05, 1.0))
+        await self._harm_links(random, faults, random.uniform(2, 8))
+
+    async def links_reset(self, random: Random) -> None:
+        """Reset the connections of the same links a few times."""
+        gateways, links = self._draw_links(random)
+        for _ in range(random.randint(1, 4)):
+            began = time.monotonic()
+            reset = LinkFaults(reset=True)
+            await self._site.set_link_faults(gateways, links, reset)
+            self._add_disturbed(gateways, links, reset, began)
+            await asyncio.sleep(random.uniform(0.1, 2.0))
+
+    async def links_one_way(self, random: Random) -> None:
+        """Bytes vanish in one direction, and come through in the other."""
+        faults = LinkFaults(**{random.choice(["up", "down"]): "drop"})
+        await self._harm_links(random, faults, random.uniform(1, 6))
+
+    async def links_silent(self, random: Random) -> None:
+        """Connections stay open and carry nothing; new ones work afterwards."""
+        faults = LinkFaults(up="drop", down="drop")
+        await self._harm_links(random, faults, random.uniform(0.3, 6))
+
+    async def links_held(self, random: Random) -> None:
+        """All bytes of some seconds arrive together, often in a later window."""
+        held = random.choice([("hold", "pass"), ("pass", "hold"), ("hold", "hold")])
+        await self._harm_links(random, LinkFaults(*held), random.uniform(1, 12))
+
+    async def store_cut(self, random: Random) -> None:
+        """Cut one to three gateways off from the store, in any direction."""
+        ways = ("pass", "hold", "drop")
+        up, down = random.choice(list(itertools.product(ways, ways))[1:])
+        gateways = random.sample(self._site.gateways, random.randint(1, 3))
+        seconds = random.uniform(1, 8)
+        await self._set_links(gateways, [STORE], LinkFaults(up, down), seconds)
+
+    def _draw_links(self, random: Random) -> tuple[list[Process], list[str]]:
+        """Return one, two or all gateways, and names of engines."""
+        gateways, engines = self._site.gateways, self._site.engines
+        some = random.sample(gateways, random.choice([1, 2, len(gateways)]))
+        links = random.sample(engines, random.randint(1, len(engines)))
+        return some, [engine.name for engine in links]
+
+    async def _harm_links(
+        self, random: Random, faults: LinkFaults, seconds: float
+    ) -> None:
+        await self._set_links(*self._draw_links(random), faults, seconds)
+
+    async def _set_links(
+        self,
+        gateways: list[Process],
+        links: list[str],
+        faults: LinkFaults,
+        seconds: float,
+    ) -> None:
+        began = time.monotonic()
+        try:
+            await self._site.set_link_faults(gateways, links, faults)
+            await asyncio.sleep(seconds)
+            await self._site.set_link_faults(gateways, links, LinkFaults())
+        finally:
+            self._add_disturbed(gateways, links, faults, began)
+
+    def _add_disturbed(
+        self,
+        gateways: list[Process],
+        links: list[str],
+        faults: LinkFaults,
+        began: float,
+    ) -> None:
+        """Record that links of gateways were harmed until now."""
+        for gateway in gateways:
+            self._record.add(
+                "disturbed",
+                began,
+                process=gateway.name,
+                detail=f"{', '.join(links)}: {faults}",
+                until=time.monotonic(),
+            )
+
 
+LINK_FAULTS = (
+    "links_delayed",
+    "links_reset",
+    "links_one_way",
+    "links_silent",
+    "links_held",
+    "store_cut",
+)
+"""Faults that need a link proxy."""
 
 INJECTORS: dict[str, Callable[[Injector, Random], Awaitable[None]]] = {
     name: getattr(Injector, name)
@@ -244,7 +367,10 @@
         "engines_slow",
         "engines_mixed",
         "engine_killed",
+        "engine_drained",
         "engine_frozen",
+        "server_frozen",
+        *LINK_FAULTS,
     )
 }
 
@@ -261,13 +387,17 @@
     max_gap: float = 4.0
 
 
-PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure")
+PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
 PROFILES = {
     "all": Profile(tuple(INJECTORS)),
     "planned": Profile(PLANNED),
+    "stops": Profile(("stop_in_turn",), 0.5, 2.0),
     "planned_early": Profile((*PLANNED, "signal_at_start")),
     "restarts": Profile(("kill_most", "engines_reset", "kill_most")),
     "budget": Profile(("kill_while_servers_fail",), 12.0, 16.0),
+    "kills": Profile(("kill_most",), 3.0, 6.0),
+    "dark": Profile(("server_frozen",), 6.0, 9.0),
+    "dark_kills": Profile(("server_frozen", "kill_most"), 2.0, 5.0),
     "slow": Profile(("kill_most", "engines_slow", "stop_in_turn")),
     "signals": Profile((*PLANNED, "kill_one", "kill_most", "freeze", "stop_frozen")),
     "engines": Profile(
@@ -276,6 +406,7 @@
             *("engine_killed", "engine_frozen"),
         )
     ),
+    "links": Profile(LINK_FAULTS),
 }
 
 
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 from random import Random
 
-from process_soak.faults import PROFILES, Fault, Injector, draw_faults
+from process_soak.faults import LINK_FAULTS, PROFILES, Fault, Injector, draw_faults
+from process_soak.observations import Observations
 from process_soak.record import read_events
-from process_soak.rules import Observations, check, summary
+from process_soak.rules import check, summary
 from process_soak.site import PORTS, Bounds, Site, Sizes
 
 END_TIMEOUT = 15.0
@@ -22,7 +23,7 @@
 
     :param profile: kinds of faults; drawn from the seed if empty.
     :param source: tree of the gateways that run.
-    :param gateway: module that is run as a gateway.
+    :param gateway: module that is run as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses; runs beside each
         other need different ones.
     :param directory: gets a directory of records for each run.
@@ -35,6 +36,7 @@
     callers: int
     rate: float
     work: float
+    events: int
     grace: float
     slack: float
     busy: int
@@ -46,10 +48,14 @@
 
 @dataclass(slots=True)
 class Report:
-    """The outcome of a run."""
+    """The outcome of a run.
+
+    :param answered: requests that were answered with success.
+    """
 
     findings: list[str]
     text: str
+    answered: int
 
 
 def play(options: Options) -> Report:
@@ -64,9 +70,11 @@
         callers=options.callers,
         rate=options.rate,
         work=options.work,
+        events=options.events,
         busy=options.busy,
     )
     bounds = Bounds(grace=options.grace, retry_slack=options.slack)
+    faults = draw_faults(random, profile, options.seconds)
     site = Site(
         directory,
         sizes,
@@ -75,8 +83,8 @@
         options.source.absolute(),
         options.gateway,
         options.network,
+        any(fault.name in LINK_FAULTS for fault in faults),
     )
-    faults = draw_faults(random, profile, options.seconds)
     began = asyncio.run(_play(site, faults, options.seconds))
     names = {f"{each.ip}:{PORTS['front']}": each.name for each in site.gateways}
     seen = Observations(read_events(directory), bounds, names)
@@ -89,7 +97,11 @@
     (directory / "report.txt").write_text(text)
     if not findings:
         shutil.rmtree(directory)
-    return Report(findings, text)
+    answered = sum(
+        each.ended is not None and each.ended.status == 200
+        for each in seen.requests.values()
+    )
+    return Report(findings, text, answered)
 
 
 async def _play(site: Site, faults: list[Fault], seconds: float) -> float:
@@ -104,8 +116,9 @@
                 await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
                 group.create_task(injector.inject(fault))
         async with asyncio.timeout(seconds + END_TIMEOUT):
-            for callers in site.callers:
-                await callers.wait()
+            codes = [await callers.wait() for callers in site.callers]
+        if any(codes):
+            raise RuntimeError(f"callers ended with {codes}")
         return began
     finally:
         await site.close()
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -1,4 +1,4 @@
-"""The processes of a soak: the store, engines, gateways and callers on loopback."""
+"""The processes of a soak: the store, engines, links, gateways and callers."""
 
 import asyncio
 import contextlib
@@ -18,16 +18,29 @@
 
 from process_soak.callers import API_KEY, HOST, Plan, Route
 from process_soak.engine import FAULTS_PATH, EngineFaults
+from process_soak.link_proxy import LinkFaults, LinkOrder
 from process_soak.record import Record
 
 RESTART_DELAY = 0.5
 """Seconds after its end in which the platform starts a gateway again."""
 
 START_TIMEOUT = 20.0
+READINESS_INTERVAL = 1.0
+"""Seconds between two questions of the platform for a gateway's readiness."""
+
+EXTRA_ROUTE = "more"
+"""Begins the names of routes that only probes use."""
+
+MAX_EXTRA_ROUTES = 30
+"""Routes that versions of the configuration add and remove."""
+
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
-GATEWAY = "cyclamenyoke.daemon.gateway"
+GATEWAY = "cyclamenyoke.daemon.gateway_process"
 LLM, APP = "llm", "app"
+STORE = "store"
+"""Name of the link to the store; those to engines are named like the engines."""
+
 ROOT = Path(__file__).resolve().parents[2]
 
 
@@ -38,6 +51,7 @@
     grace: float = 8.0
     drain: float = 2.0
     config_apply: float = 2.0
+    rollback_slack: float = 0.25
     loss_slack: float = 0.2
     stability: float = 3.0
     retry_ratio: float = 0.2
@@ -73,22 +87,33 @@
     Route("lookup", "safe", APP, 0.45, 1.5),
     Route("order", "unsafe", APP, 0.25, 1.5),
 ]
+TIMEOUTS = {route.kind: route.deadline for route in ROUTES}
+"""Timeouts of routes by their kind."""
+
+
+def extra_routes(count: int) -> list[Route]:
+    """Return the first of the routes that only probes use."""
+    lookup = ROUTES[1]
+    return [
+        Route(
+            f"{EXTRA_ROUTE}{number}", lookup.kind, lookup.service, 1.0, lookup.deadline
+        )
+        for number in range(count)
+    ]
 
 
-def configuration(version: int, extra_routes: int = 0) -> dict[str, Any]:
+def configuration(version: int, extra_count: int = 0) -> dict[str, Any]:
     """Return the operator's configuration.
 
-    :param extra_routes: routes that nobody uses.
+    :param extra_count: routes that only probes use.
     """
     limits = {"max_header_bytes": 4096, "max_body_bytes": 10_000}
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
-    names = [(route.name, route) for route in ROUTES]
-    names += [(f"more{number}", ROUTES[1]) for number in range(extra_routes)]
     routes = [
         {
-            "name": name,
+            "name": route.name,
             "host": HOST,
-            "prefix": f"/{name}/",
+            "prefix": f"/{route.name}/",
             "kind": route.kind,
             "timeout_ms": int(1000 * route.deadline),
             "target_latency_ms": 400 if route.kind == "streaming" else 100,
@@ -99,7 +124,7 @@
             "max_attempts": 1 if route.kind == "unsafe" else 2,
             "public": False,
         }
-        for name, route in names
+        for route in [*ROUTES, *extra_routes(extra_count)]
     ]
     services = [{"name": name, "max_connections": 400} for name in (LLM, APP)]
     tenants = [{"name": "customer", "api_keys": [API_KEY]}]
@@ -143,6 +168,7 @@
     child: asyncio.subprocess.Process | None = None
     starts: int = 0
     faults: EngineFaults = field(default_factory=EngineFaults)
+    replacing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 def free_port(host: str = "127.0.0.1") -> int:
@@ -176,8 +202,9 @@
 
     :param directory: gets records, settings and logs.
     :param source: the tree whose gateways run.
-    :param gateway_module: module that runs as a gateway.
+    :param gateway_module: module that runs as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses, such as ``127.20``.
+    :param has_links: whether gateways reach engines and the store over a link proxy.
     """
 
     def __init__(
@@ -189,6 +216,7 @@
         source: Path = ROOT / "src",
         gateway_module: str = GATEWAY,
         network: str = "127.20",
+        has_links: bool = False,
     ) -> None:
         self.directory = directory
         self.sizes = sizes
@@ -203,7 +231,12 @@
         self._others: list[asyncio.subprocess.Process] = []
         self.callers: list[asyncio.subprocess.Process] = []
         self._version = 0
+        self._configuring = asyncio.Lock()
+        self._asking: list[asyncio.Task[None]] = []
         self.store = f"127.0.0.1:{free_port()}"
+        self._has_links = has_links
+        self._links_control = f"127.0.0.1:{free_port()}"
+        self._links: dict[str, str] = {}
 
     # Starting.
 
@@ -219,7 +252,10 @@
                 address = f"127.0.0.1:{free_port()}"
                 engine = EngineProcess(f"{service}-{number}", service, address)
                 self.engines.append(engine)
-                await self.start_engine(engine)
+        if self._has_links:
+            await self._start_links()
+        for engine in self.engines:
+            await self.start_engine(engine)
         for number in range(self.sizes.gateways):
             ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
             gateway = Process(f"gateway-{number}", ip)
@@ -231,6 +267,7 @@
             gateway.keeper = asyncio.create_task(self._keep(gateway))
         for gateway in self.gateways:
             await self._until(lambda gateway=gateway: self._check_ready(gateway))
+            self._asking.append(asyncio.create_task(self._ask_readiness(gateway)))
         for number in range(self.sizes.busy):
             busy = ["-c", "while True: pass"]
             self._others.append(await self._spawn(busy, f"busy-{number}"))
@@ -238,6 +275,7 @@
     async def start_callers(self, until: float, processes: int = 2) -> None:
         """Start the callers, which stop at a time by the monotonic clock."""
         for number in range(processes):
+            fronts = [f"{each.ip}:{PORTS['front']}" for each in self.gateways]
             plan = Plan(
                 f"c{number}",
                 self.random.getrandbits(32),
@@ -247,6 +285,8 @@
                 until,
                 [f"{each.ip}:{PORTS['directory']}" for each in self.gateways],
                 ROUTES,
+                fronts[number::processes],
+                extra_routes(MAX_EXTRA_ROUTES),
             )
             path = self.directory / f"callers-{number}.json"
             path.write_bytes(msgspec.json.encode(plan))
@@ -287,6 +327,19 @@
         finally:
             writer.transport.abort()
 
+    async def _ask_readiness(self, gateway: Process) -> None:
+        """Ask a gateway for its readiness again and again, as the platform does."""
+        while True:
+            status = 0
+            try:
+                async with asyncio.timeout(READINESS_INTERVAL):
+                    await self._check_ready(gateway)
+                status = 200
+            except (OSError, TimeoutError):
+                pass
+            self.record.add("asked", process=gateway.name, status=status)
+            await asyncio.sleep(READINESS_INTERVAL)
+
     # The store.
 
     async def _put(self, values: dict[str, object]) -> None:
@@ -301,17 +354,43 @@
         ]
         await post(self.store, "/v1/put", writes)
 
-    async def configure(self, extra_routes: int = 0) -> None:
-        """Write the next version of the configuration."""
-        self._version += 1
-        sent_at = time.monotonic()
-        await self._put({"op/config": configuration(self._version, extra_routes)})
-        self.record.add("configured", sent_at, until=time.monotonic())
+    async def configure(self, extra_count: int = 0) -> None:
+        """Write the next version of the configuration, again until it is accepted."""
+        async with self._configuring:
+            self._version += 1
+            version = configuration(self._version, extra_count)
+            sent_at = time.monotonic()
+            await self._until(lambda: self._put({"op/config": version}))
+            self.record.add(
+                "configured", sent_at, use=extra_count, until=time.monotonic()
+            )
 
     async def set_store_faults(self, **faults: object) -> None:
         """Inject faults into the store; none ends them."""
         await post(self.store, "/v1/faults", faults)
 
+    # Links.
+
+    async def _start_links(self) -> None:
+        targets = {each.name: each.address for each in self.engines}
+        targets[STORE] = self.store
+        self._links = {name: f"127.0.0.1:{free_port()}" for name in targets}
+        words = ["-m", "process_soak.link_proxy", "--control", self._links_control]
+        for name, target in targets.items():
+            words += ["--link", f"{name},{self._links[name]},{target}"]
+        self._others.append(await self._spawn(words, "links"))
+        await self._until(lambda: self._order_links([]))
+
+    async def set_link_faults(
+        self, gateways: list[Process], links: list[str], faults: LinkFaults
+    ) -> None:
+        """Inject faults into the gateways' parts of links."""
+        ips = [gateway.ip for gateway in gateways]
+        await self._order_links([LinkOrder(link, ips, faults) for link in links])
+
+    async def _order_links(self, orders: list[LinkOrder]) -> None:
+        await post(self._links_control, FAULTS_PATH, orders)
+
     # Engines.
 
     async def start_engine(self, engine: EngineProcess) -> None:
@@ -334,7 +413,7 @@
         """Write an engine's entry; an empty state removes it."""
         entry = {
             "service": engine.service,
-            "address": engine.address,
+            "address": self._links.get(engine.name, engine.address),
             "zone": "dc-1",
             "version": "v1",
             "slots": self.sizes.slots,
@@ -343,7 +422,10 @@
             "sequence": 1,
             "born": 1_700_000_000_000 + engine.starts,
         }
-        await self._put({f"servers/{engine.id}": entry if state else None})
+        values = {f"servers/{engine.id}": entry if state else None}
+        await self._until(lambda: self._put(values))
+        if state != "ready":
+            self.record.add("leaving", process=engine.id, detail=state)
 
     async def set_engine_faults(
         self, engine: EngineProcess, faults: EngineFaults
@@ -384,7 +466,7 @@
 ttl_max_s = 5
 stall_ms = 1500
 [platform]
-address = "{self.store}"
+address = "{self._links.get(STORE, self.store)}"
 """
         assert gateway.settings is not None
         changed = gateway.settings.with_suffix(".new")
@@ -400,8 +482,11 @@
             self.record.add(
                 "started", process=gateway.name, incarnation=gateway.incarnation
             )
+            words = self._gateway_module.split()
+            if self._has_links:
+                words = ["process_soak.bound_process", gateway.ip, *words]
             gateway.child = await self._spawn(
-                ["-m", self._gateway_module],
+                ["-m", *words],
                 gateway.name,
                 CYCLAMENYOKE_NODE_FILE=str(gateway.settings),
             )
@@ -449,6 +534,8 @@
 
     async def close(self) -> None:
         """End all processes of the run."""
+        for task in self._asking:
+            task.cancel()
         for gateway in self.gateways:
             gateway.is_wanted = False
             if gateway.keeper is not None:
