--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -13,7 +13,7 @@
 from cyclamenyoke.core.peers import BudgetPart, Peers
 from cyclamenyoke.daemon import cluster_state
 from cyclamenyoke.daemon.cluster_state import ClusterState
-from cyclamenyoke.daemon.gateway import run
+from cyclamenyoke.daemon.gateway_process import main
 from cyclamenyoke.platform.engine_client import HttpEngineClient
 
 
@@ -96,4 +96,4 @@
 
 if __name__ == "__main__":
     MUTANTS[sys.argv[1]]()
-    run()
+    main()
