Test half-closed callers, descriptors that run out and a stop during a start

These were suspected of losing requests and passed on the code as it was: a caller's end of its connection counts as its leaving, which rule GONE needs, since TCP shows a half-close and a close alike; a request for which there is no descriptor gets a 503, and one that could not be accepted is served once there is one; a request that waits for the first sync is refused as its node stops.

--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
 import time
 
@@ -12,8 +13,10 @@
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.standins.engine import STREAM_EVENTS, Behaviour
 from site_fixture import (
+    caller_headers,
     configuration,
     connect,
+    encode_request,
     free_port,
     read_response,
     running_site,
@@ -466,3 +469,74 @@
                 settings, "/order/a", LONG_REQUEST_BODY, deadline=8000
             )
         assert (response.status, response.body) == (200, b"ok")
+
+
+# Guards against work that goes on for a caller that left: its end of the connection is
+# the only sign of it, so that a half-close counts as one.
+async def test_caller_that_half_closes_counts_as_gone():
+    async with running_site() as site:
+        for engine in site.engines.values():
+            engine.script.append(Behaviour.SILENT)
+        reader, writer = await connect(site.gateways[0][1].callers)
+        writer.write(encode_request("GET", "/lookup/a", caller_headers()))
+        await asyncio.sleep(0.1)
+        writer.write_eof()
+        async with asyncio.timeout(0.5):
+            assert await reader.read() == b""
+        await asyncio.sleep(0.1)
+        assert sum(each.state.disconnected for each in site.engines.values()) == 1
+        writer.close()
+
+
+# Guards against callers that are lost as descriptors run out, and engines that are then
+# taken for broken.
+async def test_requests_are_refused_or_wait_while_descriptors_run_out():
+    async with running_site(engines=1) as site:
+        settings = site.gateways[0][1]
+        host, _, port = settings.callers.rpartition(":")
+        kept_reader, kept_writer = await connect(settings.callers)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        waiting = socket.socket()
+        waiting.setblocking(False)
+        request = encode_request("GET", "/lookup/a", caller_headers(deadline=4000))
+        loop = asyncio.get_running_loop()
+        with socket.socket() as probe:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (probe.fileno(), hard))
+        try:
+            await loop.sock_connect(waiting, (host, int(port)))
+            await loop.sock_sendall(waiting, request)
+            kept_writer.write(request)
+            async with asyncio.timeout(2):
+                refused = await read_response(kept_reader)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert refused.status == 503
+        kept_writer.write(request)
+        async with asyncio.timeout(3):
+            assert (await read_response(kept_reader)).status == 200
+            answer = await loop.sock_recv(waiting, 65536)
+        assert answer.startswith(b"HTTP/1.1 200")
+        waiting.close()
+        kept_writer.close()
+
+
+# Guards against a request that is lost as its node stops before it has begun to serve.
+async def test_request_that_waits_for_the_first_sync_is_refused_at_a_stop():
+    async with running_site(gateways=0, config=False) as site:
+        settings = await site.add_gateway(wait_until_ready=False)
+        gateway, _, task = site.gateways[0]
+        async with asyncio.timeout(3):
+            while True:
+                with contextlib.suppress(OSError):
+                    reader, writer = await connect(settings.callers)
+                    break
+                await asyncio.sleep(0)
+        writer.write(encode_request("GET", "/lookup/a", caller_headers()))
+        await asyncio.sleep(0.02)
+        gateway.stop()
+        async with asyncio.timeout(2):
+            response = await read_response(reader)
+        assert response.status == 503
+        assert "retry-after" in response.headers
+        writer.close()
+        await asyncio.wait_for(task, 9)
