Tell a caller with HTTP/1.0 that its connection is kept

A caller with HTTP/1.0 that asked for a kept connection got no word on it, so that one which takes that for a no waits for the end of the connection until the idle timeout.

The test failed before (no Connection field in the response).

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -217,6 +217,8 @@
         if not self._request.keep_alive or self._connection.closes_after_response:
             self._request.keep_alive = False
             fields.append((b"Connection", b"close"))
+        elif self._request.is_http_1_0:
+            fields.append((b"Connection", b"keep-alive"))
         self._connection.write(encode_head(status, fields) + body)
 
     def _end(self) -> None:
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -540,3 +540,20 @@
         assert "retry-after" in response.headers
         writer.close()
         await asyncio.wait_for(task, 9)
+
+
+# Guards against a caller that waits for the end of a connection which is kept.
+@pytest.mark.parametrize("is_kept", [False, True])
+async def test_caller_with_http_1_0_is_told_whether_its_connection_is_kept(is_kept):
+    async with running_server(echo_target) as (_, address):
+        reader, writer = await connect(address)
+        fields = b"Connection: keep-alive\r\n" if is_kept else b""
+        request = b"GET /1 HTTP/1.0\r\nHost: h\r\n" + fields + b"\r\n"
+        for _ in range(1 + is_kept):
+            writer.write(request)
+            async with asyncio.timeout(1):
+                response = await read_response(reader)
+            assert response.body == b"/1"
+            expected = "keep-alive" if is_kept else "close"
+            assert response.headers["connection"] == expected
+        writer.close()
