Count repeats whose first copy a frozen endpoint reads later

Cause: a retry counted for a window from its own send. The first copy stays in the engine's kernel, also after the connection was closed or reset (a trial on loopback reads it after a FIN and after an RST), and arrives when the engine runs again.

Change: WindowedRetryBudget knows which repeated requests an endpoint may not have read: those from which on nothing was heard of it. One that is older than a window counts until the endpoint is heard of, three windows at most; then all count for a window. Not covered: copies that a gateway left before it was killed.

--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -80,6 +80,15 @@
     detail: str = ""
     is_closed_by_endpoint: bool = False
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether it was given up before the endpoint sent anything."""
+        return (
+            self.outcome is AttemptOutcome.INCOMPLETE
+            and self.first_byte_at is None
+            and not self.is_closed_by_endpoint
+        )
+
 
 @dataclass(slots=True)
 class RequestDelivery:
--- a/src/cyclamenyoke/core/retry_budget.py
+++ b/src/cyclamenyoke/core/retry_budget.py
@@ -21,6 +21,9 @@
 CREDIT_LIFETIME_WINDOWS = 0.5
 """Windows within which the credit of a first attempt is spent or lost."""
 
+COPY_LIFETIME_WINDOWS = 3
+"""Windows after which a request that a silent endpoint has not read is forgotten."""
+
 ROUNDING = 1e-9
 """Retries by which sums of credits may be wrong."""
 
@@ -93,6 +96,9 @@
     * A node spends an equal part of the fixed number in a window. The caller tells by
       how many nodes it is divided, and whether this node has a part
       (:meth:`cyclamenyoke.core.peers.Peers.budget_part`).
+    * A frozen endpoint reads at once what it was sent in many windows, also requests
+      that were repeated meanwhile. Such a copy that is older than a window counts until
+      the endpoint is heard of, and all of them count for a window after that.
 
     :param ratio: retries allowed per first attempt.
     :param fixed_retries: additional retries of all nodes together in a window.
@@ -109,6 +115,11 @@
         self._retries: deque[float] = deque()
         self._earned: deque[Credit] = deque()
         self._spent: deque[Credit] = deque()
+        # By endpoint, in the order of the times: when it was last heard of.
+        self._heard_at: dict[str, float] = {}
+        # By endpoint: when requests were repeated that it may read later.
+        self._unread: dict[str, deque[float]] = {}
+        self._read_late: deque[Credit] = deque()
 
     def change(self, ratio: float, fixed_retries: float, window: float) -> None:
         """Apply other bounds from now on; see the class for the parameters."""
@@ -144,6 +155,23 @@
             self._spent.append(Credit(now + self._window, missing))
         return True
 
+    def on_repeated(self, endpoint: str, sent_at: float, now: float) -> None:
+        """Note that a request was repeated whose first endpoint is silent.
+
+        :param sent_at: when it was sent to that endpoint, which has read it if it was
+            heard of since.
+        """
+        if self._heard_at.get(endpoint, sent_at) <= sent_at:
+            self._unread.setdefault(endpoint, deque()).append(now)
+
+    def on_heard(self, endpoint: str, now: float) -> None:
+        """Note that an endpoint has sent something, so that it reads what it got."""
+        self._heard_at.pop(endpoint, None)
+        self._heard_at[endpoint] = now
+        copies = self._unread.pop(endpoint, None)
+        if copies:
+            self._read_late.append(Credit(now + self._window, len(copies)))
+
     def allows(self, now: float, nodes: int, has_fixed_part: bool = True) -> bool:
         """Return whether the budget allows one more retry.
 
@@ -166,20 +194,40 @@
         part = self._fixed / nodes if has_fixed_part else 0.0
         unspent = max(0.0, part - sum(credit.amount for credit in self._spent))
         earned = sum(credit.amount for credit in self._earned)
+        late = self._late_copies(now)
         retries = len(self._retries)
         return RetryBudgetState(
             self._since,
             len(self._first_attempts),
             retries,
-            retries + earned + unspent,
+            retries + max(0.0, earned + unspent - late),
             nodes,
             has_fixed_part,
         )
 
+    def _late_copies(self, now: float) -> float:
+        """Return the copies that count though their retry is out of the window."""
+        overdue = sum(
+            at <= now - self._window
+            for copies in self._unread.values()
+            for at in copies
+        )
+        return overdue + sum(credit.amount for credit in self._read_late)
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._first_attempts, self._retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
-        for credits in (self._earned, self._spent):
+        for credits in (self._earned, self._spent, self._read_late):
             while credits and credits[0].expires_at <= now:
                 credits.popleft()
+        while self._heard_at:
+            endpoint = next(iter(self._heard_at))
+            if self._heard_at[endpoint] > now - self._window:
+                break
+            del self._heard_at[endpoint]
+        for endpoint, copies in list(self._unread.items()):
+            while copies and copies[0] <= now - COPY_LIFETIME_WINDOWS * self._window:
+                copies.popleft()
+            if not copies:
+                del self._unread[endpoint]
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -512,6 +512,9 @@
         budget = self._retry_budget(context.service)
         if budget.take(now, part.nodes, part.is_usable):
             self._metrics.count("retries", service=context.service)
+            previous = context.delivery.attempts[-1]
+            if previous.is_unanswered:
+                budget.on_repeated(previous.endpoint, previous.sent_at, now)
             return True
         self._on_retry_refused(context)
         return False
@@ -992,6 +995,7 @@
             case _:
                 return
         now = self._clock.now()
+        self._retry_budget(context.service).on_heard(endpoint.id, now)
         if notice is not NO_NOTICE:
             sent_at = context.delivery.attempts[-1].sent_at
             self._limits.on_response(endpoint, notice.rate_limit, sent_at, now)
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -217,6 +217,19 @@
         servers = [each for each in self._site.engines if each.service == APP]
         await self._freeze_engine(random.choice(servers), random.uniform(3.0, 6.0))
 
+    async def most_servers_frozen(self, random: Random) -> None:
+        """Freeze all servers of the plain service but one, longer than a window."""
+        servers = [each for each in self._site.engines if each.service == APP]
+        seconds = random.uniform(12.0, 14.0)
+        async with asyncio.TaskGroup() as group:
+            for server in random.sample(servers, len(servers) - 1):
+                group.create_task(self._freeze_engine(server, seconds))
+
+    async def servers_frozen_then_failing(self, random: Random) -> None:
+        """Freeze most servers; all reset most requests once these run again."""
+        await self.most_servers_frozen(random)
+        await self.servers_fail(random)
+
     async def _freeze_engine(self, engine: EngineProcess, seconds: float) -> None:
         self._record.add(
             "harmed",
@@ -253,6 +266,8 @@
         "engine_killed",
         "engine_frozen",
         "server_frozen",
+        "most_servers_frozen",
+        "servers_frozen_then_failing",
     )
 }
 
@@ -279,6 +294,7 @@
     "kills": Profile(("kill_most",), 3.0, 6.0),
     "dark": Profile(("server_frozen",), 6.0, 9.0),
     "dark_kills": Profile(("server_frozen", "kill_most"), 2.0, 5.0),
+    "frozen": Profile(("servers_frozen_then_failing",), 30.0, 30.0),
     "slow": Profile(("kill_most", "engines_slow", "stop_in_turn")),
     "signals": Profile((*PLANNED, "kill_one", "kill_most", "freeze", "stop_frozen")),
     "engines": Profile(
--- a/tests/test_retry_arrivals.py
+++ b/tests/test_retry_arrivals.py
@@ -164,3 +164,20 @@
         assert state_of(site).retries == 0
         for each in filling:
             each.cancel()
+
+
+# Guards against requests that a frozen engine reads in a later window than they count.
+async def test_repeat_of_a_request_at_a_silent_engine_counts_when_that_is_heard_of():
+    async with running_site(engines=2) as site:
+        gateway, node, _ = site.gateways[0]
+        silent = site.engines_of("app")[0]
+        while not silent.state.disconnected:
+            silent.script.append(Behaviour.SILENT)
+            assert (await site.get(node, "/lookup/a")).status == 200
+        budget = gateway._forwarder._retry_budgets["app"]
+        assert budget._late_copies(gateway._clock.now()) == 0
+        silent.script.clear()
+        answered = len(silent.state.executed)
+        while len(silent.state.executed) == answered:
+            assert (await site.get(node, "/lookup/a")).status == 200
+        assert budget._late_copies(gateway._clock.now()) == 1
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -229,6 +229,38 @@
     assert budgets.most_in_a_window() <= 0.2 * 50 * WINDOW
 
 
+# Guards against requests of many windows that a frozen engine reads at once.
+@pytest.mark.parametrize("frozen_windows", [0.5, 1.4, 2.5])
+def test_repeats_read_late_by_a_frozen_engine_keep_the_budget(frozen_windows):
+    ratio, fixed, rate = 0.2, 60.0, 50
+    budget = WindowedRetryBudget(ratio, fixed, WINDOW, NOW)
+    woken_at = NOW + (1 + frozen_windows) * WINDOW
+    arrivals: list[float] = []
+    for number in range(int(5 * WINDOW * rate)):
+        now = NOW + number / rate
+        is_frozen = NOW + WINDOW <= now < woken_at
+        budget.on_first_attempt(now)
+        if not is_frozen:
+            budget.on_heard("engine", now)
+        while budget.take(now, 1):
+            if is_frozen:
+                budget.on_repeated("engine", now - 0.25, now)
+            arrivals.append(woken_at if is_frozen else now)
+    most = max(sum(at - WINDOW < each <= at for each in arrivals) for at in arrivals)
+    assert most <= ratio * rate * WINDOW + fixed
+
+
+# Guards against endpoints that answer others and count as if they had read nothing.
+def test_copy_at_an_endpoint_that_was_heard_of_since_does_not_count_twice():
+    budget = WindowedRetryBudget(0.0, 10.0, WINDOW, NOW)
+    budget.on_heard("engine", NOW + 1)
+    assert budget.take(NOW + 2, 1)
+    before = budget.state(NOW + 2, 1)
+    budget.on_repeated("engine", NOW + 0.5, NOW + 2)
+    budget.on_heard("engine", NOW + 2.5)
+    assert budget.state(NOW + 2.5, 1) == before
+
+
 # Guards against nodes that have their part anew with each start.
 def test_node_has_no_part_until_the_others_have_counted_it_for_a_window():
     peers = peers_of(*NAMES)
