--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -9,12 +9,13 @@
 import socket
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
 import httptools
 
-from cyclamenyoke.adapters.http_connection import Header, set_dead_peer_timeouts
+from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
@@ -38,6 +39,7 @@
 """Unsent bytes for a slow caller at which the source of the response is paused."""
 
 LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 SINGLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
@@ -108,6 +110,22 @@
     return None
 
 
+def check_upgrade(headers: Sequence[Header]) -> HTTPStatus | None:
+    """Return the status of a request that offers an upgrade and can't be read whole.
+
+    The parser skips the body of such a request; without one the offer is declined.
+
+    >>> check_upgrade([(b"Content-Length", b"0")])
+    >>> check_upgrade([(b"Content-Length", b"3")])
+    <HTTPStatus.NOT_IMPLEMENTED: 501>
+    """
+    for name, value in headers:
+        is_length = name.lower() == b"content-length"
+        if name.lower() == b"transfer-encoding" or (is_length and int(value)):
+            return HTTPStatus.NOT_IMPLEMENTED
+    return None
+
+
 def encode_head(status: int, headers: Sequence[Header]) -> bytes:
     """Encode the status line and headers of a response."""
     reason = REASON_PHRASES.get(status, b"Unknown")
@@ -173,9 +191,23 @@
         """Close the connection, so that the caller sees an incomplete response."""
         self._connection.reset()
 
+    def end_unanswered(self) -> None:
+        """End a response that the handler has not completed.
+
+        Without a part of it the caller gets an error, and otherwise sees that it is
+        incomplete.
+        """
+        if self._is_complete:
+            return
+        if self._is_started:
+            self.abort()
+            return
+        self._request.keep_alive = False
+        self.respond(HTTPStatus.INTERNAL_SERVER_ERROR.value)
+
     def _write_head(self, status: int, fields: list[Header], body: bytes) -> None:
         self._is_started = True
-        if not self._request.keep_alive or self._connection.is_draining:
+        if not self._request.keep_alive or self._connection.closes_after_response:
             self._request.keep_alive = False
             fields.append((b"Connection", b"close"))
         self._connection.write(encode_head(status, fields) + body)
@@ -211,9 +243,10 @@
         self._reset_message()
 
     @property
-    def is_draining(self) -> bool:
-        """Whether the server is draining; each response then closes the connection."""
-        return self._server.is_draining
+    def closes_after_response(self) -> bool:
+        """Whether the server is draining and has read no further request here."""
+        has_next = self._pending or self._rejection is not None
+        return self._server.is_draining and not has_next
 
     @property
     def is_busy(self) -> bool:
@@ -275,6 +308,8 @@
             return
         if self._is_receiving:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif self._unsent_bytes:
+            self.close_gracefully()
         elif self._transport is not None:
             self._transport.close()
 
@@ -285,10 +320,15 @@
         timeout = limits.idle_timeout if self._unsent_before else LINGER_TIMEOUT
         self._reset_at = self._server.clock.now() + timeout
 
-    def close_idle(self) -> None:
-        """Close unless a request is in progress."""
+    def close_for_stop(self) -> None:
+        """Close now, or once the request in progress has its response.
+
+        A request that has not arrived as a whole is refused: it has not run.
+        """
         if not self.is_busy and self._transport is not None:
             self._transport.close()
+        elif self._is_receiving:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     # asyncio callbacks.
 
@@ -296,8 +336,13 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        set_dead_peer_timeouts(transport.get_extra_info("socket"))
+        # No timeout of the kernel for unacknowledged data: it would also end responses
+        # whose callers are alive and pause to read.
+        probe_idle_peer(transport.get_extra_info("socket"))
         self._server.on_open(self)
+        if self._server.is_closed:
+            # Accepted just before the server closed.
+            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_lost = True
@@ -349,15 +394,19 @@
         if self._is_discarding:
             return
         framing_error = check_framing(self._headers)
+        if framing_error is None and self._parser.should_upgrade():
+            framing_error = check_upgrade(self._headers)
         if framing_error is not None:
             self._reject(framing_error)
             return
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._must_continue = True
             if name.lower() == b"content-length":
                 self._check_body_size(int(value))
+        if self._must_continue and not self._is_discarding:
+            self._start_next()
 
     def on_body(self, data: bytes) -> None:
         if self._is_discarding:
@@ -379,7 +428,7 @@
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             self._parser.get_http_version() == "1.0",
         )
-        self._is_receiving = False
+        self._is_receiving = self._must_continue = False
         self._pending.append(request)
         self._start_next()
 
@@ -390,6 +439,7 @@
         self._header_size = 0
         self._body: list[bytes] = []
         self._body_size = 0
+        self._must_continue = False
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
@@ -408,14 +458,18 @@
         """
         if self._is_discarding:
             return
+        self._server.on_malformed_request(status.value)
+        self._refuse(status)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Refuse the request that is being received and close the connection."""
         self._is_discarding = True
         self._is_receiving = False
-        self._server.on_malformed_request(status.value)
         self._rejection = status
         self._start_next()
 
     def _start_next(self) -> None:
-        """Handle the next request, or send the rejection that is next."""
+        """Handle the next request, or send the rejection or interim response."""
         if self._task is not None:
             return
         if not self._pending:
@@ -423,21 +477,24 @@
                 head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
                 self.write(encode_head(self._rejection.value, head))
                 self.close_gracefully()
+            elif self._must_continue:
+                self._must_continue = False
+                self.write(CONTINUE)
             return
         if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
         request = self._pending.popleft()
         responder = Responder(self, request)
         self._task = asyncio.create_task(self._server.handler(request, responder))
-        self._task.add_done_callback(self._on_done)
+        self._task.add_done_callback(partial(self._on_done, responder))
 
-    def _on_done(self, task: asyncio.Task[None]) -> None:
+    def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         if not task.cancelled() and task.exception() is not None:
             self._server.on_handler_error(task.exception())
-            self.reset()
-            return
+        if self._transport is not None and not self._transport.is_closing():
+            responder.end_unanswered()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
             # Not after a response that closes the connection.
@@ -467,6 +524,7 @@
         self.on_handler_error = on_handler_error
         self.limits = CallerLimits()
         self.is_draining = False
+        self.is_closed = False
         self._connections: set[IngressConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
@@ -496,18 +554,18 @@
         )
         self._sweep_task = asyncio.create_task(self._sweep())
 
-    def stop_accepting(self) -> None:
-        """Stop accepting connections; open ones are still served."""
+    def close(self) -> None:
+        """Close at once whatever has no request in progress, and read no new requests.
+
+        Requests in progress still get their responses; their connections close then.
+        """
+        self.is_draining = self.is_closed = True
         if self._server is not None:
             self._server.close()
-
-    def close(self) -> None:
-        """Close idle connections and stop checking deadlines."""
-        self.stop_accepting()
         if self._sweep_task is not None:
             self._sweep_task.cancel()
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.close_for_stop()
 
     def on_open(self, connection: IngressConnection) -> None:
         """Register a new connection."""
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -289,6 +289,9 @@
         self._durations = LongestDurations()
         self._silence = SilenceTimeout()
         self.shutdown: GracefulShutdown | None = None
+        # The tasks of the requests in progress.
+        self._serving: set[asyncio.Task[object]] = set()
+        self._is_cut_off = False
         self._admission = Admission(
             self._reserve_endpoint,
             lambda service: balancer.service_load(service)[0],
@@ -381,9 +384,18 @@
             context.priority = customer.priority
         self._retry_budget(service).on_first_attempt(self._clock.now())
         outcome = "caller_gone"
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
         try:
             outcome = await self._try_endpoints(context, config)
+        except asyncio.CancelledError:
+            if not self._is_cut_off:
+                raise
+            context.detail = "cut off by this node's shutdown"
+            outcome = self._send_final_response(context)
         finally:
+            self._serving.discard(task)
             self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
@@ -710,6 +722,15 @@
             context.prompt,
         )
 
+    def cut_off(self) -> None:
+        """End the requests in progress, since the process is about to be killed.
+
+        Their callers get a final response, unless a part of an endpoint's was sent.
+        """
+        self._is_cut_off = True
+        for task in self._serving:
+            task.cancel()
+
     def dispatch(self) -> None:
         """Admit queued requests to free slots, and reject those that have expired."""
         if not self._waiting:
@@ -982,7 +1003,10 @@
             return False
         duration = self._admission.duration(context.service)
         return self._balancer.has_open_slot(
-            context.service, duration, self._clock.now()
+            context.service,
+            context.delivery.tried_endpoints,
+            duration,
+            self._clock.now(),
         )
 
     def _on_notice(
