Count no deadline of a copy that a frozen engine reads late

All were first copies at a frozen server: lookup c1-19-2 was sent to it at 2647.81 s, answered by another server at 2648.09 s, and read by the first when it woke at 2652.61 s. The engine's record is of its reading, and the rule is on what is sent once more too late.

--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -479,6 +479,11 @@
     assert findings(events, retry_slack=100.0) == ["BUDGET"]
 
 
+def test_a_first_copy_that_a_frozen_engine_reads_late_keeps_its_deadline():
+    frozen = harmed(9.9, 10.9, "e2")
+    assert findings(frozen, handed_again(30, 14.0)) == []
+
+
 def test_repeats_that_keep_the_deadline_are_allowed():
     assert findings(handed_again(21, 13.0), retry_slack=100.0) == []
 
