Drop the trailers of a chunked request

A header that came behind a chunked body was passed on to the engine like the others, though it had missed the checks on headers: an engine could run a request under another X-Model than the head of the request states (UNASKED), if a caller or a proxy sends trailers.

Cause: the parser reports trailers like headers. What comes after the head is counted against the limit of headers and dropped. The test failed before.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -403,10 +403,13 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        # Trailers of a chunked body are not checked as headers are, and are dropped.
+        if not self._is_head_complete:
+            self._headers.append((name, value))
         self._count_header_bytes(len(name) + len(value) + len(b": \r\n"))
 
     def on_headers_complete(self) -> None:
+        self._is_head_complete = True
         if self._is_discarding:
             return
         framing_error = check_framing(self._headers)
@@ -453,6 +456,7 @@
         self._target = b""
         self._headers: list[Header] = []
         self._header_size = 0
+        self._is_head_complete = False
         self._body: list[bytes] = []
         self._body_size = 0
         self._must_continue = False
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -557,3 +557,20 @@
             expected = "keep-alive" if is_kept else "close"
             assert response.headers["connection"] == expected
         writer.close()
+
+
+TRAILERS = b"X-Model: other\r\nX-Prompt-Prefix: a:1,b:2\r\n"
+
+
+# Guards against headers that come behind a body, past the checks on headers.
+async def test_trailers_of_a_body_do_not_count_as_headers():
+    async def echo_headers(request, responder):
+        responder.respond(200, [], b" ".join(name for name, _ in request.headers))
+
+    async with running_server(echo_headers) as (_, address):
+        reader, writer = await connect(address)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + b"2\r\n{}\r\n0\r\n" + TRAILERS + b"\r\n" + REQUEST % 2)
+        assert (await read_response(reader)).body == b"Host Transfer-Encoding"
+        assert (await read_response(reader)).body == b"Host"
+        writer.close()
