Refuse streams that come late in a stop and may not end in time

Cause: the durations of other streams are no bound on this one. Once callers should know of the shutdown, 2.5 s after its begin, a stream is taken only if its deadline is before the cut-off, and refused unsent otherwise, with Retry-After. Other requests stay as they are: at the cut-off they get an answer.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -449,6 +449,10 @@
             return True
         now = self._clock.now()
         expected = self._durations.longest(context.route.name, now)
+        if context.route.is_stream and now >= self.shutdown.min_close_at:
+            # Of a stream that is cut off its caller gets no answer, and by now callers
+            # should use other nodes.
+            expected = None
         if self.shutdown.can_end(now, context.delivery.deadline, expected):
             return True
         context.detail = "node shuts down before the request can end"
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -16,6 +16,7 @@
     GracefulShutdown,
 )
 from cyclamenyoke.core.invariants import CountingMonitor
+from cyclamenyoke.core.longest_durations import LongestDurations
 from site_fixture import (
     BOUNDS,
     caller_headers,
@@ -342,3 +343,22 @@
         assert response.status == 503 and response.headers["connection"] == "close"
         assert count_received(site) == 0
         writer.close()
+
+
+# Guards against a late stream that lasts longer than others before it and is cut.
+async def test_stream_that_comes_late_in_a_stop_is_refused_unless_its_deadline_fits():
+    async with running_slow_site() as site:
+        await prepare(site)
+        gateway, settings, task = site.gateways[0]
+        gateway._forwarder._durations = LongestDurations()
+        gateway._forwarder._durations.add("stream", 0.1, gateway._clock.now())
+        gateway.stop()
+        await asyncio.sleep(2.0)
+        early = asyncio.create_task(send(site, "stream"))
+        await asyncio.sleep(0.7)
+        received = count_received(site)
+        late = await asyncio.wait_for(send(site, "stream"), 0.5)
+        assert late.status == 503 and float(late.headers["retry-after"]) > 0
+        assert count_received(site) == received
+        assert (await early).is_complete
+        await asyncio.wait_for(task, GRACE)
