Send no request on a connection whose end was just read

Cause: the connection counted as reusable until the transport told of its end, one turn later, and the closing transport drops what is written. It is not reused from the end on. The test failed before.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -260,6 +260,8 @@
             self._fail_and_close("response head or framing is too long")
 
     def eof_received(self) -> bool:
+        # The transport drops what is sent from now on.
+        self._must_not_reuse = True
         if self._ends_at_close and self._head is not None:
             self._ends_at_close = False
             self._finish(is_at_close=True)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -7,7 +7,7 @@
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
-from cyclamenyoke.adapters.http_connection import ConnectionFailed
+from cyclamenyoke.adapters.http_connection import ConnectionFailed, HttpConnection
 
 
 @pytest.mark.parametrize("iterations", range(8))
@@ -63,3 +63,26 @@
     monkeypatch.setattr("socket.socket", no_socket)
     with pytest.raises(ConnectionFailed):
         await ConnectionPool(BootClock()).acquire("127.0.0.1:9", "e", 1, 1.0)
+
+
+# Guards against a request that is dropped unsent and then counts as lost.
+async def test_connection_is_not_reused_in_the_turn_in_which_its_end_is_read():
+    reusable_at_end = []
+
+    class ObservedConnection(HttpConnection):
+        def eof_received(self) -> bool:
+            result = super().eof_received()
+            reusable_at_end.append(self.is_reusable)
+            return result
+
+    server = await asyncio.start_server(
+        lambda reader, writer: writer.close(), "127.0.0.1", 0
+    )
+    loop = asyncio.get_running_loop()
+    address = server.sockets[0].getsockname()
+    await loop.create_connection(
+        lambda: ObservedConnection(lambda each: None), *address
+    )
+    await asyncio.sleep(0.1)
+    assert reusable_at_end == [False]
+    server.close()
