Count the grace time from the signal, not from the turn that acts on it

Cause: the schedule of a stop began when the event loop came to it. The handler notes when the signal came, and the schedule begins then.

--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -253,6 +253,7 @@
             ),
         ]
         self._stopping = asyncio.Event()
+        self._stop_asked_at = 0.0
         self._cluster_state.on_change = self._membership.announce
         self._quarantine.on_change = self._membership.announce
         self._limits.on_change = self._membership.announce
@@ -262,8 +263,14 @@
         self._membership.queued = lambda: self._forwarder.queued
         self._membership.on_peer_update = self._forwarder.dispatch
 
-    def stop(self) -> None:
-        """Request a graceful shutdown."""
+    def stop(self, asked_at: float | None = None) -> None:
+        """Request a graceful shutdown.
+
+        :param asked_at: when the platform asked for it, by the node's clock; the grace
+            time runs from then on. Now, if left out.
+        """
+        if not self._stopping.is_set():
+            self._stop_asked_at = self._clock.now() if asked_at is None else asked_at
         self._stopping.set()
 
     def reload(self) -> None:
@@ -325,7 +332,7 @@
         Stops earlier if the platform is about to kill the process.
         """
         grace = self._settings.bounds.grace
-        shutdown = GracefulShutdown.begin(self._clock.now(), grace, self._monitor)
+        shutdown = GracefulShutdown.begin(self._stop_asked_at, grace, self._monitor)
         self._forwarder.shutdown = shutdown
         self._log.info("stopping", connections=self._caller_server.connection_count)
         for _, server in self._servers:
@@ -489,10 +496,10 @@
     gateway = Gateway(settings, path)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(gateway.on_loop_error)
-    actions = {
+    actions: dict[signal.Signals, Callable[[float], None]] = {
         signal.SIGTERM: gateway.stop,
         signal.SIGINT: gateway.stop,
-        signal.SIGHUP: gateway.reload,
+        signal.SIGHUP: lambda received_at: gateway.reload(),
     }
     signals.connect(loop, actions)
     try:
--- a/src/cyclamenyoke/daemon/process_signals.py
+++ b/src/cyclamenyoke/daemon/process_signals.py
@@ -8,6 +8,7 @@
 """
 
 import signal
+import time
 from types import FrameType
 from typing import TYPE_CHECKING
 
@@ -23,8 +24,9 @@
 
     def __init__(self) -> None:
         self._loop: AbstractEventLoop | None = None
-        self._actions: Mapping[signal.Signals, Callable[[], None]] = {}
-        self._early: set[signal.Signals] = set()
+        self._actions: Mapping[signal.Signals, Callable[[float], None]] = {}
+        # By signal: when it first came.
+        self._early: dict[signal.Signals, float] = {}
 
     def install(self) -> None:
         """Handle the signals from now on, also if the parent had blocked them."""
@@ -35,16 +37,17 @@
     def connect(
         self,
         loop: "AbstractEventLoop",
-        actions: "Mapping[signal.Signals, Callable[[], None]]",
+        actions: "Mapping[signal.Signals, Callable[[float], None]]",
     ) -> None:
         """Act on signals from now on, and on those that came before.
 
-        :param actions: called in the event loop.
+        :param actions: called in the event loop with the time at which the signal came,
+            in seconds since the VM booted.
         """
-        self._loop, self._actions = loop, actions
-        early, self._early = self._early, set()
-        for number in early:
-            self._on_signal(number, None)
+        self._actions, self._loop = actions, loop
+        early, self._early = self._early, {}
+        for name, received_at in early.items():
+            self._act(name, received_at)
 
     def disconnect(self) -> None:
         """Ignore signals from now on, since the process is about to end.
@@ -55,8 +58,10 @@
             signal.signal(number, signal.SIG_IGN)
 
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
-        name = signal.Signals(number)
+        self._act(signal.Signals(number), time.clock_gettime(time.CLOCK_BOOTTIME))
+
+    def _act(self, name: signal.Signals, received_at: float) -> None:
         if self._loop is None:
-            self._early.add(name)
-        elif name in self._actions:
-            self._loop.call_soon_threadsafe(self._actions[name])
+            self._early.setdefault(name, received_at)
+        else:
+            self._loop.call_soon_threadsafe(self._actions[name], received_at)
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -1,7 +1,9 @@
 """What a gateway that was asked to stop serves, refuses and never cuts off."""
 
 import asyncio
+import signal
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -17,6 +19,7 @@
 )
 from cyclamenyoke.core.invariants import CountingMonitor
 from cyclamenyoke.core.longest_durations import LongestDurations
+from cyclamenyoke.daemon.process_signals import ProcessSignals
 from site_fixture import (
     BOUNDS,
     caller_headers,
@@ -362,3 +365,30 @@
         assert count_received(site) == received
         assert (await early).is_complete
         await asyncio.wait_for(task, GRACE)
+
+
+# Guards against a kill with requests in progress after a signal that waited.
+async def test_grace_time_runs_from_the_signal():
+    async with running_slow_site() as site:
+        gateway, _, _ = site.gateways[0]
+        asked_at = gateway._clock.now() - 1.0
+        gateway.stop(asked_at)
+        gateway.stop()
+        await site.wait_until(lambda: gateway._forwarder.shutdown)
+        assert gateway._forwarder.shutdown.cut_off_at == pytest.approx(
+            asked_at + CUT_OFF
+        )
+
+
+def test_signal_that_came_early_is_acted_on_with_its_time():
+    signals, acted = ProcessSignals(), []
+    signals._on_signal(signal.SIGTERM, None)
+    time.sleep(0.05)
+    signals._on_signal(signal.SIGTERM, None)
+    connected_at = BootClock().now()
+    loop = asyncio.new_event_loop()
+    signals.connect(loop, {signal.SIGTERM: acted.append})
+    loop.call_soon(loop.stop)
+    loop.run_forever()
+    loop.close()
+    assert len(acted) == 1 and acted[0] < connected_at - 0.04
