Give an answer up only for an endpoint that would get the request

Cause: whether a request can be moved was asked of other rules than its reservation. It asks for the very choice of the reservation now, besides the free slot. The new test with an ejected and a full engine failed before (502).

Also, a failed connection no longer counts as hearing from an endpoint, so that copies which a frozen one has not read stay counted; that test failed before (heard twice).

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -788,6 +788,22 @@
     def _reserve_endpoint(
         self, admission_request: AdmissionRequest, now: float
     ) -> Reservation | None:
+        endpoint = self._choose_endpoint(admission_request, now)
+        if endpoint is None:
+            return None
+        # Counted here, so that the next admission decision includes it.
+        self._limits.on_sent(endpoint, now)
+        return self._reservations.acquire(
+            endpoint,
+            admission_request.service,
+            admission_request.customer,
+            admission_request.prompt,
+        )
+
+    def _choose_endpoint(
+        self, admission_request: AdmissionRequest, now: float
+    ) -> Endpoint | None:
+        """Return the endpoint for a request, or ``None`` if none has capacity."""
         config = self._config()
         service = config.services.get(admission_request.service) if config else None
         reserve = (
@@ -802,20 +818,12 @@
             return MAX_REQUESTS_PER_SLOT_WITHOUT_MODEL * endpoint.slots
 
         has_model = service is not None and service.model is not None
-        prompt = admission_request.prompt
-        endpoint = self._balancer.choose(
+        return self._balancer.choose(
             admission_request.service,
             admission_request.tried_endpoints,
             now,
             limit if has_model else limit_without_model,
-            self._prompt_placement(admission_request.service, prompt),
-        )
-        if endpoint is None:
-            return None
-        # Counted here, so that the next admission decision includes it.
-        self._limits.on_sent(endpoint, now)
-        return self._reservations.acquire(
-            endpoint, admission_request.service, admission_request.customer, prompt
+            self._prompt_placement(admission_request.service, admission_request.prompt),
         )
 
     def _prompt_placement(
@@ -1003,15 +1011,15 @@
 
     def _can_move(self, context: RequestContext) -> bool:
         """Return whether another endpoint and the budget have room for a repeat."""
-        if not self._has_retry(context.service):
+        service, now = context.service, self._clock.now()
+        if not self._has_retry(service):
             return False
-        duration = self._admission.duration(context.service)
-        return self._balancer.has_open_slot(
-            context.service,
-            context.delivery.tried_endpoints,
-            duration,
-            self._clock.now(),
-        )
+        duration = self._admission.duration(service)
+        tried = context.delivery.tried_endpoints
+        if not self._balancer.has_open_slot(service, tried, duration, now):
+            return False
+        # One with an open slot may still be ejected, or reserved for other requests.
+        return self._choose_endpoint(self._admission_request(context), now) is not None
 
     def _on_notice(
         self, context: RequestContext, endpoint: Endpoint, event: EngineEvent
@@ -1023,7 +1031,9 @@
             case _:
                 return
         now = self._clock.now()
-        self._retry_budget(context.service).on_heard(endpoint.id, now)
+        if not isinstance(event, EngineResponseFailed):
+            # A failed connection doesn't show that the endpoint has read anything.
+            self._retry_budget(context.service).on_heard(endpoint.id, now)
         if notice is not NO_NOTICE:
             sent_at = context.delivery.attempts[-1].sent_at
             self._limits.on_response(endpoint, notice.rate_limit, sent_at, now)
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -574,3 +574,21 @@
         assert (await read_response(reader)).body == b"Host Transfer-Encoding"
         assert (await read_response(reader)).body == b"Host"
         writer.close()
+
+
+# Guards against an answer that is given up for an engine that then gets no request.
+async def test_request_waits_for_its_engine_while_others_are_ejected_or_full():
+    async with running_site(engines=3) as site:
+        for engine in site.engines_of("app"):
+            engine.answer_delay = LOOKUP_DELAY
+        gateway, settings, _ = site.gateways[0]
+        lookup = asyncio.create_task(site.get(settings, "/lookup/a", deadline=1900))
+        await asyncio.sleep(0.05)
+        ejected, full = (
+            each for each in site.engines_of("app") if not each.state.received
+        )
+        gateway._balancer.on_failure(ejected.id, gateway._clock.now(), is_certain=True)
+        gateway._balancer._own_requests[full.id] = 100
+        response = await lookup
+        assert (response.status, response.is_complete) == (200, True)
+        assert sum(len(each.state.received) for each in site.engines_of("app")) == 1
--- a/tests/test_retry_arrivals.py
+++ b/tests/test_retry_arrivals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cyclamenyoke.core.retry_budget import RetryBudgetState
+from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
 from cyclamenyoke.standins.engine import Behaviour
 from site_fixture import configuration, route, running_site
 
@@ -181,3 +181,20 @@
         while len(silent.state.executed) == answered:
             assert (await site.get(node, "/lookup/a")).status == 200
         assert budget._late_copies(gateway._clock.now()) == 1
+
+
+# Guards against copies that no longer count though their endpoint has not read them.
+async def test_failed_connection_does_not_count_as_hearing_from_the_endpoint(
+    monkeypatch,
+):
+    heard = []
+    monkeypatch.setattr(
+        WindowedRetryBudget, "on_heard", lambda self, endpoint, now: heard.append(now)
+    )
+    async with running_site() as site:
+        script_all(site, "app", Behaviour.RESET)
+        settings = site.gateways[0][1]
+        assert (await site.get(settings, "/lookup/a")).status == 502
+        assert heard == []
+        assert (await site.get(settings, "/lookup/a")).status == 200
+        assert len(heard) == 1
