Bound the ends before a first caller, and fail loudly under the former command

The new test of the check failed before.

python3 -m cyclamenyoke.daemon.gateway ran nothing and ended with success; it says now which module to run, and ends with an error (run by hand).

--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -526,3 +526,7 @@
     except CyclamenyokeError as error:
         print(error.format_message(), file=sys.stderr)
         sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    sys.exit("run cyclamenyoke.daemon.gateway_process in place of this module")
--- a/tests/process_soak/loss_rules.py
+++ b/tests/process_soak/loss_rules.py
@@ -4,7 +4,13 @@
 from collections.abc import Iterator
 from signal import SIGTERM
 
-from process_soak.observations import Findings, Observations, Request, Stop
+from process_soak.observations import (
+    END_DURING_DISRUPTION,
+    Findings,
+    Observations,
+    Request,
+    Stop,
+)
 from process_soak.record import Event
 
 MAX_LOST_ANY_TIME = 3
@@ -193,6 +199,8 @@
     """
     starts = [at for at in seen.starts[end.process] if at <= end.at]
     started_at = max(starts, default=0.0)
+    if end.at > started_at + END_DURING_DISRUPTION:
+        return False
     has_caller = any(
         request.sent.gateway == end.process
         and request.ended is not None
--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -397,6 +397,11 @@
     assert findings(*stop) == []
 
 
+def test_a_process_that_a_stop_ends_by_its_signal_later_is_found():
+    stop = started(1.0), signal(5.0, "SIGTERM"), exited(5.0, -15)
+    assert findings(*stop) == ["ENDED"]
+
+
 def test_a_process_that_a_reload_ends_is_found():
     reload = started(4.95), signal(5.0, "SIGHUP"), exited(5.0, -1)
     assert findings(*reload) == ["ENDED"]
