Deny requests only by a configuration that is known to be the newest

What callers saw: 401 or 404 for a key or route that the operator had added, from gateways that did not know of the newest version: after a freeze, cut off from the store, just started from a peer's copy. Callers don't try again after these.

Cause: a denial followed from the version that a node had, without any knowledge of whether that was the newest. The class: a decision that is final for another party, taken on state whose age nobody knows.

Change: core/config_confirmation.py keeps when nothing newer existed. A denial needs it to be no older than config_apply at the request's arrival; otherwise the node asks the store, and a peer if that is slow, and the request gets 503 with Retry-After if neither answers within 0.3 s. Lines about requests name the age (config_age), a refusal also what the configuration said; metrics config_age_seconds and config_confirmations_total. A configuration that can't be decoded denies nothing.

Ruled out: relaying ages without a number, since each relay forgets the transit, so that two nodes would keep each other fresh without the store.

--- a/src/cyclamenyoke/adapters/peer_transport.py
+++ b/src/cyclamenyoke/adapters/peer_transport.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cyclamenyoke.core.config_confirmation import NO_EVIDENCE, Evidence
 from cyclamenyoke.core.decoding import Number, decode_msgpack
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.peers import PeerUpdate
@@ -57,6 +58,8 @@
     :param evacuated: data centres whose evacuation the store has.
     :param evacuation_position: position of the store when ``evacuated`` was read.
     :param evacuations_kept: as in :class:`PeerUpdate`.
+    :param config_evidence: as in :class:`PeerUpdate`.
+    :param config_age: as in :class:`PeerUpdate`.
     """
 
     config: bytes
@@ -67,6 +70,8 @@
     evacuated: list[str] = []
     evacuation_position: StorePosition = START
     evacuations_kept: dict[str, Number] = {}
+    config_evidence: Evidence = NO_EVIDENCE
+    config_age: Number = -1.0
 
 
 class UnknownKey(AuthenticationError):
--- a/src/cyclamenyoke/core/inbound_request.py
+++ b/src/cyclamenyoke/core/inbound_request.py
@@ -17,6 +17,8 @@
     NO_KEY = "no_key"
     NO_ROUTE = "no_route"
     NO_CONFIG = "no_config"
+    CONFIG_UNCONFIRMED = "config_unconfirmed"
+    """The node can't know whether a newer configuration would allow the request."""
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
     NOT_RUN = "not_run"
--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct
 
+from cyclamenyoke.core.config_confirmation import NO_EVIDENCE, Evidence
 from cyclamenyoke.core.decoding import Integer64, Number
 from cyclamenyoke.core.endpoint_registry import Change
 from cyclamenyoke.core.engine_limits import LimitNotice
@@ -66,6 +67,8 @@
         event, by endpoint.
     :param evacuations_kept: seconds for which evacuations are kept that a restored
         store has lost; 0 for data centres that must not be kept any more.
+    :param config_evidence: that there was no newer configuration than the node's.
+    :param config_age: seconds since that was found; negative if it never was.
     """
 
     ip: str
@@ -94,6 +97,8 @@
     evacuation_position: StorePosition = START
     unread_tokens: dict[str, Integer64] = {}
     evacuations_kept: dict[str, Number] = {}
+    config_evidence: Evidence = NO_EVIDENCE
+    config_age: Number = -1.0
 
 
 @dataclass(slots=True)
@@ -364,3 +369,17 @@
         return [
             update.ip for update in self.live(now) if update.config_version >= version
         ]
+
+    def peers_with_confirmed_config(
+        self, version: int, max_age: float, now: float
+    ) -> list[str]:
+        """Return the live nodes that know that there was no newer configuration.
+
+        :param version: least version that they must have.
+        :param max_age: largest age in seconds of that knowledge.
+        """
+        return [
+            update.ip
+            for update in self.live(now)
+            if update.config_version >= version and 0 <= update.config_age < max_age
+        ]
--- a/src/cyclamenyoke/daemon/cluster_state.py
+++ b/src/cyclamenyoke/daemon/cluster_state.py
@@ -16,6 +16,7 @@
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.adapters.peer_transport import PeerTransport, Snapshot
 from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.config_confirmation import ConfigConfirmation
 from cyclamenyoke.core.endpoint_registry import Change, Endpoint, EndpointRegistry
 from cyclamenyoke.core.gateway_config import GatewayConfig
 from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
@@ -33,7 +34,11 @@
 )
 from cyclamenyoke.exceptions import CyclamenyokeError, PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
-from cyclamenyoke.ports.key_value_store import KeyValueStore, StoredItem
+from cyclamenyoke.ports.key_value_store import (
+    KeyValueStore,
+    StoredItem,
+    VersionedValue,
+)
 
 LIST_READS_PER_DRAIN = 4
 """Reads of the endpoint list per drain time, the time after which a draining endpoint
@@ -43,6 +48,10 @@
 """A node reads the store itself when its endpoint list is older than the drain time
 divided by this, increased by up to 20 % jitter."""
 
+PEER_CONFIRMATION_DELAY = 100 * MILLISECOND
+"""Seconds for which the store may take to confirm the configuration before a peer is
+asked as well; several times as long as the store usually takes."""
+
 MAX_FETCH_JITTER = 40 * MILLISECOND
 """Longest random delay in seconds before a newer version is fetched, to spread the
 transfers."""
@@ -134,6 +143,11 @@
         self._era = -1
         self._era_seen_at = 0.0
         self._synced = asyncio.Event()
+        self._confirmation = ConfigConfirmation(settings.ip, clock.now())
+        # Position of the newest configuration, if it could not be decoded.
+        self._invalid_config_at = START
+        self._confirming: asyncio.Task[None] | None = None
+        self._next_confirming_at = 0.0
         self.on_change: Callable[[], None] = lambda: None
         self.on_config: Callable[[GatewayConfig], None] = lambda config: None
         self.on_endpoint_removed: Callable[[str], None] = lambda id_: None
@@ -150,6 +164,11 @@
         """The version of the configuration in force; 0 before the first sync."""
         return self._current.config.version if self._current.config else 0
 
+    @property
+    def config_confirmation(self) -> ConfigConfirmation:
+        """How recently the configuration was known to be the newest."""
+        return self._confirmation
+
     @property
     def reads_store(self) -> bool:
         """Whether the last call to the store succeeded."""
@@ -177,6 +196,38 @@
         """
         return self._current.config if self._evacuation.is_synced else None
 
+    def config_age(self) -> float:
+        """Return the seconds since the configuration was known to be the newest.
+
+        It is -1 if it never was.
+        """
+        return self._confirmation.age(self._clock.now())
+
+    def is_config_confirmed(self, arrived_at: float) -> bool:
+        """Return whether a request may be denied by the configuration in force.
+
+        A version that the store has acknowledged counts for the requests that arrive
+        later than ``config_apply`` after that.
+        """
+        bound = self._settings.bounds.config_apply
+        return arrived_at <= self._confirmation.confirmed_at + bound
+
+    async def confirm_config(self, until: float) -> None:
+        """Find out whether there is a newer configuration, and put it in force.
+
+        Requests that need to know at the same time share one answer.
+
+        :param until: when to return at the latest; the search goes on then.
+        """
+        now = self._clock.now()
+        if self._confirming is None or self._confirming.done():
+            if now < self._next_confirming_at:
+                return
+            self._next_confirming_at = now + INITIAL_BACKOFF
+            self._metrics.count("config_confirmations")
+            self._confirming = asyncio.create_task(self._ask_for_newer_config())
+        await asyncio.wait({self._confirming}, timeout=max(0.0, until - now))
+
     def era_age(self, era: int) -> float:
         """Return for how many seconds this node has read lists of a store's era."""
         return self._clock.now() - self._era_seen_at if era == self._era else 0.0
@@ -210,6 +261,8 @@
             list(evacuation.listed),
             evacuation.position,
             evacuation.kept(self._clock.now()),
+            self._confirmation.evidence,
+            self.config_age(),
         )
 
     def mark_leaving(self, endpoint: Endpoint) -> None:
@@ -224,6 +277,10 @@
         if update.config_version > self.config_version:
             self._target_version = max(self._target_version, update.config_version)
             self._newer_config_seen.set()
+        elif self._can_be_newest:
+            self._confirmation.on_peer_message(
+                update.config_evidence, update.config_age, now
+            )
         for id_, born in update.leaving:
             self._registry.mark_leaving(id_, born, now)
         self._evacuation.on_peer_state(
@@ -272,14 +329,8 @@
             if self.config_version >= self._target_version:
                 continue
             await self._fetch_config_from_peer()
-            if self.config_version >= self._target_version:
-                continue
-            try:
-                value = await self._store.get(self._schema.config_key)
-                self._on_store_available()
-                self._apply_config(value.value or b"", value.position)
-            except PlatformUnavailable as error:
-                self._on_store_failed(error)
+            if self.config_version < self._target_version:
+                await self._read_config()
 
     async def sync_endpoints(self) -> None:
         """Keep the endpoint list up to date until cancelled."""
@@ -290,6 +341,7 @@
         max_age = stale_after * self._random.uniform(1.0, 1.2)
         while True:
             now = self._clock.now()
+            self._confirmation.tick(now)
             age = self.list_age()
             is_stale = age < 0 or age > max_age
             is_list_reader = self._peers.is_list_reader(now, self._reads_store)
@@ -372,19 +424,67 @@
         :param rank: this node's rank, as returned by :meth:`Peers.rank`.
         """
         key = self._schema.config_key
+        asked_at = self._clock.now()
         if self._current.config is None:
             value = await self._store.get(key)
         else:
-            wait = watch_duration(rank, self._settings.bounds)
-            deadline = self._clock.now() + wait
+            deadline = asked_at + watch_duration(rank, self._settings.bounds)
             value = await self._store.watch(key, self._current.position, deadline)
+            if value.value is None and self._clock.now() >= deadline:
+                # The store has looked for a change until then.
+                asked_at = deadline
+        self._on_store_available()
+        self._on_config_read(value, asked_at)
+        if self._current.config is None:
+            await asyncio.sleep(INITIAL_BACKOFF)
+
+    async def _read_config(self) -> None:
+        """Read the configuration from the store; a failure is logged."""
+        asked_at = self._clock.now()
+        try:
+            value = await self._store.get(self._schema.config_key)
+        except PlatformUnavailable as error:
+            self._on_store_failed(error)
+            return
         self._on_store_available()
+        self._on_config_read(value, asked_at)
+
+    async def _ask_for_newer_config(self) -> None:
+        """Ask the store, and a peer if the store does not answer at once."""
+        asked_at = self._clock.now()
+        read = asyncio.create_task(self._read_config())
+        try:
+            delay = PEER_CONFIRMATION_DELAY if self._reads_store else 0.0
+            await asyncio.wait({read}, timeout=delay)
+            peers = self._confirming_peers()
+            if self._confirmation.confirmed_at < asked_at and peers:
+                await self._fetch_config(peers)
+            if not self.is_config_confirmed(asked_at):
+                await read
+        finally:
+            read.cancel()
+
+    def _confirming_peers(self) -> list[str]:
+        return self._peers.peers_with_confirmed_config(
+            self.config_version, self._settings.bounds.config_apply, self._clock.now()
+        )
+
+    def _on_config_read(self, value: VersionedValue, asked_at: float) -> None:
+        """Apply what the store has responded to a read or a watch.
+
+        :param asked_at: a time at which the response was true.
+        """
         if value.value is None:
             self._current.position = max(self._current.position, value.position)
-            if self._current.config is None:
-                await asyncio.sleep(INITIAL_BACKOFF)
-            return
-        self._apply_config(value.value, value.position)
+        else:
+            self._apply_config(value.value, value.position)
+        if self._can_be_newest:
+            self._confirmation.on_store_read(asked_at)
+
+    @property
+    def _can_be_newest(self) -> bool:
+        """Whether there is a configuration, and none that could not be decoded."""
+        return self.config is not None and self._invalid_config_at == START
 
     def _apply_config(self, raw_config: bytes, position: StorePosition) -> None:
         # Advances for any value, since a watch from an older position returns the same
@@ -394,8 +494,12 @@
         try:
             config = self._schema.decode_config(raw_config)
         except CyclamenyokeError as error:
+            # It may allow what the version in force denies.
+            self._invalid_config_at = max(self._invalid_config_at, position)
             self._report_once("config", str(error))
             return
+        if position >= self._invalid_config_at:
+            self._invalid_config_at = START
         if config.version <= self.config_version:
             return
         before = self.config_version
@@ -421,9 +525,18 @@
         peers_with_config = self._peers.peers_with_config(
             self.config_version + 1, self._clock.now()
         )
-        snapshot = await self._fetch_snapshot(peers_with_config)
-        if snapshot is not None and snapshot.config:
-            self._apply_config(snapshot.config, snapshot.config_position)
+        await self._fetch_config(peers_with_config)
+
+    async def _fetch_config(self, ips: list[str]) -> None:
+        asked_at = self._clock.now()
+        snapshot = await self._fetch_snapshot(ips)
+        if snapshot is None or not snapshot.config:
+            return
+        self._apply_config(snapshot.config, snapshot.config_position)
+        if self._can_be_newest:
+            self._confirmation.on_snapshot(
+                snapshot.config_evidence, snapshot.config_age, asked_at
+            )
 
     async def _fetch_list_from_peer(self) -> None:
         position = self._registry.position
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1,7 +1,7 @@
 """Handles requests: routing, admission, sending with retries, and the response."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -52,6 +52,7 @@
 from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
 from cyclamenyoke.core.silence_timeout import SilenceTimeout
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
+from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
     NO_NOTICE,
@@ -98,6 +99,14 @@
 STARTUP_RETRY_AFTER = 500 * MILLISECOND
 """Retry-After in seconds while this node has no configuration."""
 
+CONFIRMATION_TIMEOUT = 300 * MILLISECOND
+"""Seconds for which a request that the configuration denies waits until that is known
+to be the newest one."""
+
+UNCONFIRMED_RETRY_AFTER = 100 * MILLISECOND
+"""Retry-After in seconds of a request that can't be denied for certain. Other nodes may
+know more."""
+
 SHUTDOWN_RETRY_AFTER = 100 * MILLISECOND
 """Retry-After in seconds of a request that can't end before this node stops. Other
 nodes serve it at once; the directory names their addresses."""
@@ -191,6 +200,17 @@
     may_have_ended_engine: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What the configuration allows a request.
+
+    :param customer: the customer of its API key; ``None`` where none is needed.
+    """
+
+    route: Route
+    customer: Customer | None
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingRequest:
     """A request in the queue.
@@ -225,14 +245,9 @@
 class Forwarder:
     """Forwards requests to endpoints and their responses to callers.
 
-    :param config: returns the configuration in force.
-    :param list_age: returns the age of the endpoint list in seconds; negative without
-        a list.
-    :param wait_until_synced: waits for the first configuration and endpoint list, at
-        most until the given time.
+    :param cluster_state: the configuration in force and the endpoint list.
     :param on_load_change: called when the number of requests in progress or in the
         queue has changed.
-    :param on_leaving: called with an endpoint that stated that it is leaving.
 
     The attribute ``shutdown`` is set once the node stops. Requests that can't end
     before that are refused from then on, also those that wait in the queue.
@@ -246,11 +261,8 @@
         quarantine: RequestQuarantine,
         limits: EngineLimits,
         settings: NodeSettings,
-        config: Callable[[], GatewayConfig | None],
-        list_age: Callable[[], float],
-        wait_until_synced: Callable[[float], Awaitable[None]],
+        cluster_state: ClusterState,
         on_load_change: Callable[[], None],
-        on_leaving: Callable[[Endpoint], None],
         clock: Clock,
         random: Random,
         monitor: InvariantMonitor,
@@ -263,11 +275,11 @@
         self._quarantine = quarantine
         self._limits = limits
         self._settings = settings
-        self._config = config
-        self._list_age = list_age
-        self._wait_until_synced = wait_until_synced
+        self._cluster_state = cluster_state
+        self._config = cluster_state.config_for_requests
+        self._list_age = cluster_state.list_age
         self._on_load_change = on_load_change
-        self._on_leaving = on_leaving
+        self._on_leaving = cluster_state.mark_leaving
         self._clock = clock
         self._startup_deadline = clock.now() + STARTUP_SYNC_TIMEOUT
         self._random = random
@@ -329,28 +341,40 @@
     async def serve(self, request: InboundRequest, writer: ResponseWriter) -> None:
         """Respond to one request."""
         if self._list_age() < 0 or self._config() is None:
-            await self._wait_until_synced(self._startup_deadline)
+            await self._cluster_state.wait_until_synced(self._startup_deadline)
         config = self._config()
         if config is None:
             self._reject(
                 request, writer, RejectionReason.NO_CONFIG, STARTUP_RETRY_AFTER
             )
             return
-        route = config.find_route(request.host, request.path)
-        if route is None:
+        decision = _authorize(request, config)
+        is_confirmed = self._cluster_state.is_config_confirmed
+        if not isinstance(decision, Grant) and not is_confirmed(request.arrived_at):
+            config = await self._confirmed_config(request) or config
+            decision = _authorize(request, config)
+        if isinstance(decision, Grant):
+            await self._deliver(
+                request, writer, decision.route, decision.customer, config
+            )
+        elif is_confirmed(request.arrived_at):
+            self._reject(request, writer, decision, denial=decision)
+        else:
             self._reject(
-                request, writer, RejectionReason.NO_ROUTE, version=config.version
+                request,
+                writer,
+                RejectionReason.CONFIG_UNCONFIRMED,
+                UNCONFIRMED_RETRY_AFTER,
+                denial=decision,
             )
-            return
-        customer: Customer | None = None
-        if config.requires_api_key and not route.is_public:
-            customer = config.customers.get(request.api_key or "")
-            if customer is None:
-                self._reject(
-                    request, writer, RejectionReason.NO_KEY, version=config.version
-                )
-                return
-        await self._deliver(request, writer, route, customer, config)
+
+    async def _confirmed_config(self, request: InboundRequest) -> GatewayConfig | None:
+        """Return the configuration after an attempt to learn of a newer one."""
+        until = self._clock.now() + CONFIRMATION_TIMEOUT
+        if request.deadline is not None:
+            until = min(until, request.deadline)
+        await self._cluster_state.confirm_config(until)
+        return self._config()
 
     async def _deliver(
         self,
@@ -1315,8 +1339,12 @@
         writer: ResponseWriter,
         reason: RejectionReason,
         retry_after: float | None = None,
-        version: int = 0,
+        denial: RejectionReason | None = None,
     ) -> None:
+        """Reject a request before it has a route and a customer.
+
+        :param denial: what the configuration in force says.
+        """
         self._metrics.count("requests", outcome=reason.value, service="")
         self._log.info(
             "request refused",
@@ -1324,7 +1352,11 @@
             host=request.host,
             path=request.path,
             outcome=reason.value,
-            config_version=version,
+            denial=denial.value if denial else None,
+            has_key=request.api_key is not None,
+            retry_after=retry_after,
+            config_version=self._cluster_state.config_version,
+            config_age=round(self._cluster_state.config_age(), 3),
         )
         writer.reject(reason, retry_after)
 
@@ -1352,6 +1384,7 @@
             seconds=round(self._clock.now() - context.request.arrived_at, 4),
             last_event=context.last_event_id,
             config_version=config.version,
+            config_age=round(self._cluster_state.config_age(), 3),
             list_age=round(self._list_age(), 3),
             attempts=[
                 [
@@ -1369,6 +1402,19 @@
         )
 
 
+def _authorize(
+    request: InboundRequest, config: GatewayConfig
+) -> Grant | RejectionReason:
+    """Return what a configuration allows a request, or why it denies it."""
+    route = config.find_route(request.host, request.path)
+    if route is None:
+        return RejectionReason.NO_ROUTE
+    if not config.requires_api_key or route.is_public:
+        return Grant(route, None)
+    customer = config.customers.get(request.api_key or "")
+    return RejectionReason.NO_KEY if customer is None else Grant(route, customer)
+
+
 def _lost_phase(attempt: Attempt) -> str:
     """Return how far the response had come when an attempt was lost, for metrics."""
     if attempt.first_byte_at is None:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -196,11 +196,8 @@
             self._quarantine,
             self._limits,
             settings,
-            self._cluster_state.config_for_requests,
-            self._cluster_state.list_age,
-            self._cluster_state.wait_until_synced,
+            self._cluster_state,
             self._membership.announce,
-            self._cluster_state.mark_leaving,
             self._clock,
             random,
             monitor,
@@ -414,6 +411,7 @@
         self._metrics.gauge("engine_connections_opened", self._pool.opened_count)
         self._metrics.gauge("list_age_seconds", self._cluster_state.list_age())
         self._metrics.gauge("config_version", self._cluster_state.config_version)
+        self._metrics.gauge("config_age_seconds", self._cluster_state.config_age())
         self._metrics.gauge(
             "evacuated_data_centres", len(self._evacuation.state.active)
         )
@@ -450,6 +448,7 @@
                     store_calls=dict(self._store.call_counts),
                     connections_opened=self._pool.opened_count,
                     config_version=self._cluster_state.config_version,
+                    config_age=round(self._cluster_state.config_age(), 3),
                     list_age=round(self._cluster_state.list_age(), 3),
                 )
 
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -421,6 +421,8 @@
             evacuation_position=evacuation.position,
             evacuations_kept=evacuation.kept(now),
             unread_tokens=dict(self._balancer.prompt_tokens.own_unread),
+            config_evidence=self._cluster_state.config_confirmation.evidence,
+            config_age=self._cluster_state.config_age(),
         )
         self._transport.send(update, ips)
         self._metrics.gauge("exchange_sent_bytes", self._transport.sent_datagram_bytes)
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -18,6 +18,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from math import inf
 from random import Random
 from unittest.mock import patch
 
@@ -227,6 +228,8 @@
         self.nodes: dict[str, Node] = {}
         self.observed: dict[str, ObservedRequest] = {}
         self.faults_until = self.clock.now()
+        # When the last restored store has its newest configuration again.
+        self.config_restored_at = 0.0
         # Time, version, and whether the configuration has the route "extra".
         self.published: list[tuple[float, int, bool]] = []
         self.outcomes: Counter[str] = Counter()
@@ -313,8 +316,9 @@
 
     async def get(self, key):
         await self._simulate_call()
-        revision, value, _ = self._env.values.get(key, (0, None, 0))
-        return VersionedValue(revision, value, self._env.era)
+        env = self._env
+        revision, value, _ = env.values.get(key, (0, None, 0))
+        return VersionedValue(revision, value, env.era)
 
     async def compare_and_swap(self, key, expected_revision, value, lease=0):
         await self._simulate_call()
@@ -345,9 +349,10 @@
         while True:
             await self._simulate_call()
             revision, value, _ = self._env.values.get(key, (0, None, 0))
-            if (self._env.era, revision) > after:
-                return VersionedValue(revision, value, self._env.era)
-            if self._env.clock.now() >= deadline:
+            env = self._env
+            if (env.era, revision) > after:
+                return VersionedValue(revision, value, env.era)
+            if env.clock.now() >= deadline:
                 return VersionedValue(after.revision, None, after.era)
             await asyncio.sleep(0.1)
 
@@ -716,11 +721,8 @@
         )  # fmt: skip
         self.forwarder = Forwarder(
             SimulatedEngineClient(env, self), balancer, self.peers, quarantine,
-            limits, settings,
-            self.cluster_state.config_for_requests, self.cluster_state.list_age,
-            self.cluster_state.wait_until_synced, self.membership.announce,
-            self.cluster_state.mark_leaving, clock, random,
-            monitor, metrics, log,
+            limits, settings, self.cluster_state, self.membership.announce,
+            clock, random, monitor, metrics, log,
         )  # fmt: skip
         self.cluster_state.on_change = self.membership.announce
         self.cluster_state.on_evacuation = self.forwarder.on_evacuation
@@ -969,6 +971,7 @@
         """Restore the store from an older copy, sometimes twice in a row."""
         env = self.env
         env.note_fault(6)
+        env.config_restored_at = inf
         for _ in range(env.random.choice([1, 1, 2])):
             values, leases, revision = env.backup
             env.store_outage = "rejects"
@@ -984,6 +987,7 @@
         """Write again what the operator and the engines had written."""
         env = self.env
         env.put(CONFIG_KEY, env.config)
+        env.config_restored_at = env.clock.now()
         if env.evacuated_at is not None:
             env.put(EVACUATION_KEY, b"{}")
         elif EVACUATION_KEY in env.values:
@@ -1249,6 +1253,8 @@
             env.report_violation(
                 f"{id_} ended {request.ended_at - request.deadline:.2f} s late"
             )
+        if request.outcome == RejectionReason.NO_ROUTE.value:
+            self._check_denial(id_, request)
         if env.is_fault_free and node.is_settled:
             counts = self.fault_free_counts[int(env.clock.now() // FAULT_FREE_INTERVAL)]
             # A prompt that ends engines can't be answered.
@@ -1262,6 +1268,20 @@
             part in self.env.crashing_parts for part in request.parts
         )
 
+    def _check_denial(self, id_: str, request: ObservedRequest) -> None:
+        """Check that a version that may be in force denies a request.
+
+        This holds during faults, too, unless a store that was restored may have
+        confirmed an older version meanwhile.
+        """
+        bound = request.sent_at - BOUNDS.config_apply
+        if bound < self.env.config_restored_at + BOUNDS.config_apply:
+            return
+        before = [state for at, _, state in self.env.published if at <= bound]
+        later = [state for at, _, state in self.env.published if at > bound]
+        if request.route != "extra" or all([*before[-1:], *later]):
+            self.env.report_violation(f"{id_} denied by an outdated configuration")
+
     def _check_config(self, request: ObservedRequest) -> None:
         """Check that route ``extra`` follows the newest configuration.
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -1,5 +1,7 @@
 """Short runs of the gateway soak test, and proof that it detects injected bugs."""
 
+import asyncio
+
 import pytest
 
 from cyclamenyoke.core.balancer import Balancer
@@ -9,6 +11,7 @@
 from cyclamenyoke.core.request_delivery import RequestDelivery
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.daemon import cluster_state
+from cyclamenyoke.daemon.cluster_state import ClusterState
 from gateway_soak import GatewaySoak
 
 
@@ -142,6 +145,37 @@
     assert find_violations()
 
 
+class SoakWithIsolatedNodes(GatewaySoak):
+    """Some nodes reach neither the store nor each other while versions change."""
+
+    async def _inject_faults(self) -> None:
+        while True:
+            ips = set(self._sample_node_ips())
+            self.env.note_fault(6)
+            self.env.rejected_ips |= ips
+            self.env.partitioned_ips |= ips
+            await asyncio.sleep(6)
+            self.env.rejected_ips -= ips
+            self.env.partitioned_ips -= ips
+            await asyncio.sleep(1)
+
+    async def _publish_configs(self) -> None:
+        while True:
+            await asyncio.sleep(2.5)
+            self.env.publish()
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_isolated_nodes_deny_nothing_by_an_outdated_configuration(monkeypatch, seed):
+    def find_violations() -> list[str]:
+        env = SoakWithIsolatedNodes(seed).run(30)
+        return [each for each in env.violations if "outdated" in each]
+
+    assert find_violations() == []
+    monkeypatch.setattr(ClusterState, "is_config_confirmed", lambda self, at: True)
+    assert find_violations()
+
+
 def test_soak_detects_a_request_that_is_sent_on_though_engines_end(monkeypatch):
     monkeypatch.setattr(
         RequestQuarantine, "withheld_until", lambda self, *arguments: None
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -28,6 +28,7 @@
     encode_service,
 )
 from cyclamenyoke.core.config import Endpoint as ServiceEndpoint
+from cyclamenyoke.core.config_confirmation import NO_EVIDENCE, Evidence
 from cyclamenyoke.core.endpoint_registry import Change, Endpoint, EndpointRegistry
 from cyclamenyoke.core.engine_limits import LimitNotice
 from cyclamenyoke.core.gossip import (
@@ -178,10 +179,12 @@
         (LimitNotice("i-7", 17, 2.5, 0.5),),
         *(("dc-2",), StorePosition(1, 12), {"i-1": 640}),
         {"dc-3": 41.5},
+        *(Evidence("127.0.0.2", 13), 0.75),
     ),
     "snapshot": Snapshot(
         *(b"config", StorePosition(1, 8), 0.5, StorePosition(1, 11), [ENDPOINT]),
         *(["dc-2"], StorePosition(1, 12), {"dc-3": 41.5}),
+        *(Evidence("127.0.0.2", 13), 0.75),
     ),
     "journal": Journal(
         5.0,
@@ -194,6 +197,14 @@
     ),
 }
 
+FORMER_MESSAGES = {
+    f"{name} of b56c5ba": msgspec.structs.replace(
+        MESSAGES[name], config_evidence=NO_EVIDENCE, config_age=-1.0
+    )
+    for name in ("peer update", "snapshot")
+}
+"""Messages of earlier commits, which lack fields that were added at the end."""
+
 DOCUMENTS = {
     "config index": INDEX,
     "service": SERVICE,
@@ -236,7 +247,16 @@
 
 
 def test_values_are_written_as_before():
-    assert encode_values() == load_recorded()
+    recorded = load_recorded()
+    assert encode_values() == {name: recorded[name] for name in encode_values()}
+    assert recorded.keys() == encode_values().keys() | FORMER_MESSAGES.keys()
+
+
+@pytest.mark.parametrize("name", FORMER_MESSAGES)
+def test_messages_without_a_confirmed_configuration_are_read(name):
+    value = FORMER_MESSAGES[name]
+    data = bytes.fromhex(load_recorded()[name])
+    assert msgspec.msgpack.decode(data, type=type(value)) == value
 
 
 @pytest.mark.parametrize("name", MESSAGES)
