Pass on no refusal that an engine did not sign

What callers saw: an endpoint's address that answered with a 3xx or 4xx and the request's id, but without X-Response-Signature, ended the request with that status: the system's own word that it is wrong, after which no client tries again (DENIED). With 408, 429 or 503, the caller of an order that was sent was told that it has not run (REFUSED).

Cause: only successes were checked for the signature.

Why this works: a table names the statuses that may lack a signature (500, 501, 502, 504: they promise nothing and deny nothing). Any other unsigned response is broken: the attempt is lost, counts against the endpoint's circuit, and is repeated where the route and the budget allow that; otherwise the caller gets 502. It has arrived, so that the budget doesn't wait for it any more; what it states about the endpoint (Retry-After, leaving, limit) does not count, also not that of an unsigned success. Its connection is closed. It is no evidence that the request ends engines, since the endpoint has not ended the connection. A signed response is passed on whatever its status, and a status of 505 or above 600 is no longer passed on unsigned. An empty signature is none.

"request done" has the status that the caller got from an endpoint; endpoint_statuses counts those other than successes.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -141,6 +141,7 @@
 MAX_LOGGED_PARTS = 16
 """Largest number of a prompt's parts in a log line."""
 
+SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 
 REJECTION_REASONS = {
@@ -160,6 +161,8 @@
     :param failure: an endpoint's own error response, which is forwarded if no later
         attempt succeeds.
     :param has_event: whether any attempt has yielded an event.
+    :param status: the status of an endpoint's response that the caller was sent;
+        ``None`` before.
     :param detail: reason for the latest failure, for the log.
     :param waited: seconds spent in the admission queue.
     :param last_event_at: when the current attempt last yielded events; ``None``
@@ -182,6 +185,7 @@
     is_head_sent: bool = False
     has_event: bool = False
     priority: int = 0
+    status: int | None = None
     detail: str = ""
     retry_after: float | None = None
     waited: float = 0.0
@@ -1031,12 +1035,14 @@
             case _:
                 return
         now = self._clock.now()
-        if not isinstance(event, EngineResponseFailed):
+        attempt = context.delivery.attempts[-1]
+        if event.status is not None:
+            attempt.first_byte_at = now
+            self._count_status(event.status, event.is_signed)
             # A failed connection doesn't show that the endpoint has read anything.
             self._retry_budget(context.service).on_heard(endpoint.id, now)
         if notice is not NO_NOTICE:
-            sent_at = context.delivery.attempts[-1].sent_at
-            self._limits.on_response(endpoint, notice.rate_limit, sent_at, now)
+            self._limits.on_response(endpoint, notice.rate_limit, attempt.sent_at, now)
         if notice.is_leaving:
             self._on_leaving(endpoint)
         if notice.pause:
@@ -1047,6 +1053,11 @@
                 seconds=round(notice.pause, 3),
             )
 
+    def _count_status(self, status: int, is_signed: bool) -> None:
+        if status not in SUCCESSES:
+            signed = "yes" if is_signed else "no"
+            self._metrics.count("endpoint_statuses", status=str(status), signed=signed)
+
     async def _on_event(
         self, context: RequestContext, response: PartialResponse, event: EngineEvent
     ) -> AttemptOutcome | None:
@@ -1055,7 +1066,6 @@
             case EngineResponseHead():
                 response.head = event
                 response.progress += 1
-                context.delivery.attempts[-1].first_byte_at = self._clock.now()
             case EngineResponseData(data=data) if response.head is not None:
                 if not response.is_stream:
                     return self._hold(context, response, data)
@@ -1168,6 +1178,7 @@
                 context.is_head_sent = True
                 context.delivery.is_response_started = True
                 self._observe_first_byte(context)
+                context.status = head.status
                 context.writer.start(head.status, head.headers)
             await context.writer.write(event.data)
             if event.id is not None:
@@ -1230,6 +1241,7 @@
                 return AttemptOutcome.INCOMPLETE
             if not context.is_head_sent:
                 context.is_head_sent = True
+                context.status = head.status
                 context.writer.start(head.status, head.headers)
             context.writer.finish()
             return AttemptOutcome.ANSWERED
@@ -1241,6 +1253,7 @@
             context.detail = f"endpoint answered {head.status}"
             return AttemptOutcome.FAILED
         self._observe_first_byte(context)
+        context.status = head.status
         context.writer.send(head.status, head.headers, body)
         return AttemptOutcome.ANSWERED
 
@@ -1252,6 +1265,7 @@
             return "cut"
         if context.failure is not None:
             head, body = context.failure
+            context.status = head.status
             writer.send(head.status, head.headers, body)
             return "failed_by_endpoint"
         now = self._clock.now()
@@ -1346,6 +1360,7 @@
             shared_parts=context.request.shared_parts[:MAX_LOGGED_PARTS],
             prompt_tokens=context.request.prompt_tokens,
             outcome=outcome,
+            status=context.status,
             detail=context.detail,
             waited=round(context.waited, 4),
             retry_after=context.retry_after,
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -53,6 +53,10 @@
 UNAVAILABLE_STATUS = 503
 SUCCESS_STATUSES = range(200, 300)
 
+UNSIGNED_STATUSES = frozenset({500, 501, 502, 504})
+"""Statuses of responses that may lack a signature: they promise nothing, and do not say
+that the request is wrong. Any other status is an engine's only with its signature."""
+
 MAX_RATE = 1e9
 """Largest limit that is noted, in requests a second; a higher one limits nothing."""
 
@@ -141,6 +145,7 @@
         self._idle_timeout: float | None = None
         self._is_complete = False
         self._is_released = False
+        self._must_close = False
 
     async def receive(self) -> EngineEvent:
         event = await self._connection.receive()
@@ -159,7 +164,8 @@
         if self._is_released:
             return
         self._is_released = True
-        if not self._is_complete and not self._connection.is_reusable:
+        is_reusable = self._is_complete or self._connection.is_reusable
+        if self._must_close or not is_reusable:
             self._connection.close()
             return
         self._pool.release(
@@ -172,6 +178,7 @@
     def _on_head(self, head: ResponseHead) -> EngineEvent:
         self._idle_timeout = _idle_timeout(head)
         notice = read_notice(head, self._endpoint.id)
+        is_signed = bool(head.get(SIGNATURE))
         if head.get(NOT_EXECUTED) is not None or head.status == MISDIRECTED_STATUS:
             self._connection.note_refused(self._request_id)
             is_other_engine = _is_from_other_engine(head, self._endpoint.id)
@@ -181,21 +188,31 @@
                 head.status == MISDIRECTED_STATUS and is_other_engine,
                 faulty is not None and faulty.decode("latin-1") != self._endpoint.id,
                 notice,
+                is_signed,
             )
         if head.get(CONTENT_ENCODING) is not None:
-            return EngineResponseFailed("response has a content encoding", notice)
-        is_success = head.status in SUCCESS_STATUSES
-        if is_success and head.get(SIGNATURE) is None:
-            return EngineResponseFailed(
-                "successful response without a signature", notice
-            )
+            reason = "response has a content encoding"
+            return self._distrust(head, reason, notice, is_signed)
+        if not is_signed and head.status not in UNSIGNED_STATUSES:
+            reason = f"response {head.status} without a signature"
+            return self._distrust(head, reason, NO_NOTICE, is_signed)
         content_type = head.get(b"content-type") or b""
         return EngineResponseHead(
             head.status,
             select_end_to_end(head.headers),
-            is_success,
+            head.status in SUCCESS_STATUSES,
             content_type.startswith(EVENT_STREAM_TYPE),
             notice,
+            is_signed,
+        )
+
+    def _distrust(
+        self, head: ResponseHead, reason: str, notice: EngineNotice, is_signed: bool
+    ) -> EngineResponseFailed:
+        """Give up a response that is not an engine's, and its connection."""
+        self._must_close = True
+        return EngineResponseFailed(
+            reason, notice, status=head.status, is_signed=is_signed
         )
 
 
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -38,6 +38,7 @@
 
     :param headers: the end-to-end headers, which are forwarded to the caller.
     :param is_success: whether the status is a success; such a response is signed.
+    :param is_signed: whether it has an engine's signature.
     """
 
     status: int
@@ -45,6 +46,7 @@
     is_success: bool
     is_event_stream: bool
     notice: EngineNotice = NO_NOTICE
+    is_signed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,11 +71,16 @@
     """The response was truncated or cannot be trusted; the request may have run.
 
     :param is_closed: whether the connection ended before the response did.
+    :param status: the status of a response that can't be trusted; ``None`` for one that
+        was truncated or did not arrive.
+    :param is_signed: whether it has an engine's signature.
     """
 
     reason: str
     notice: EngineNotice = NO_NOTICE
     is_closed: bool = False
+    status: int | None = None
+    is_signed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,12 +90,14 @@
     :param is_misdirected: whether another endpoint responded at the address.
     :param is_group_broken: whether another rank of the endpoint's group has failed,
         so that the endpoint runs no requests until the group recovers.
+    :param is_signed: whether the response has an engine's signature.
     """
 
     status: int
     is_misdirected: bool
     is_group_broken: bool
     notice: EngineNotice = NO_NOTICE
+    is_signed: bool = False
 
 
 EngineEvent = (
