Refuse requests that a gateway sent as misdirected

What callers saw: a gateway listens at the address of an engine that is gone. It took a request that another gateway, or itself, sent to that engine for a caller's. The key is taken off before, so that it answered 401, which was passed on (since, 502 for an order). A request of a public route was served once more: two gateways admitted, retried and counted one request.

Cause: nothing tells a gateway's request from a caller's.

Why this works: Via is the standard's means against loops (RFC 9110, 7.6.3). A gateway adds "Via: 1.1 cyclamenyoke" to what it sends to engines, after the entries of callers' proxies, and answers 421 to a request that names it there, before it looks at the configuration, route or key. The request has not run. X-Instance-Id in that 421 names no engine, so that the sender takes the endpoint for gone and tries another one, also for orders, without an attempt of the route. Logged as "request refused", outcome loop.

Weighed: X-Target-Instance would tell the same without another byte, but callers may send it, and it is dropped unread today. A caller's proxy that is itself called cyclamenyoke is refused, and so is an engine that copies Via from a request that it runs to its own calls.

The stand-in joins repeated fields of a request, of which it kept the last.

--- a/src/cyclamenyoke/core/inbound_request.py
+++ b/src/cyclamenyoke/core/inbound_request.py
@@ -19,6 +19,9 @@
     NO_CONFIG = "no_config"
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
+    LOOP = "loop"
+    """Another gateway, or this one, has sent the request to what it took for an
+    endpoint."""
     NOT_RUN = "not_run"
 
     UNKNOWN = "unknown"
@@ -41,6 +44,7 @@
         order of the prompt.
     :param last_part: id of the prompt's last part, which belongs to this request or to
         its session; empty for a plain request.
+    :param is_from_gateway: whether a gateway sent it rather than a caller.
     """
 
     request_id: str
@@ -58,3 +62,4 @@
     output_limit: int
     shared_parts: tuple[str, ...] = ()
     last_part: str = ""
+    is_from_gateway: bool = False
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -332,6 +332,9 @@
 
     async def serve(self, request: InboundRequest, writer: ResponseWriter) -> None:
         """Respond to one request."""
+        if request.is_from_gateway:
+            self._reject(request, writer, RejectionReason.LOOP)
+            return
         if self._list_age() < 0 or self._config() is None:
             await self._wait_until_synced(self._startup_deadline)
         config = self._config()
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -14,12 +14,15 @@
 from cyclamenyoke.platform.headers import (
     AUTHORIZATION,
     DEADLINE,
+    GATEWAY_PSEUDONYM,
     LAST_EVENT_ID,
     PROMPT_PARTS,
     REQUEST_ID,
     RESERVED_FOR_GATEWAY,
+    RESPONDING_ENGINE,
     RETRY_AFTER,
     TOKEN_COUNTS,
+    came_through_gateway,
     select_end_to_end,
 )
 from cyclamenyoke.ports.response_writer import ResponseWriter
@@ -31,6 +34,7 @@
     RejectionReason.NO_CONFIG: HTTPStatus.SERVICE_UNAVAILABLE,
     RejectionReason.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     RejectionReason.NO_ENDPOINT: HTTPStatus.SERVICE_UNAVAILABLE,
+    RejectionReason.LOOP: HTTPStatus.MISDIRECTED_REQUEST,
     RejectionReason.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
     RejectionReason.UNKNOWN: HTTPStatus.BAD_GATEWAY,
     RejectionReason.TIMED_OUT: HTTPStatus.GATEWAY_TIMEOUT,
@@ -38,6 +42,12 @@
 """Statuses of rejections. Callers take some statuses as a confirmation that the request
 has not run; these are used only for rejections that guarantee it."""
 
+HEADERS_BY_REASON: dict[RejectionReason, list[Header]] = {
+    RejectionReason.LOOP: [(RESPONDING_ENGINE, GATEWAY_PSEUDONYM)],
+}
+"""Headers of rejections. The sender of a misdirected request learns that the endpoint
+is no longer at its address."""
+
 BEARER_PREFIX = b"bearer "
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 RESOLVE_PATH = "/v1/resolve"
@@ -62,7 +72,7 @@
         self._request_id = request_id
 
     def reject(self, reason: RejectionReason, retry_after: float | None = None) -> None:
-        headers: list[Header] = []
+        headers = [*HEADERS_BY_REASON.get(reason, ())]
         if self._request_id is not None:
             headers.append((b"X-Request-Id", self._request_id.encode("latin-1")))
         if retry_after is not None:
@@ -134,6 +144,7 @@
         output_limit=output_limit,
         shared_parts=parts[:-1],
         last_part=parts[-1],
+        is_from_gateway=came_through_gateway(request.headers),
     )
 
 
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -21,6 +21,7 @@
     DEADLINE,
     EVENT_STREAM_TYPE,
     FAULTY_ENGINE,
+    GATEWAY_VIA,
     KEEP_ALIVE,
     LAST_EVENT_ID,
     LEAVING,
@@ -32,6 +33,7 @@
     SIGNATURE,
     TARGET_ENGINE,
     TENANT,
+    VIA,
     select_end_to_end,
 )
 from cyclamenyoke.ports.clock import Clock
@@ -269,6 +271,7 @@
     ) -> list[Header]:
         milliseconds = max(MIN_DEADLINE_MS, int(remaining / MILLISECOND))
         headers = [*request.headers]
+        headers.append((VIA, GATEWAY_VIA))
         headers.append((DEADLINE, b"%d" % milliseconds))
         headers.append((TARGET_ENGINE, endpoint.id.encode()))
         if customer is not None:
--- a/src/cyclamenyoke/platform/headers.py
+++ b/src/cyclamenyoke/platform/headers.py
@@ -32,6 +32,14 @@
 CONTENT_ENCODING = b"content-encoding"
 KEEP_ALIVE = b"keep-alive"
 AUTHORIZATION = b"authorization"
+# The proxies that a request has passed (RFC 9110, section 7.6.3).
+VIA = b"Via"
+
+GATEWAY_PSEUDONYM = b"cyclamenyoke"
+"""The name of all gateways in ``Via``."""
+
+GATEWAY_VIA = b"1.1 " + GATEWAY_PSEUDONYM
+"""The entry in ``Via`` of requests that a gateway sends."""
 
 # Content type of a stream of server-sent events.
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -76,3 +84,22 @@
     }
     dropped = HOP_BY_HOP | also_dropped | connection_options
     return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def came_through_gateway(headers: Iterable[Header]) -> bool:
+    """Return whether a request was sent by a gateway, according to its ``Via``.
+
+    >>> came_through_gateway([(b"Via", b"1.0 proxy, 1.1 cyclamenyoke")])
+    True
+    >>> came_through_gateway([(b"Via", b"1.0 proxy (cyclamenyoke)")])
+    False
+    """
+    entries = (
+        entry.split()
+        for name, value in headers
+        if name.lower() == VIA.lower()
+        for entry in value.split(b",")
+    )
+    return any(
+        len(entry) > 1 and entry[1].lower() == GATEWAY_PSEUDONYM for entry in entries
+    )
--- a/src/cyclamenyoke/standins/engine.py
+++ b/src/cyclamenyoke/standins/engine.py
@@ -140,7 +140,11 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode().lower()] = value.decode()
+        key, text = name.decode().lower(), value.decode()
+        # Fields of one name are one list (RFC 9110, section 5.3).
+        self._headers[key] = (
+            f"{self._headers[key]}, {text}" if key in self._headers else text
+        )
 
     def on_body(self, data: bytes) -> None:
         self._body += data
