Judge denials in the soak by what each version allows

Seen: DENIED of the soak of processes looked only at requests that every version allows alike. What versions add and remove (routes), and keys and limits, which no version of the soak changed, could be refused for good without a finding.

Cause: the rule had no notion of what a version allows beyond routes of probes.

A request counts in touch if all versions that may be in force allow it, out of touch if all versions of the run do. CONFIG judges keys as it did routes. The summary counts denials by status, touch and which versions allow the request, findings or not. The rule has its own module.

--- a/tests/process_soak/answer_rules.py
+++ b/tests/process_soak/answer_rules.py
@@ -1,19 +1,13 @@
 """The rules on what runs and what is answered.
 
-These are TWICE, REFUSED, ROUTE, UNASKED, MIXED, ORDER and DENIED.
+These are TWICE, REFUSED, ROUTE, UNASKED, MIXED and ORDER.
 """
 
 from math import inf
 
-from process_soak.callers import DENIALS, PROMISES
+from process_soak.callers import PROMISES
 from process_soak.observations import Findings, Observations, Request
 
-MAX_DENIED = 5
-
-MAX_DENIED_SHARE = 1 / 500
-
-MAX_DENIED_OUT_OF_TOUCH = 10
-
 ENGINE_STATUSES = {"answered": 200, "failed": 500, "expired": 504}
 """Status with which an engine answers, by how its work ended."""
 
@@ -78,23 +72,3 @@
         if status in statuses or (end is None and seen.has_ended(arrival.process, inf)):
             return True
     return False
-
-
-def check_denied(seen: Observations) -> Findings:
-    """DENIED: proper requests are refused for good."""
-    denied, out_of_touch = [], []
-    for id_, request in seen.requests.items():
-        sent, ended = request.sent, request.ended
-        if ended is None or request.is_probe or ended.signer:
-            continue
-        if ended.status // 100 not in (3, 4) or ended.status in PROMISES:
-            continue
-        if seen.is_in_touch(sent.gateway, sent.at, ended.at):
-            denied.append(id_)
-        elif ended.status in DENIALS:
-            out_of_touch.append(id_)
-    allowed = MAX_DENIED + MAX_DENIED_SHARE * len(seen.requests)
-    if len(denied) + len(out_of_touch) > allowed:
-        yield f"DENIED: {len(denied)} and {len(out_of_touch)}: {denied[:4]}"
-    elif len(out_of_touch) > MAX_DENIED_OUT_OF_TOUCH:
-        yield f"DENIED: {len(out_of_touch)} out of touch: {out_of_touch[:4]}"
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -36,6 +36,12 @@
 PATIENCE = 1.0
 """Seconds that these wait longer."""
 
+VARIANT_SHARE = 0.3
+"""Share of the requests that are variants, where there are any."""
+
+USUAL_HEAD_BYTES = 500
+"""Bound on the size of the usual head."""
+
 PROBE_INTERVAL = 0.4
 """Seconds between two requests of a probe."""
 
@@ -67,6 +73,27 @@
         return "GET" if self.kind == "safe" else "POST"
 
 
+class Variant(msgspec.Struct, frozen=True):
+    """What makes a request one that only some versions of a configuration allow.
+
+    :param key: number of its API key; see :func:`api_key`.
+    :param head_bytes: bound on the size of its head, 0 for the usual one.
+    :param body_bytes: size of its body, 0 for the usual one; only if it has one.
+    """
+
+    key: int = 0
+    head_bytes: int = 0
+    body_bytes: int = 0
+
+
+USUAL = Variant()
+
+
+def api_key(number: int) -> str:
+    """Return the customer's API key with a number; the first has 0."""
+    return f"{API_KEY}-{number}" if number else API_KEY
+
+
 class OneAddress:
     """Names one gateway only, whether it is there or not."""
 
@@ -161,8 +188,11 @@
         record: Record,
         random: Random,
         connections: itertools.count,
+        variants: list[Variant],
     ) -> None:
         self._name = name
+        self._variants = variants
+        self._variant = USUAL
         self._routes = routes
         self._think_time = think_time
         self._leave_share = leave_share
@@ -198,6 +228,7 @@
     async def _request(self, route: Route, deadline: float) -> float | None:
         """Send one request; return the seconds after which it may be sent once more."""
         request_id = f"{self._name}-{next(self._numbers)}"
+        self._variant = self._draw_variant(route)
         try:
             await self._connect()
         except (OSError, TimeoutError) as error:
@@ -232,6 +263,13 @@
             self._close()
         return self._retry_after(route, result, status, headers, deadline)
 
+    def _draw_variant(self, route: Route) -> Variant:
+        if not self._variants or self._random.random() >= VARIANT_SHARE:
+            return USUAL
+        variant = self._random.choice(self._variants)
+        has_body = route.method != "GET"
+        return USUAL if variant.body_bytes and not has_body else variant
+
     def _retry_after(
         self,
         route: Route,
@@ -265,14 +303,18 @@
 
     def _encode(self, route: Route, request_id: str, left: float) -> bytes:
         body = b"" if route.method == "GET" else b'{"duct":"%b"}' % request_id.encode()
+        variant = self._variant
+        body = body.ljust(variant.body_bytes)
         lines = [
             f"{route.method} /{route.name}/x HTTP/1.1",
             f"Host: {HOST}",
             f"X-Request-Id: {request_id}",
             f"X-Deadline-Ms: {int(1000 * left)}",
-            f"Authorization: Bearer {API_KEY}",
+            f"Authorization: Bearer {api_key(variant.key)}",
             f"Content-Length: {len(body)}",
         ]
+        if variant.head_bytes:
+            lines.append(f"X-Padding: {'x' * (variant.head_bytes - USUAL_HEAD_BYTES)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
     async def _read_body(self, route: Route, request_id: str, head: Head) -> None:
@@ -341,6 +383,9 @@
             status=status,
             signer=signer,
             detail=str(detail),
+            key=self._variant.key,
+            head_bytes=self._variant.head_bytes,
+            body_bytes=self._variant.body_bytes,
         )
 
 
@@ -353,6 +398,7 @@
     :param until: when they stop, by the monotonic clock.
     :param probed: gateways to which requests on the routes in ``probe_routes`` are sent
         by a caller of their own each, whether callers are told to use them or not.
+    :param variants: what a share of the requests is drawn from.
     """
 
     name: str
@@ -365,6 +411,7 @@
     routes: list[Route]
     probed: list[str] = []
     probe_routes: list[Route] = []
+    variants: list[Variant] = []
 
 
 async def _main(plan: Plan, record: Record) -> None:
@@ -383,6 +430,7 @@
             record,
             Random(random.random()),
             connections,
+            plan.variants,
         )
         for number in range(plan.callers)
     ]
@@ -396,6 +444,7 @@
             record,
             Random(random.random()),
             connections,
+            plan.variants,
         )
         for number, address in enumerate(plan.probed)
     ]
--- a/tests/process_soak/config_rules.py
+++ b/tests/process_soak/config_rules.py
@@ -27,24 +27,16 @@
         sent, ended = request.sent, request.ended
         if ended is None or not seen.is_in_touch(sent.gateway, sent.at, ended.at):
             continue
-        has_route = [each.has_route(sent.detail) for each in _versions(seen, request)]
-        if request.runs and has_route and not any(has_route):
-            yield f"CONFIG: {id_} at {sent.gateway} ran on dropped route {sent.detail}"
-        if _is_denied(ended) and has_route and all(has_route):
-            yield f"CONFIG: {id_} at {sent.gateway} got {ended.status}: {sent.detail}"
+        knows = [each.knows(sent) for each in _versions(seen, request)]
+        detail = f"{sent.detail}, key {sent.key}"
+        if request.runs and knows and not any(knows):
+            yield f"CONFIG: {id_} at {sent.gateway} ran on dropped route {detail}"
+        if _is_denied(ended) and knows and all(knows):
+            yield f"CONFIG: {id_} at {sent.gateway} got {ended.status}: {detail}"
 
 
 def _versions(seen: Observations, request: Request) -> list[Version]:
-    """Return the versions that may decide about a request; none if it is too early."""
-    applied = [
-        number
-        for number, version in enumerate(seen.versions)
-        if version.acknowledged_at + seen.bounds.config_apply < request.sent.at
-    ]
-    if not applied:
-        return []
-    later = seen.versions[applied[-1] :]
-    return [version for version in later if version.sent_at <= request.ended.at]
+    return seen.versions_in_force(request, seen.bounds.config_apply)
 
 
 def _is_denied(ended: Event) -> bool:
@@ -88,7 +80,7 @@
         number
         for number, version in enumerate(seen.versions)
         if version.sent_at <= probe.ended.at
-        and version.has_route(probe.sent.detail) == bool(probe.runs)
+        and version.knows(probe.sent) == bool(probe.runs)
     ]
 
 
@@ -99,8 +91,8 @@
         sent, ended = request.sent, request.ended
         if ended is None or not seen.is_in_touch(sent.gateway, sent.at, ended.at):
             continue
-        has_route = [each.has_route(sent.detail) for each in _versions(seen, request)]
-        if has_route and all(has_route):
+        allows = [each.allows(sent) for each in _versions(seen, request)]
+        if allows and all(allows):
             counts[request.is_probe, ended.status == 200] += 1
     later, first = (counts[each, True] + counts[each, False] for each in (True, False))
     if later < MIN_LATER_REQUESTS or not first:
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -16,6 +16,7 @@
     APP,
     MAX_EXTRA_ROUTES,
     STORE,
+    Contents,
     EngineProcess,
     Process,
     Site,
@@ -132,7 +133,7 @@
     async def configure(self, random: Random) -> None:
         """Write one to three versions of the configuration."""
         for _ in range(random.randint(1, 3)):
-            await self._site.configure(random.randint(0, MAX_EXTRA_ROUTES))
+            await self._site.configure(Contents(random.randint(0, MAX_EXTRA_ROUTES)))
             await asyncio.sleep(random.uniform(0.0, 1.0))
 
     async def store_down(self, random: Random) -> None:
--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -15,6 +15,10 @@
 from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.daemon.gateway_process import main
 from cyclamenyoke.platform.engine_client import HttpEngineClient
+from process_soak.callers import API_KEY
+
+FORGETFUL = "gateway-0"
+"""Name of the one gateway that forgets a key."""
 
 
 def forget_budget() -> None:
@@ -73,6 +77,21 @@
     ClusterState._apply_config = apply_first
 
 
+def forget_key() -> None:
+    """Let one gateway forget the customer's first key with every third version."""
+    apply = ClusterState._apply_config
+
+    def apply_and_forget(self: ClusterState, raw: bytes, position: object) -> None:
+        before = self.config_version
+        apply(self, raw, position)
+        is_newer = self.config_version > before
+        is_forgetful = self._settings.node == FORGETFUL
+        if is_newer and is_forgetful and self.config_version % 3 == 0:
+            self.config.customers.pop(API_KEY, None)
+
+    ClusterState._apply_config = apply_and_forget
+
+
 def hand_more_time() -> None:
     """State deadlines to engines that are later than those of callers."""
     build = HttpEngineClient._headers
@@ -92,6 +111,7 @@
     "keeps_gone_callers": keep_gone_callers,
     "keeps_first_configuration": keep_first_configuration,
     "hands_more_time": hand_more_time,
+    "forgets_key": forget_key,
 }
 
 if __name__ == "__main__":
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -37,8 +37,10 @@
 
     @property
     def is_probe(self) -> bool:
-        """Whether it is on a route that versions add and remove."""
-        return self.sent.detail.startswith(EXTRA_ROUTE)
+        """Whether it needs a route, a key or a size that not all versions allow."""
+        sent = self.sent
+        is_large = sent.head_bytes > 0 or sent.body_bytes > 0
+        return sent.detail.startswith(EXTRA_ROUTE) or sent.key > 0 or is_large
 
     def end_at_engine(self, arrival: Event) -> Event | None:
         """Return how an engine's work ended on one of the arrivals."""
@@ -74,17 +76,33 @@
 
     :param acknowledged_at: when the store had accepted it.
     :param extra_routes: number of routes that only probes use.
+    :param extra_keys: number of keys that only some versions have.
     """
 
     sent_at: float
     acknowledged_at: float
     extra_routes: int
+    extra_keys: int = 0
+    max_head_bytes: int = 0
+    max_body_bytes: int = 0
 
     def has_route(self, name: str) -> bool:
         """Return whether it has a route."""
         number = name.removeprefix(EXTRA_ROUTE)
         return number == name or int(number) < self.extra_routes
 
+    def knows(self, sent: Event) -> bool:
+        """Return whether it has the route and the key of a request."""
+        return self.has_route(sent.detail) and sent.key <= self.extra_keys
+
+    def allows(self, sent: Event) -> bool:
+        """Return whether it allows a request, with the size of that."""
+        is_small = (
+            sent.head_bytes <= self.max_head_bytes
+            and sent.body_bytes <= self.max_body_bytes
+        )
+        return self.knows(sent) and is_small
+
 
 class Disruptions:
     """The disruptions of one gateway, from its signals, starts and ends in order.
@@ -248,7 +266,16 @@
         self.gateways[event.process].on_exited(event)
 
     def _on_configured(self, event: Event) -> None:
-        self.versions.append(Version(event.at, event.until, event.use))
+        self.versions.append(
+            Version(
+                event.at,
+                event.until,
+                event.use,
+                event.key,
+                event.head_bytes,
+                event.body_bytes,
+            )
+        )
 
     def _on_harmed(self, event: Event) -> None:
         self.harmed[event.process].append((event.at, event.until))
@@ -272,6 +299,22 @@
         """The services that requests were for."""
         return sorted({each.sent.service for each in self.requests.values()})
 
+    def versions_in_force(self, request: Request, apply: float) -> list[Version]:
+        """Return the versions that may decide about a request; none if too early.
+
+        :param apply: seconds after its acknowledgement in which a version need not be
+            in force.
+        """
+        applied = [
+            number
+            for number, version in enumerate(self.versions)
+            if version.acknowledged_at + apply < request.sent.at
+        ]
+        if not applied:
+            return []
+        later = self.versions[applied[-1] :]
+        return [each for each in later if each.sent_at <= request.ended.at]
+
     def stop_before(self, gateway: str, at: float) -> Stop | None:
         """Return the last stop of a gateway that began before a time."""
         stops = [stop for stop in self.gateways[gateway].stops if stop.at <= at]
--- a/tests/process_soak/record.py
+++ b/tests/process_soak/record.py
@@ -38,6 +38,11 @@
     :param signer: engine whose signature the response bears.
     :param detail: anything else, for the reader.
     :param until: when the condition that begins here ends, or the work as planned.
+    :param key: number of the request's API key, 0 for the one of all versions; keys
+        that a version adds to that one.
+    :param head_bytes: bound on the head of a request that was made large, 0 for others;
+        the limit of a version.
+    :param body_bytes: the same of bodies.
     """
 
     at: float
@@ -56,6 +61,9 @@
     signer: str = ""
     detail: str = ""
     until: float = 0.0
+    key: int = 0
+    head_bytes: int = 0
+    body_bytes: int = 0
 
 
 class Record:
--- a/tests/process_soak/rules.py
+++ b/tests/process_soak/rules.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from process_soak.answer_rules import check_answers, check_denied, check_runs
+from process_soak.answer_rules import check_answers, check_runs
 from process_soak.budget_rules import (
     check_attempts,
     check_budget,
@@ -16,6 +16,7 @@
     check_regress,
     check_timeouts,
 )
+from process_soak.denial_rules import check_denied, count_denied
 from process_soak.leave_rules import check_drain, check_gone, check_readiness
 from process_soak.loss_rules import (
     check_ends,
@@ -68,7 +69,9 @@
         if (worst := worst_window(seen, service)) is not None
     }
     lookups = "; ".join(_lookup_lines(seen))
-    return f"{dict(results.most_common())}; budget used {used}; {lookups}"
+    denied = dict(sorted(count_denied(seen).items()))
+    parts = [f"{dict(results.most_common())}", f"budget used {used}"]
+    return "; ".join([*parts, f"denied {denied}", lookups])
 
 
 def _lookup_lines(seen: Observations) -> Iterator[str]:
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from process_soak.callers import API_KEY, HOST, Plan, Route
+from process_soak.callers import HOST, Plan, Route, Variant, api_key
 from process_soak.engine import FAULTS_PATH, EngineFaults
 from process_soak.link_proxy import LinkFaults, LinkOrder
 from process_soak.record import Record
@@ -34,6 +34,9 @@
 MAX_EXTRA_ROUTES = 30
 """Routes that versions of the configuration add and remove."""
 
+MAX_EXTRA_KEYS = 6
+"""API keys that versions of the configuration add and remove."""
+
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "control": 8229}
 INTERNAL_PORTS = (7340, 7355)
 GATEWAY = "cyclamenyoke.daemon.gateway_process"
@@ -102,12 +105,34 @@
     ]
 
 
-def configuration(version: int, extra_count: int = 0) -> dict[str, Any]:
-    """Return the operator's configuration.
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """What versions of the configuration differ in.
 
-    :param extra_count: routes that only probes use.
+    :param routes: routes that only probes use.
+    :param keys: API keys beside the one that all versions have.
     """
-    limits = {"max_header_bytes": 4096, "max_body_bytes": 10_000}
+
+    routes: int = 0
+    keys: int = 0
+    max_head_bytes: int = 4096
+    max_body_bytes: int = 10_000
+
+
+VARIANTS = [
+    *(Variant(key=number) for number in range(1, MAX_EXTRA_KEYS + 1)),
+    *(Variant(head_bytes=size) for size in (1500, 3500, 20_000)),
+    *(Variant(body_bytes=size) for size in (800, 5000, 30_000)),
+]
+"""Requests that versions may refuse by their key or size."""
+
+
+def configuration(version: int, contents: Contents) -> dict[str, Any]:
+    """Return the operator's configuration."""
+    limits = {
+        "max_header_bytes": contents.max_head_bytes,
+        "max_body_bytes": contents.max_body_bytes,
+    }
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
     routes = [
         {
@@ -124,10 +149,11 @@
             "max_attempts": 1 if route.kind == "unsafe" else 2,
             "public": False,
         }
-        for route in [*ROUTES, *extra_routes(extra_count)]
+        for route in [*ROUTES, *extra_routes(contents.routes)]
     ]
     services = [{"name": name, "max_connections": 400} for name in (LLM, APP)]
-    tenants = [{"name": "customer", "api_keys": [API_KEY]}]
+    keys = [api_key(number) for number in range(contents.keys + 1)]
+    tenants = [{"name": "customer", "api_keys": keys}]
     return {
         "version": version,
         "routes": routes,
@@ -205,6 +231,7 @@
     :param gateway_module: module that runs as a gateway, and its arguments.
     :param network: first two numbers of the gateways' addresses, such as ``127.20``.
     :param has_links: whether gateways reach engines and the store over a link proxy.
+    :param has_variants: whether callers send requests that only some versions allow.
     """
 
     def __init__(
@@ -217,6 +244,7 @@
         gateway_module: str = GATEWAY,
         network: str = "127.20",
         has_links: bool = False,
+        has_variants: bool = False,
     ) -> None:
         self.directory = directory
         self.sizes = sizes
@@ -235,6 +263,7 @@
         self._asking: list[asyncio.Task[None]] = []
         self.store = f"127.0.0.1:{free_port()}"
         self._has_links = has_links
+        self._has_variants = has_variants
         self._links_control = f"127.0.0.1:{free_port()}"
         self._links: dict[str, str] = {}
 
@@ -287,6 +316,7 @@
                 ROUTES,
                 fronts[number::processes],
                 extra_routes(MAX_EXTRA_ROUTES),
+                VARIANTS if self._has_variants else [],
             )
             path = self.directory / f"callers-{number}.json"
             path.write_bytes(msgspec.json.encode(plan))
@@ -354,15 +384,21 @@
         ]
         await post(self.store, "/v1/put", writes)
 
-    async def configure(self, extra_count: int = 0) -> None:
+    async def configure(self, contents: Contents = Contents()) -> None:
         """Write the next version of the configuration, again until it is accepted."""
         async with self._configuring:
             self._version += 1
-            version = configuration(self._version, extra_count)
+            version = configuration(self._version, contents)
             sent_at = time.monotonic()
             await self._until(lambda: self._put({"op/config": version}))
             self.record.add(
-                "configured", sent_at, use=extra_count, until=time.monotonic()
+                "configured",
+                sent_at,
+                use=contents.routes,
+                key=contents.keys,
+                head_bytes=contents.max_head_bytes,
+                body_bytes=contents.max_body_bytes,
+                until=time.monotonic(),
             )
 
     async def set_store_faults(self, **faults: object) -> None:
--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from process_soak.denial_rules import count_denied
 from process_soak.observations import Observations
 from process_soak.record import FOREVER, Event
 from process_soak.rules import check
@@ -412,8 +413,10 @@
     assert findings(signal(9.9, "SIGTERM"), *cut) == []
 
 
-def configured(at, extra=0, until=None):
-    return Event(at, "configured", use=extra, until=until or at + 0.01)
+def configured(at, extra=0, until=None, **fields):
+    """Return a version that allows bodies of 10,000 bytes, unless another is given."""
+    fields = {"head_bytes": 4096, "body_bytes": 10_000} | fields
+    return Event(at, "configured", use=extra, until=until or at + 0.01, **fields)
 
 
 def answered(at, count, first=0):
@@ -721,3 +724,124 @@
         for each in (sent(10.0, f"d{number}"), ended(10.0, f"d{number}", status=404))
     ]
     assert findings(*starts, refused) == ["DENIED"]
+
+
+def variants(count, at, status, name="v", **fields):
+    """Return requests that only some versions allow, and that are refused."""
+    return [
+        each
+        for number in range(count)
+        for each in (
+            sent(at, f"{name}{number}", **fields),
+            ended(at + 0.1, f"{name}{number}", status=status),
+        )
+    ]
+
+
+LARGE = {"body_bytes": 9000}
+
+
+def test_sizes_that_all_versions_in_force_allow_and_that_are_refused_are_found():
+    versions = configured(1.0, body_bytes=100), configured(5.0)
+    assert findings(*versions, variants(6, 7.1, 413, **LARGE)) == ["DENIED"]
+    assert findings(*versions, variants(5, 7.1, 413, **LARGE)) == []
+
+
+def test_sizes_that_a_version_which_may_be_in_force_forbids_may_be_refused():
+    versions = configured(1.0), configured(5.0, body_bytes=100), configured(10.0)
+    assert findings(*versions, variants(20, 4.5, 413, **LARGE)) == ["DENIED"]
+    assert findings(*versions, variants(20, 4.95, 413, **LARGE)) == []
+    assert findings(*versions, variants(20, 11.9, 413, **LARGE)) == []
+    assert findings(*versions, variants(20, 12.1, 413, **LARGE)) == ["DENIED"]
+
+
+def test_heads_that_all_versions_in_force_allow_and_that_are_refused_are_found():
+    refused = variants(6, 7.1, 431, head_bytes=3500)
+    assert findings(configured(1.0), refused) == ["DENIED"]
+    assert findings(configured(1.0, head_bytes=2048), refused) == []
+
+
+def test_keys_that_all_versions_in_force_have_and_that_are_refused_are_found():
+    refused = variants(6, 7.1, 401, key=2)
+    versions = configured(1.0), configured(5.0, key=2)
+    assert findings(*versions, refused) == ["CONFIG"] * 6 + ["DENIED"]
+    assert findings(configured(1.0), configured(5.0, key=1), refused) == []
+
+
+def test_routes_that_all_versions_in_force_have_and_that_are_refused_are_found():
+    refused = variants(6, 7.1, 404, detail="more4")
+    versions = configured(1.0), configured(5.0, 5)
+    assert findings(*versions, refused) == ["CONFIG"] * 6 + ["DENIED"]
+
+
+def test_a_share_of_all_requests_may_be_refused_for_good():
+    assert findings(answered(20.0, 494), denied(6, 20.0)) == []
+    assert findings(answered(20.0, 493), denied(6, 20.0)) == ["DENIED"]
+
+
+@pytest.mark.parametrize("status", [408, 421, 429])
+def test_refusals_that_say_try_again_are_no_denials(status):
+    assert findings(variants(20, 10.0, status)) == []
+
+
+def test_refusals_that_an_engine_signed_are_no_denials():
+    refused = [
+        each
+        for number in range(20)
+        for each in (
+            sent(10.0, f"d{number}"),
+            *run(10.1, f"d{number}"),
+            ended(10.2, f"d{number}", status=400, signer="e1"),
+        )
+    ]
+    rules = findings(refused)
+    assert "DENIED" not in rules
+
+
+def out_of_touch(*events):
+    return findings(signal(8.0, "SIGSTOP"), signal(9.0, "SIGCONT"), *events)
+
+
+def test_what_only_some_versions_allow_may_be_denied_out_of_touch():
+    versions = configured(1.0), configured(5.0, 9, key=2)
+    assert out_of_touch(*versions, variants(30, 9.5, 401, key=2)) == []
+    assert out_of_touch(*versions, variants(30, 9.5, 404, detail="more4")) == []
+
+
+def test_what_all_versions_allow_and_is_denied_out_of_touch_is_found():
+    versions = configured(1.0, 9, key=2), configured(5.0, 9, key=3)
+    usual = answered(20.0, 4000)
+    refused = variants(11, 9.5, 401, key=2)
+    assert out_of_touch(*versions, *usual, refused) == ["DENIED"]
+    assert out_of_touch(*versions, *usual, variants(10, 9.5, 401, key=2)) == []
+
+
+def test_sizes_may_be_refused_out_of_touch():
+    assert out_of_touch(configured(1.0), variants(30, 9.5, 413, **LARGE)) == []
+
+
+def test_a_machine_that_a_store_in_disruption_keeps_out_of_touch_may_deny():
+    store = Event(6.0, "store", until=9.0)
+    versions = configured(1.0), configured(5.0, key=2)
+    assert findings(*versions, store, variants(30, 9.5, 401, key=2)) == []
+
+
+def test_a_key_that_was_dropped_and_is_served_is_found():
+    versions = configured(1.0, key=2), configured(5.0, key=1)
+    request = [sent(7.1, key=2), *run(7.1), left(7.2)]
+    answer = ended(7.3, status=200, signer="e1")
+    assert findings(*versions, *request, answer) == ["CONFIG"]
+
+
+def test_denials_are_counted_by_status_touch_and_version():
+    events = [
+        *(configured(1.0), configured(9.9, key=2)),
+        *variants(1, 10.5, 401, key=2),
+        *denied(2, 10.5),
+        *variants(1, 20.0, 401, "w", key=9),
+    ]
+    seen = Observations(events, BOUNDS, {})
+    assert count_denied(seen) == {
+        "400 in touch, by all": 2,
+        "401 in touch, newest": 1,
+    }
