--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable
 
 from cyclamenyoke.adapters.http_ingress import IngressConnection
-from cyclamenyoke.core.gateway_config import RetryMode, Route
+from cyclamenyoke.core.gateway_config import GatewayConfig, RetryMode, Route
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.inbound_request import Header
 from cyclamenyoke.core.peers import BudgetPart, Peers
 from cyclamenyoke.daemon import cluster_state
 from cyclamenyoke.daemon.cluster_state import ClusterState
+from cyclamenyoke.daemon.gateway import Gateway
 from cyclamenyoke.daemon.gateway_process import main
 from cyclamenyoke.platform.engine_client import HttpEngineClient
 from process_soak.callers import API_KEY
@@ -92,6 +93,22 @@
     ClusterState._apply_config = apply_and_forget
 
 
+def keep_first_limits() -> None:
+    """Apply the limits of the first version that a start knows to all of them."""
+    on_config = Gateway._on_config
+
+    def keep_limits(self: Gateway, config: GatewayConfig) -> None:
+        kept = [server.limits for _, server in self._servers]
+        on_config(self, config)
+        if self._has_limits:
+            for (_, server), limits in zip(self._servers, kept, strict=True):
+                server.limits = limits
+        self._has_limits = True
+
+    Gateway._has_limits = False
+    Gateway._on_config = keep_limits
+
+
 def hand_more_time() -> None:
     """State deadlines to engines that are later than those of callers."""
     build = HttpEngineClient._headers
@@ -112,6 +129,7 @@
     "keeps_first_configuration": keep_first_configuration,
     "hands_more_time": hand_more_time,
     "forgets_key": forget_key,
+    "keeps_first_limits": keep_first_limits,
 }
 
 if __name__ == "__main__":
