Let a run of the soak hold its network alone

Seen: two soaks beside each other share their loopback addresses, and each finds the other's requests. Once more today: a soak that was thought to be over ran on while another began, with the same gateways' addresses: 640 findings, 579 of them MIXED.

Cause: nothing tells runs of each other, and gateways share their ports. `171` makes 171.0.1, which is 171.0.0.1: binding it fails with "Cannot assign requested address", and by the code the run then waits for readiness until its timeout. The option takes the first two numbers of an address. Nothing was found against 127.171 (bound as an address, no run played there).

Change: a run binds port 8200 of its network's first address, which ends with its process and isn't passed on to children. It also refuses while something listens on a port of one of its gateways, such as one that a killed run has left. Both are an error with the network and the address, and exit code 2, before records of the other run are removed. 127.1 to 127.254 are accepted, 127.0 is the store's and the engines'; any other text is rejected when the command is read. The tests of the soak take the first free network.

An address of each of 127.1 to 127.254 could be bound; runs were played on 127.31 only.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -4,12 +4,16 @@
 import sys
 from pathlib import Path
 
+from process_soak.networks import InvalidNetwork, NetworkInUse, parse_network
 from process_soak.run import Options, play
 from process_soak.site import GATEWAY, ROOT
 
 
 def main() -> int:
-    """Play the seeds; return 1 if a rule is broken."""
+    """Play the seeds.
+
+    Return 1 if a rule is broken, 2 if another run has the network.
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1, help="seeds to play")
@@ -25,13 +29,21 @@
     parser.add_argument("--busy", type=int, default=0)
     parser.add_argument("--source", type=Path, default=ROOT / "src")
     parser.add_argument("--gateway", default=GATEWAY, help="module of the gateways")
-    parser.add_argument("--network", default="127.20")
+    parser.add_argument("--network", default="127.20", help="127.N, N from 1 to 254")
     parser.add_argument("--directory", type=Path, default=Path("target/soak"))
     values = vars(parser.parse_args())
+    try:
+        parse_network(values["network"])
+    except InvalidNetwork as error:
+        parser.error(str(error))
     first, runs = values.pop("seed"), values.pop("runs")
     is_broken = False
     for seed in range(first, first + runs):
-        report = play(Options(seed=seed, **values))
+        try:
+            report = play(Options(seed=seed, **values))
+        except NetworkInUse as error:
+            print(error, file=sys.stderr)
+            return 2
         print(report.text, flush=True)
         is_broken |= bool(report.findings)
     return int(is_broken)
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from process_soak.faults import NEED_PROXY, PROFILES, Fault, Injector, draw_faults
+from process_soak.networks import hold
 from process_soak.observations import Observations
 from process_soak.record import read_events
 from process_soak.rules import check, summary
@@ -24,8 +25,8 @@
     :param profile: kinds of faults; drawn from the seed if empty.
     :param source: tree of the gateways that run.
     :param gateway: module that is run as a gateway, and its arguments.
-    :param network: first two numbers of the gateways' addresses; runs beside each
-        other need different ones.
+    :param network: first two numbers of the gateways' addresses, 127.1 to 127.254; runs
+        beside each other need different ones.
     :param directory: gets a directory of records for each run.
     """
 
@@ -59,7 +60,15 @@
 
 
 def play(options: Options) -> Report:
-    """Play one run. The records of a run with findings are kept."""
+    """Play one run. The records of a run with findings are kept.
+
+    :raises NetworkInUse: when another run has the network.
+    """
+    with hold(options.network, options.gateways, PORTS.values()):
+        return _play_alone(options)
+
+
+def _play_alone(options: Options) -> Report:
     random = Random(options.seed)
     profile = options.profile or random.choice(sorted(PROFILES))
     directory = options.directory.absolute() / f"{options.seed}-{profile}"
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -19,6 +19,7 @@
 from process_soak.callers import HOST, Plan, Route, Variant, api_key
 from process_soak.engine import FAULTS_PATH, EngineFaults
 from process_soak.link_proxy import LinkFaults, LinkOrder
+from process_soak.networks import gateway_ip
 from process_soak.record import Record
 
 RESTART_DELAY = 0.5
@@ -286,7 +287,7 @@
         for engine in self.engines:
             await self.start_engine(engine)
         for number in range(self.sizes.gateways):
-            ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
+            ip = gateway_ip(self._network, number)
             gateway = Process(f"gateway-{number}", ip)
             gateway.settings = self.directory / f"{gateway.name}.toml"
             gateway.grace = self.bounds.grace
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from process_soak.networks import free_network
 from process_soak.run import Options, play
 from process_soak.site import GATEWAY, ROOT
 
 # Tests of several trees on one machine need addresses of their own.
-NETWORK = f"127.{30 + os.getpid() % 200}"
+NUMBERS = [40 + (os.getpid() + number) % 200 for number in range(200)]
 
 
 def play_briefly(directory, profile, seconds, gateway=GATEWAY):
@@ -27,7 +28,7 @@
             busy=0,
             source=ROOT / "src",
             gateway=gateway,
-            network=NETWORK,
+            network=free_network(NUMBERS),
             directory=directory,
         )
     )
