--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -7,14 +7,19 @@
 from collections.abc import Callable
 
 from cyclamenyoke.adapters.http_ingress import IngressConnection
-from cyclamenyoke.core.gateway_config import RetryMode, Route
+from cyclamenyoke.core.gateway_config import GatewayConfig, RetryMode, Route
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.inbound_request import Header
 from cyclamenyoke.core.peers import BudgetPart, Peers
 from cyclamenyoke.daemon import cluster_state
 from cyclamenyoke.daemon.cluster_state import ClusterState
+from cyclamenyoke.daemon.gateway import Gateway
 from cyclamenyoke.daemon.gateway_process import main
 from cyclamenyoke.platform.engine_client import HttpEngineClient
+from process_soak.callers import API_KEY
+
+FORGETFUL = "gateway-0"
+"""Name of the one gateway that forgets a key."""
 
 
 def forget_budget() -> None:
@@ -73,6 +78,37 @@
     ClusterState._apply_config = apply_first
 
 
+def forget_key() -> None:
+    """Let one gateway forget the customer's first key with every third version."""
+    apply = ClusterState._apply_config
+
+    def apply_and_forget(self: ClusterState, raw: bytes, position: object) -> None:
+        before = self.config_version
+        apply(self, raw, position)
+        is_newer = self.config_version > before
+        is_forgetful = self._settings.node == FORGETFUL
+        if is_newer and is_forgetful and self.config_version % 3 == 0:
+            self.config.customers.pop(API_KEY, None)
+
+    ClusterState._apply_config = apply_and_forget
+
+
+def keep_first_limits() -> None:
+    """Apply the limits of the first version that a start knows to all of them."""
+    on_config = Gateway._on_config
+
+    def keep_limits(self: Gateway, config: GatewayConfig) -> None:
+        kept = [server.limits for _, server in self._servers]
+        on_config(self, config)
+        if self._has_limits:
+            for (_, server), limits in zip(self._servers, kept, strict=True):
+                server.limits = limits
+        self._has_limits = True
+
+    Gateway._has_limits = False
+    Gateway._on_config = keep_limits
+
+
 def hand_more_time() -> None:
     """State deadlines to engines that are later than those of callers."""
     build = HttpEngineClient._headers
@@ -92,6 +128,8 @@
     "keeps_gone_callers": keep_gone_callers,
     "keeps_first_configuration": keep_first_configuration,
     "hands_more_time": hand_more_time,
+    "forgets_key": forget_key,
+    "keeps_first_limits": keep_first_limits,
 }
 
 if __name__ == "__main__":
