Log each request that is refused before it is routed

Seen: callers got 400 and the log had no line with the request's id. A request without X-Request-Id or Host, with a target that is no path, or with an unreadable X-Deadline-Ms, X-Token-Usage or Last-Event-Id left no line at all; one that the parser or the check of the framing refused, or that was too large or too slow, left only a status.

Cause: decode_request returned None, whatever was wrong, and IngressServer reported a bare status.

Change: both return a Refusal: reason, status, request id, header or part at fault, its value, size beside limit, and the path. The gateway logs it as "request refused" with config_version, and counts it in refusals by reason. Texts from outside are cut to 120 characters; the query and the values of headers with keys are left out. unreadable_requests stays, and counts the requests that can't be decoded, too.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -18,6 +18,7 @@
 
 from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
 from cyclamenyoke.core.gateway_config import CallerLimits
+from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.ports.clock import Clock
 
@@ -82,8 +83,20 @@
 Handler = Callable[[HttpRequest, "Responder"], Coroutine[Any, Any, None]]
 
 
-def check_framing(headers: Sequence[Header]) -> HTTPStatus | None:
-    """Return the status of a request whose body can't be delimited or decoded.
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Why a message is refused; see :class:`~cyclamenyoke.core.refusals.Refusal`."""
+
+    status: HTTPStatus
+    reason: RefusalReason
+    field: str = ""
+    value: bytes = b""
+    size: float | None = None
+    limit: float | None = None
+
+
+def check_framing(headers: Sequence[Header]) -> Fault | None:
+    """Return the fault of a request whose body can't be delimited or decoded.
 
     A transfer coding that is not implemented goes before other faults, since its caller
     can send the request without it. Apart from that the only value allowed is one that
@@ -92,9 +105,9 @@
     :returns: ``None`` if nothing is wrong.
 
     >>> check_framing([(b"Transfer-Encoding", b"Chunked")])
-    >>> check_framing([(b"Transfer-Encoding", b"gzip, chunked")])
+    >>> check_framing([(b"Transfer-Encoding", b"gzip, chunked")]).status
     <HTTPStatus.NOT_IMPLEMENTED: 501>
-    >>> check_framing([(b"Transfer-Encoding", b"chunked, chunked")])
+    >>> check_framing([(b"Transfer-Encoding", b"chunked, chunked")]).status
     <HTTPStatus.BAD_REQUEST: 400>
     """
     names = [name.lower() for name, _ in headers]
@@ -106,27 +119,49 @@
         ).lower()
         codings = {coding.strip(b" \t") for coding in value.split(b",")}
         if codings - {CHUNKED, b""}:
-            return HTTPStatus.NOT_IMPLEMENTED
+            return Fault(
+                HTTPStatus.NOT_IMPLEMENTED,
+                RefusalReason.UNSUPPORTED_CODING,
+                "transfer-encoding",
+                value,
+            )
         if value.rstrip(b" ") != CHUNKED:
-            return HTTPStatus.BAD_REQUEST
-    if any(names.count(name) > 1 for name in SINGLE_HEADERS):
-        return HTTPStatus.BAD_REQUEST
+            return Fault(
+                HTTPStatus.BAD_REQUEST,
+                RefusalReason.AMBIGUOUS_FRAMING,
+                "transfer-encoding",
+                value,
+            )
+    for single in SINGLE_HEADERS:
+        if names.count(single) > 1:
+            values = [value for name, value in headers if name.lower() == single]
+            return Fault(
+                HTTPStatus.BAD_REQUEST,
+                RefusalReason.REPEATED_HEADER,
+                single.decode(),
+                b", ".join(values),
+            )
     return None
 
 
-def check_upgrade(headers: Sequence[Header]) -> HTTPStatus | None:
-    """Return the status of a request that offers an upgrade and can't be read whole.
+def check_upgrade(headers: Sequence[Header]) -> Fault | None:
+    """Return the fault of a request that offers an upgrade and can't be read whole.
 
     The parser skips the body of such a request; without one the offer is declined.
 
     >>> check_upgrade([(b"Content-Length", b"0")])
-    >>> check_upgrade([(b"Content-Length", b"3")])
+    >>> check_upgrade([(b"Content-Length", b"3")]).status
     <HTTPStatus.NOT_IMPLEMENTED: 501>
     """
     for name, value in headers:
         is_length = name.lower() == b"content-length"
         if name.lower() == b"transfer-encoding" or (is_length and int(value)):
-            return HTTPStatus.NOT_IMPLEMENTED
+            return Fault(
+                HTTPStatus.NOT_IMPLEMENTED,
+                RefusalReason.UPGRADE_WITH_BODY,
+                name.decode("latin-1").lower(),
+                value,
+            )
     return None
 
 
@@ -322,12 +357,27 @@
         if self._task is not None or now < self._deadline:
             return
         if self._is_receiving:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+            self._reject(self._lateness(now))
         elif self._unsent_bytes:
             self.close_gracefully()
         elif self._transport is not None:
             self._transport.close()
 
+    def _lateness(self, now: float) -> Fault:
+        """Return the fault of a request whose next part has not arrived in time."""
+        limits = self._server.limits
+        part, limit = "head", limits.header_timeout
+        if self._is_head_complete:
+            part, limit = "body", limits.idle_timeout
+        waited = round(now - self._deadline + limit, 3)
+        return Fault(
+            HTTPStatus.REQUEST_TIMEOUT,
+            RefusalReason.TOO_SLOW,
+            part,
+            size=waited,
+            limit=limit,
+        )
+
     def _extend_linger(self) -> None:
         """Wait for the caller to read, or for its last bytes if all data is sent."""
         self._unsent_before = self._unsent_bytes
@@ -386,9 +436,23 @@
         except httptools.HttpParserUpgrade:
             # The upgrade is declined: the request is handled over HTTP/1.1.
             return
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
             if not self._is_discarding:
-                self._reject(HTTPStatus.BAD_REQUEST)
+                self._reject(self._parse_fault(error))
+
+    def _parse_fault(self, error: httptools.HttpParserError) -> Fault:
+        """Return the fault of a message that the parser can't read.
+
+        It names the last header that the parser passed on; the fault is in one of the
+        two lines after it.
+        """
+        last_header = self._headers[-1][0].decode("latin-1") if self._headers else ""
+        return Fault(
+            HTTPStatus.BAD_REQUEST,
+            RefusalReason.MALFORMED_MESSAGE,
+            last_header,
+            str(error).encode("latin-1", "replace"),
+        )
 
     # httptools callbacks.
 
@@ -412,11 +476,11 @@
         self._is_head_complete = True
         if self._is_discarding:
             return
-        framing_error = check_framing(self._headers)
-        if framing_error is None and self._parser.should_upgrade():
-            framing_error = check_upgrade(self._headers)
-        if framing_error is not None:
-            self._reject(framing_error)
+        fault = check_framing(self._headers)
+        if fault is None and self._parser.should_upgrade():
+            fault = check_upgrade(self._headers)
+        if fault is not None:
+            self._reject(fault)
             return
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         for name, value in self._headers:
@@ -463,14 +527,30 @@
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
-        if self._header_size > self._server.limits.max_header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        limit = self._server.limits.max_header_bytes
+        if self._header_size > limit:
+            fault = Fault(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                RefusalReason.HEADERS_TOO_LARGE,
+                "head",
+                size=self._header_size,
+                limit=limit,
+            )
+            self._reject(fault)
 
     def _check_body_size(self, size: int) -> None:
-        if size > self._server.limits.max_body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def _reject(self, status: HTTPStatus) -> None:
+        limit = self._server.limits.max_body_bytes
+        if size > limit:
+            fault = Fault(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                RefusalReason.BODY_TOO_LARGE,
+                "body",
+                size=size,
+                limit=limit,
+            )
+            self._reject(fault)
+
+    def _reject(self, fault: Fault) -> None:
         """Reject a malformed, oversized or late request and close the connection.
 
         The connection cannot be reused, because the start of the next request is
@@ -478,8 +558,25 @@
         """
         if self._is_discarding:
             return
-        self._server.on_malformed_request(status.value)
-        self._refuse(status)
+        refusal = Refusal(
+            fault.status.value,
+            fault.reason,
+            self._request_id(),
+            shorten_path(self._target),
+            shorten(fault.field.encode("latin-1")),
+            shorten(fault.value),
+            fault.size,
+            fault.limit,
+        )
+        self._server.on_refused(refusal)
+        self._refuse(fault.status)
+
+    def _request_id(self) -> str | None:
+        """Return the id of the request that is being received, if it has come."""
+        for name, value in self._headers:
+            if name.lower() == self._server.request_id_header:
+                return shorten(value)
+        return None
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Refuse the request that is being received and close the connection."""
@@ -526,22 +623,25 @@
     """Listens on one address and passes requests to a handler.
 
     :param clock: must advance while the VM is suspended.
-    :param on_malformed_request: called with the status of each response to a request
-        that is malformed, too large or too slow.
+    :param on_refused: called for each request that is malformed, too large or too slow.
     :param on_handler_error: called with the exception that a handler raised.
+    :param request_id_header: lower-case name of the header with a request's id, which
+        refusals state.
     """
 
     def __init__(
         self,
         handler: Handler,
         clock: Clock,
-        on_malformed_request: Callable[[int], None],
+        on_refused: Callable[[Refusal], None],
         on_handler_error: Callable[[BaseException | None], None],
+        request_id_header: bytes = b"",
     ) -> None:
         self.handler = handler
         self.clock = clock
-        self.on_malformed_request = on_malformed_request
+        self.on_refused = on_refused
         self.on_handler_error = on_handler_error
+        self.request_id_header = request_id_header
         self.limits = CallerLimits()
         self.is_draining = False
         self.is_closed = False
--- /dev/null
+++ b/src/cyclamenyoke/core/refusals.py
@@ -0,0 +1,69 @@
+"""What is known about a request that is refused before it is routed."""
+
+import enum
+from dataclasses import dataclass
+
+MAX_SHOWN_CHARACTERS = 120
+"""Longest text from outside that a refusal carries."""
+
+
+class RefusalReason(enum.Enum):
+    """Why a request is refused before it is routed."""
+
+    MALFORMED_MESSAGE = "malformed_message"
+    AMBIGUOUS_FRAMING = "ambiguous_framing"
+    REPEATED_HEADER = "repeated_header"
+    UNSUPPORTED_CODING = "unsupported_coding"
+    UPGRADE_WITH_BODY = "upgrade_with_body"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    TOO_SLOW = "too_slow"
+    MISSING_HEADER = "missing_header"
+    UNREADABLE_HEADER = "unreadable_header"
+    UNSUPPORTED_TARGET = "unsupported_target"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was refused, with the input that was compared.
+
+    :param status: status of the response.
+    :param request_id: as far as it was received; ``None`` if it wasn't.
+    :param path: the target without its query, which may contain secrets; shortened.
+    :param field: name of the header that was at fault, or of the part of the message.
+    :param value: that header's value, or the parser's message; shortened. Never one of
+        a header with credentials.
+    :param size: what was compared with ``limit``, in bytes, or in seconds for a request
+        that was too slow.
+    """
+
+    status: int
+    reason: RefusalReason
+    request_id: str | None
+    path: str
+    field: str = ""
+    value: str = ""
+    size: float | None = None
+    limit: float | None = None
+
+
+def shorten(value: bytes) -> str:
+    """Return a text from outside, bounded, to be logged.
+
+    >>> shorten(b"1500.5")
+    '1500.5'
+    >>> len(shorten(b"x" * 5000)) == MAX_SHOWN_CHARACTERS
+    True
+    """
+    if len(value) > MAX_SHOWN_CHARACTERS:
+        value = value[: MAX_SHOWN_CHARACTERS - len(b"...")] + b"..."
+    return value.decode("latin-1")
+
+
+def shorten_path(target: bytes) -> str:
+    """Return the part of a request's target that may be logged, bounded.
+
+    >>> shorten_path(b"/lookup/a?token=secret")
+    '/lookup/a'
+    """
+    return shorten(target.partition(b"?")[0])
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -28,6 +28,7 @@
 from cyclamenyoke.core.invariants import CountingMonitor, Invariant
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
+from cyclamenyoke.core.refusals import Refusal
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
@@ -55,6 +56,7 @@
 )
 from cyclamenyoke.platform.engine_client import HttpEngineClient
 from cyclamenyoke.platform.engine_control import HttpEngineControl
+from cyclamenyoke.platform.headers import REQUEST_ID
 from cyclamenyoke.platform.settings import SETTINGS_PATH_VARIABLE, load_settings
 from cyclamenyoke.platform.store_client import StoreClient
 from cyclamenyoke.ports.key_value_store import StoredItem
@@ -237,7 +239,9 @@
         self._quarantine_handler = QuarantineHandler(
             self._quarantine, self._clock, self._log
         )
-        self._caller_server = self._create_server(CallerHandler(self._forwarder.serve))
+        self._caller_server = self._create_server(
+            CallerHandler(self._forwarder.serve, self._on_refused)
+        )
         self._servers = [
             (settings.callers, self._caller_server),
             (settings.readiness, self._create_server(ReadinessHandler(self._is_ready))),
@@ -359,8 +363,9 @@
         return IngressServer(
             handler,  # type: ignore[arg-type]
             self._clock,
-            self._on_malformed_request,
+            self._on_refused,
             self._on_handler_error,
+            REQUEST_ID,
         )
 
     def _is_ready(self) -> bool:
@@ -479,9 +484,21 @@
         for _, server in self._servers:
             server.limits = config.limits
 
-    def _on_malformed_request(self, status: int) -> None:
-        self._metrics.count("unreadable_requests", status=str(status))
-        self._log.info("malformed request rejected", status=status)
+    def _on_refused(self, refusal: Refusal) -> None:
+        self._metrics.count("refusals", reason=refusal.reason.value)
+        self._metrics.count("unreadable_requests", status=str(refusal.status))
+        self._log.info(
+            "request refused",
+            request=refusal.request_id,
+            path=refusal.path,
+            outcome=refusal.reason.value,
+            status=refusal.status,
+            field=refusal.field,
+            value=refusal.value,
+            size=refusal.size,
+            limit=refusal.limit,
+            config_version=self._cluster_state.config_version,
+        )
 
     def _on_handler_error(self, error: BaseException | None) -> None:
         self._metrics.count("handler_errors")
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -10,6 +10,7 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest, Responder
 from cyclamenyoke.core.inbound_request import Header, InboundRequest, RejectionReason
+from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import MILLISECOND
 from cyclamenyoke.platform.headers import (
     AUTHORIZATION,
@@ -38,6 +39,7 @@
 """Statuses of rejections. Callers take some statuses as a confirmation that the request
 has not run; these are used only for rejections that guarantee it."""
 
+HOST = b"host"
 BEARER_PREFIX = b"bearer "
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 RESOLVE_PATH = "/v1/resolve"
@@ -90,32 +92,46 @@
 
 
 class CallerHandler:
-    """Decodes callers' HTTP requests and passes them to ``serve``."""
+    """Decodes callers' HTTP requests and passes them to ``serve``.
 
-    def __init__(self, serve: ServeRequest) -> None:
+    :param on_refused: called for each request that can't be decoded.
+    """
+
+    def __init__(
+        self, serve: ServeRequest, on_refused: Callable[[Refusal], None]
+    ) -> None:
         self._serve = serve
+        self._on_refused = on_refused
 
     async def __call__(self, request: HttpRequest, responder: Responder) -> None:
         inbound = decode_request(request)
-        if inbound is None:
-            responder.respond(HTTPStatus.BAD_REQUEST.value)
+        if isinstance(inbound, Refusal):
+            self._on_refused(inbound)
+            responder.respond(inbound.status)
             return
         await self._serve(inbound, HttpResponseWriter(responder, inbound.request_id))
 
 
-def decode_request(request: HttpRequest) -> InboundRequest | None:
-    """Decode a request of a caller; return ``None`` if it is malformed."""
+def decode_request(request: HttpRequest) -> InboundRequest | Refusal:
+    """Decode a request of a caller."""
     request_id = request.get(REQUEST_ID)
-    host = request.get(b"host")
-    if not request_id or not host or not request.target.startswith(b"/"):
-        return None
+    host = request.get(HOST)
+    if not request_id:
+        return _refusal(request, RefusalReason.MISSING_HEADER, REQUEST_ID)
+    if not host:
+        return _refusal(request, RefusalReason.MISSING_HEADER, HOST)
+    if not request.target.startswith(b"/"):
+        return _refusal(request, RefusalReason.UNSUPPORTED_TARGET)
+    field = DEADLINE.lower()
     try:
         deadline = _deadline(request)
+        field = TOKEN_COUNTS
         counts = (request.get(TOKEN_COUNTS) or b"0,0").split(b",")
         prompt_tokens, output_limit = int(counts[0]), int(counts[1])
-        last_event_id = _optional_int(request.get(LAST_EVENT_ID.lower()))
+        field = LAST_EVENT_ID.lower()
+        last_event_id = _optional_int(request.get(field))
     except (ValueError, IndexError):
-        return None
+        return _refusal(request, RefusalReason.UNREADABLE_HEADER, field)
     received_at = request.received_at
     parts = _prompt_parts(request.get(PROMPT_PARTS))
     return InboundRequest(
@@ -137,6 +153,21 @@
     )
 
 
+def _refusal(
+    request: HttpRequest, reason: RefusalReason, field: bytes = b""
+) -> Refusal:
+    """Return why a request is refused, with the header that was at fault."""
+    request_id = request.get(REQUEST_ID)
+    return Refusal(
+        HTTPStatus.BAD_REQUEST.value,
+        reason,
+        shorten(request_id) if request_id else None,
+        shorten_path(request.target),
+        field.decode(),
+        shorten(request.get(field) or b""),
+    )
+
+
 def _prompt_parts(value: bytes | None) -> tuple[str, ...]:
     """Return the ids of a prompt's parts; the last one no other caller sends.
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -23,6 +23,7 @@
 from cyclamenyoke.core.decoding import decode_json, decode_msgpack
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.inbound_request import InboundRequest
 from cyclamenyoke.core.peers import PeerUpdate
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.store_position import StorePosition
@@ -417,7 +418,7 @@
     fields = [(name.encode(), value) for name, value in headers.items()]
     request = HttpRequest(b"GET", b"/" + target, fields, b"", 1.0, True, False)
     decoded = decode_request(request)
-    if decoded is not None and decoded.deadline is not None:
+    if isinstance(decoded, InboundRequest) and decoded.deadline is not None:
         assert_in_range(decoded.deadline)
 
 
