Serve targets in absolute form, and hosts with a final dot

Seen: 400 for `POST http://host/path`, on a path that is served; 404 for a Host with a final dot or an empty port.

Cause: the target was compared as received, and only one of the forms in which a host may be written was brought into the form of the routes.

Change: adapters/request_form.py brings the head of a request into one form before any handler sees it, so callers, directory, readiness check and operators are covered alike. The host of an absolute target replaces the one in the Host header (RFC 9112, 3.2.2); engines get the target in origin form. Path and query are never changed. Routes and requests go through one normalize_host. Targets with user information, of another scheme, or without Host stay refused.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -17,6 +17,7 @@
 import httptools
 
 from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
+from cyclamenyoke.adapters.request_form import normalize_head
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -58,7 +59,7 @@
 class HttpRequest:
     """One complete request.
 
-    :param target: path and query as received.
+    :param target: path and query as received, also of a target in absolute form.
     :param headers: names with the case in which they were received.
     :param received_at: when its first byte arrived, in seconds by the server's clock.
     :param keep_alive: whether the connection stays open after the response.
@@ -502,10 +503,11 @@
     def on_message_complete(self) -> None:
         if self._is_discarding:
             return
+        target, headers = normalize_head(self._target, self._headers)
         request = HttpRequest(
             self._parser.get_method(),
-            self._target,
-            self._headers,
+            target,
+            headers,
             b"".join(self._body),
             self._received_at,
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest, Responder
+from cyclamenyoke.core.host_names import normalize_host
 from cyclamenyoke.core.inbound_request import Header, InboundRequest, RejectionReason
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import MILLISECOND
@@ -139,7 +140,7 @@
         method=request.method,
         target=request.target,
         path=request.target.partition(b"?")[0].decode("latin-1"),
-        host=_host_name(host),
+        host=normalize_host(host.decode("latin-1")),
         headers=select_end_to_end(request.headers, _NOT_FORWARDED),
         body=request.body,
         api_key=_api_key(request.get(AUTHORIZATION)),
@@ -205,11 +206,6 @@
     return None if value is None else int(value)
 
 
-def _host_name(host: bytes) -> str:
-    name = host.decode("latin-1").lower()
-    return name.rpartition(":")[0] if name.rpartition(":")[2].isdigit() else name
-
-
 def _api_key(authorization: bytes | None) -> str | None:
     if authorization is None or not authorization.lower().startswith(BEARER_PREFIX):
         return None
--- a/src/cyclamenyoke/platform/documents.py
+++ b/src/cyclamenyoke/platform/documents.py
@@ -27,6 +27,7 @@
     Service,
     TrafficShare,
 )
+from cyclamenyoke.core.host_names import normalize_host
 from cyclamenyoke.core.units import MILLISECOND
 from cyclamenyoke.exceptions import MalformedValue
 
@@ -239,7 +240,7 @@
         raise InvalidDocument(f"route {route.name!r} goes to no service")
     return Route(
         route.name,
-        route.host.lower(),
+        normalize_host(route.host),
         route.prefix,
         is_stream,
         retry_mode,
