Read white space around a header's value as no part of it

Seen: 404 for `Host: name<TAB>`, 401 for a tab after `Bearer`, 400 for `chunked<TAB>`.

Cause: the parser strips white space before a value and leaves it after; values were compared as it passed them on. It recognizes `chunked` only if nothing but spaces follows.

The connection feeds the parser spaces in place of tabs at the ends of lines of a head, never of a body; a tab at the end of a segment waits for what follows, within max_header_bytes. check_framing still sees the parser's own value and still refuses whatever is not `chunked` to it, so that no second reading of the framing arises.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -17,7 +17,12 @@
 import httptools
 
 from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
-from cyclamenyoke.adapters.request_form import normalize_head
+from cyclamenyoke.adapters.request_form import (
+    OPTIONAL_WHITE_SPACE,
+    TAB_AT_LINE_END,
+    TABS_TO_SPACES,
+    normalize_head,
+)
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -60,7 +65,8 @@
     """One complete request.
 
     :param target: path and query as received, also of a target in absolute form.
-    :param headers: names with the case in which they were received.
+    :param headers: names with the case in which they were received, values without
+        surrounding white space.
     :param received_at: when its first byte arrived, in seconds by the server's clock.
     :param keep_alive: whether the connection stays open after the response.
     """
@@ -285,6 +291,8 @@
         self._is_lost = False
         self._deadline = server.clock.now() + server.limits.header_timeout
         self._is_receiving = False
+        # The last bytes received, if they may be a tab at the end of a header's line.
+        self._unparsed = b""
         self._reset_message()
 
     @property
@@ -433,7 +441,7 @@
             self._received_at = self._server.clock.now()
             self._deadline = self._received_at + self._server.limits.header_timeout
         try:
-            self._parser.feed_data(data)
+            self._parse(self._unparsed + data)
         except httptools.HttpParserUpgrade:
             # The upgrade is declined: the request is handled over HTTP/1.1.
             return
@@ -441,6 +449,40 @@
             if not self._is_discarding:
                 self._reject(self._parse_fault(error))
 
+    def _parse(self, data: bytes) -> None:
+        """Parse data, with spaces in place of tabs at the ends of headers' lines.
+
+        Both are optional white space, but the parser doesn't recognize ``chunked`` with
+        a tab after it. Whether a line belongs to a head is known once the parser has
+        read all that precedes its end.
+        """
+        self._unparsed = b""
+        if b"\t" not in data:
+            self._feed(data)
+            return
+        start = 0
+        for match in TAB_AT_LINE_END.finditer(data):
+            text = data[start : match.start()].rstrip(OPTIONAL_WHITE_SPACE)
+            self._feed(text)
+            self._feed_line_end(data[start + len(text) : match.end()])
+            start = match.end()
+        text = data[start:].rstrip(OPTIONAL_WHITE_SPACE + b"\r")
+        self._feed(text)
+        rest = data[start + len(text) :]
+        if self._is_head_complete or b"\t" not in rest:
+            self._feed(rest)
+        else:
+            self._unparsed = rest
+            self._check_header_bytes(self._header_size + len(rest))
+
+    def _feed_line_end(self, line_end: bytes) -> None:
+        is_in_head = not self._is_head_complete
+        self._feed(line_end.translate(TABS_TO_SPACES) if is_in_head else line_end)
+
+    def _feed(self, data: bytes) -> None:
+        if data:
+            self._parser.feed_data(data)
+
     def _parse_fault(self, error: httptools.HttpParserError) -> Fault:
         """Return the fault of a message that the parser can't read.
 
@@ -485,7 +527,8 @@
             return
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
+            expectation = value.strip(OPTIONAL_WHITE_SPACE).lower()
+            if name.lower() == b"expect" and expectation == b"100-continue":
                 self._must_continue = True
             if name.lower() == b"content-length":
                 self._check_body_size(int(value))
@@ -529,13 +572,16 @@
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
+        self._check_header_bytes(self._header_size)
+
+    def _check_header_bytes(self, size: int) -> None:
         limit = self._server.limits.max_header_bytes
-        if self._header_size > limit:
+        if size > limit:
             fault = Fault(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                 RefusalReason.HEADERS_TOO_LARGE,
                 "head",
-                size=self._header_size,
+                size=size,
                 limit=limit,
             )
             self._reject(fault)
@@ -577,7 +623,7 @@
         """Return the id of the request that is being received, if it has come."""
         for name, value in self._headers:
             if name.lower() == self._server.request_id_header:
-                return shorten(value)
+                return shorten(value.strip(OPTIONAL_WHITE_SPACE)) or None
         return None
 
     def _refuse(self, status: HTTPStatus) -> None:
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -41,7 +41,7 @@
 has not run; these are used only for rejections that guarantee it."""
 
 HOST = b"host"
-BEARER_PREFIX = b"bearer "
+BEARER = b"bearer"
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 RESOLVE_PATH = "/v1/resolve"
 READINESS_PATH = "/v1/readiness"
@@ -207,9 +207,15 @@
 
 
 def _api_key(authorization: bytes | None) -> str | None:
-    if authorization is None or not authorization.lower().startswith(BEARER_PREFIX):
-        return None
-    return authorization[len(BEARER_PREFIX) :].strip().decode("latin-1")
+    """Return the key in an ``Authorization`` header of the scheme ``Bearer``.
+
+    >>> _api_key(b"bearer \\t key"), _api_key(b"Basic key"), _api_key(b"Bearer")
+    ('key', None, None)
+    """
+    match (authorization or b"").strip().split(None, 1):
+        case [scheme, key] if scheme.lower() == BEARER:
+            return key.decode("latin-1")
+    return None
 
 
 class DirectoryHandler:
--- a/tests/test_request_form.py
+++ b/tests/test_request_form.py
@@ -1,11 +1,17 @@
 """The one form into which a request is brought before anything is compared."""
 
+import asyncio
+
 import pytest
 
 from site_fixture import (
+    API_KEY,
     HOST,
     caller_headers,
     configuration,
+    connect,
+    encode_request,
+    read_response,
     route,
     running_site,
     send_request,
@@ -38,6 +44,16 @@
         assert response.status == 404
 
 
+# Guards against a host that a reader takes for the user's name.
+@pytest.mark.parametrize("authority", [f"user@{HOST}", f"{HOST}@other", "", f"{HOST}#"])
+async def test_target_with_user_information_or_without_a_host_is_refused(authority):
+    async with running_site() as site:
+        target = f"http://{authority}/lookup/a"
+        response = await site.get(site.gateways[0][1], target)
+        assert response.status == 400
+        assert executed_requests(site) == []
+
+
 @pytest.mark.parametrize("end", ["", "?", "?b=/c"])
 async def test_absolute_target_without_a_path_means_the_root(end):
     async with running_site(gateways=0, config=False) as site:
@@ -73,3 +89,74 @@
         site.publish(configuration(1, routes=[lookup]))
         node = await site.add_gateway()
         assert (await site.get(node, "/lookup/a", Host=stated)).status == 200
+
+
+# Guards against 400, 401 and 404 for white space that is no part of a value.
+@pytest.mark.parametrize("before", ["", " ", "\t", " \t "])
+@pytest.mark.parametrize("after", [" ", "\t", "\t \t ", " \t"])
+async def test_white_space_around_each_value_is_left_out(before, after):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        fields = caller_headers(
+            "00aa", Last_Event_Id="7", X_Token_Usage="5,6", X_A="b c"
+        )
+        headers = {name: before + each + after for name, each in fields.items()}
+        response = await send_request(node.callers, "GET", "/lookup/a", headers)
+        assert response.status == 200
+        [request] = executed_requests(site)
+        assert request.headers["x-request-id"] == "00aa"
+        assert request.headers["host"] == HOST
+        assert request.headers["last-event-id"] == "7"
+        assert request.headers["x-a"] == "b c"
+        assert 0 < int(request.headers["x-deadline-ms"]) <= 1500
+
+
+@pytest.mark.parametrize("space", [" ", "   ", "\t", " \t "])
+async def test_key_is_read_after_any_white_space(space):
+    async with running_site() as site:
+        key = f"bearer{space}{API_KEY}"
+        response = await site.get(
+            site.gateways[0][1], "/lookup/a", key=None, Authorization=key
+        )
+        assert response.status == 200
+
+
+# Guards against a body that is delimited otherwise since a segment ends at a tab.
+@pytest.mark.parametrize("value", [b"chunked\t", b"\tchunked \t \t"])
+async def test_tab_after_chunked_delimits_the_body_wherever_a_segment_ends(value):
+    body = b"a\t\r\nb: chunked \t\r\n\r\n"
+    async with running_site() as site:
+        head = encode_request("PUT", "/lookup/a", caller_headers())[:-2]
+        first = head + b"Transfer-Encoding: " + value + b"\r\n\r\n"
+        first += b"%x\r\n%b\r\n0\r\nX-Trailer: t\t\r\n\r\n" % (len(body), body)
+        second = encode_request("GET", "/lookup/b", caller_headers(X_A="\t"))
+        data = first + second
+        start = data.index(b"Authorization")
+        for cut in range(start, len(data)):
+            reader, writer = await connect(site.gateways[0][1].callers)
+            writer.write(data[:cut])
+            await asyncio.sleep(0.001)
+            writer.write(data[cut:])
+            async with asyncio.timeout(5):
+                statuses = [(await read_response(reader)).status for _ in range(2)]
+            writer.close()
+            assert statuses == [200, 200], cut
+        requests = executed_requests(site)
+        assert len(requests) == 2 * (len(data) - start)
+        assert {each.body for each in requests} == {body, b""}
+
+
+# Guards against values without end that are held back until a line is complete.
+async def test_tabs_without_end_are_refused_as_too_large():
+    async with running_site() as site:
+        reader, writer = await connect(site.gateways[0][1].callers)
+        writer.write(
+            encode_request("GET", "/lookup/a", caller_headers())[:-2] + b"X-A: b"
+        )
+        for _ in range(10):
+            writer.write(b"\t" * 1000)
+            await asyncio.sleep(0.001)
+        async with asyncio.timeout(3):
+            assert (await read_response(reader)).status == 431
+        writer.close()
+        assert executed_requests(site) == []
