Serve requests whose optional headers can't be read

Seen: 400 for `X-Deadline-Ms: 1500.5`, for an empty Last-Event-Id and for X-Token-Usage that isn't two whole numbers.

Cause: decode_request refused the whole request if any of the three was not an integer, though a request without them is proper.

Change: each is parsed by itself. A deadline is a decimal number, a negative one is 0. One that can't be read counts as not stated, so that the route's timeout holds; unreadable token counts are 0, and an unreadable Last-Event-Id starts from the beginning. Values are bounded: counts to 2**53, ids to 64 bits. A line "header ignored" and the counter unreadable_headers name what was left out. The refusal reason unreadable_header has no use any more and is gone.

Evidence: on the code before 19 of these 25 tests in tests/test_request_form.py fail: 16 of unreadable headers, two of fractional deadlines and one of a negative one; with this change none.

--- a/src/cyclamenyoke/core/refusals.py
+++ b/src/cyclamenyoke/core/refusals.py
@@ -19,7 +19,6 @@
     BODY_TOO_LARGE = "body_too_large"
     TOO_SLOW = "too_slow"
     MISSING_HEADER = "missing_header"
-    UNREADABLE_HEADER = "unreadable_header"
     UNSUPPORTED_TARGET = "unsupported_target"
 
 
@@ -47,6 +46,20 @@
     limit: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableHeader:
+    """A header whose value is left out of account, since the request needs none.
+
+    :param request_id: shortened.
+    :param name: the header's name in lower case.
+    :param value: shortened.
+    """
+
+    request_id: str
+    name: str
+    value: str
+
+
 def shorten(value: bytes) -> str:
     """Return a text from outside, bounded, to be logged.
 
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -28,7 +28,7 @@
 from cyclamenyoke.core.invariants import CountingMonitor, Invariant
 from cyclamenyoke.core.node_settings import NodeSettings
 from cyclamenyoke.core.peers import Peers
-from cyclamenyoke.core.refusals import Refusal
+from cyclamenyoke.core.refusals import Refusal, UnreadableHeader
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
@@ -240,7 +240,9 @@
             self._quarantine, self._clock, self._log
         )
         self._caller_server = self._create_server(
-            CallerHandler(self._forwarder.serve, self._on_refused)
+            CallerHandler(
+                self._forwarder.serve, self._on_refused, self._on_unreadable_header
+            )
         )
         self._servers = [
             (settings.callers, self._caller_server),
@@ -500,6 +502,15 @@
             config_version=self._cluster_state.config_version,
         )
 
+    def _on_unreadable_header(self, header: UnreadableHeader) -> None:
+        self._metrics.count("unreadable_headers", header=header.name)
+        self._log.info(
+            "header ignored",
+            request=header.request_id,
+            field=header.name,
+            value=header.value,
+        )
+
     def _on_handler_error(self, error: BaseException | None) -> None:
         self._metrics.count("handler_errors")
         self._log.error("request handler failed", error=repr(error))
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -1,18 +1,29 @@
 """HTTP handlers for callers: requests, the directory and the readiness check."""
 
+import re
 from collections.abc import Awaitable, Callable
+from functools import partial
 from hashlib import blake2b
 from http import HTTPStatus
 from random import Random
+from typing import TypeVar
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest, Responder
+from cyclamenyoke.core.decoding import parse_integer
 from cyclamenyoke.core.host_names import normalize_host
 from cyclamenyoke.core.inbound_request import Header, InboundRequest, RejectionReason
-from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
+from cyclamenyoke.core.refusals import (
+    Refusal,
+    RefusalReason,
+    UnreadableHeader,
+    shorten,
+    shorten_path,
+)
 from cyclamenyoke.core.units import MILLISECOND
+from cyclamenyoke.exceptions import MalformedValue
 from cyclamenyoke.platform.headers import (
     AUTHORIZATION,
     DEADLINE,
@@ -51,9 +62,16 @@
 MAX_DEADLINE_MS = 10**12
 """Largest deadline in milliseconds; a longer one counts as this."""
 
+MAX_COUNT = 2**53
+"""Largest number of tokens that counts as one; exact as a float as well."""
+
 MAX_PART_ID_BYTES = 32
 """Longest id of a prompt's part in bytes; a longer one is replaced by its digest."""
 
+_DECIMAL = re.compile(rb"[+-]?[0-9]+(\.[0-9]*)?")
+
+T = TypeVar("T")
+
 _NOT_FORWARDED = RESERVED_FOR_GATEWAY | {AUTHORIZATION}
 
 
@@ -96,16 +114,21 @@
     """Decodes callers' HTTP requests and passes them to ``serve``.
 
     :param on_refused: called for each request that can't be decoded.
+    :param on_unreadable: called for each header that is left out of account.
     """
 
     def __init__(
-        self, serve: ServeRequest, on_refused: Callable[[Refusal], None]
+        self,
+        serve: ServeRequest,
+        on_refused: Callable[[Refusal], None],
+        on_unreadable: Callable[[UnreadableHeader], None],
     ) -> None:
         self._serve = serve
         self._on_refused = on_refused
+        self._on_unreadable = on_unreadable
 
     async def __call__(self, request: HttpRequest, responder: Responder) -> None:
-        inbound = decode_request(request)
+        inbound = decode_request(request, self._on_unreadable)
         if isinstance(inbound, Refusal):
             self._on_refused(inbound)
             responder.respond(inbound.status)
@@ -113,8 +136,16 @@
         await self._serve(inbound, HttpResponseWriter(responder, inbound.request_id))
 
 
-def decode_request(request: HttpRequest) -> InboundRequest | Refusal:
-    """Decode a request of a caller."""
+def decode_request(
+    request: HttpRequest,
+    on_unreadable: Callable[[UnreadableHeader], None] = lambda header: None,
+) -> InboundRequest | Refusal:
+    """Decode a request of a caller.
+
+    A deadline, token counts or event id that can't be read counts as not stated.
+
+    :param on_unreadable: called for each of these headers.
+    """
     request_id = request.get(REQUEST_ID)
     host = request.get(HOST)
     if not request_id:
@@ -123,17 +154,12 @@
         return _refusal(request, RefusalReason.MISSING_HEADER, HOST)
     if not request.target.startswith(b"/"):
         return _refusal(request, RefusalReason.UNSUPPORTED_TARGET)
-    field = DEADLINE.lower()
-    try:
-        deadline = _deadline(request)
-        field = TOKEN_COUNTS
-        counts = (request.get(TOKEN_COUNTS) or b"0,0").split(b",")
-        prompt_tokens, output_limit = int(counts[0]), int(counts[1])
-        field = LAST_EVENT_ID.lower()
-        last_event_id = _optional_int(request.get(field))
-    except (ValueError, IndexError):
-        return _refusal(request, RefusalReason.UNREADABLE_HEADER, field)
-    received_at = request.received_at
+    read = partial(_read_optional, request, on_unreadable)
+    deadline = read(DEADLINE, _parse_deadline)
+    if deadline is not None:
+        deadline += request.received_at
+    prompt_tokens, output_limit = read(TOKEN_COUNTS, _parse_counts) or (0, 0)
+    last_event_id = read(LAST_EVENT_ID, parse_integer)
     parts = _prompt_parts(request.get(PROMPT_PARTS))
     return InboundRequest(
         request_id=request_id.decode("latin-1"),
@@ -144,7 +170,7 @@
         headers=select_end_to_end(request.headers, _NOT_FORWARDED),
         body=request.body,
         api_key=_api_key(request.get(AUTHORIZATION)),
-        arrived_at=received_at,
+        arrived_at=request.received_at,
         deadline=deadline,
         last_event_id=last_event_id,
         prompt_tokens=prompt_tokens,
@@ -188,22 +214,57 @@
     return id_.decode("latin-1")
 
 
-def _deadline(request: HttpRequest) -> float | None:
-    """Return a request's deadline on the clock that measured its arrival.
+def _read_optional(
+    request: HttpRequest,
+    on_unreadable: Callable[[UnreadableHeader], None],
+    name: bytes,
+    parse: Callable[[bytes], T],
+) -> T | None:
+    """Return a header's parsed value; ``None`` if it is absent, empty or unreadable."""
+    value = request.get(name.lower())
+    if not value:
+        return None
+    try:
+        return parse(value)
+    except MalformedValue:
+        request_id = shorten(request.get(REQUEST_ID) or b"")
+        header = name.decode().lower()
+        on_unreadable(UnreadableHeader(request_id, header, shorten(value)))
+        return None
+
+
+def _parse_deadline(value: bytes) -> float:
+    """Return the seconds after a request's arrival at which its caller stops waiting.
 
     One in the distant future is as good as any other; the route's timeout comes first.
 
-    :raises ValueError: when the header is not an integer.
+    :raises MalformedValue: when it is not a decimal number of milliseconds.
+
+    >>> _parse_deadline(b"1500.5"), _parse_deadline(b"-3")
+    (1.5005, 0.0)
     """
-    stated = request.get(DEADLINE.lower())
-    if stated is None:
-        return None
-    milliseconds = min(max(int(stated), 0), MAX_DEADLINE_MS)
-    return request.received_at + milliseconds * MILLISECOND
+    if not _DECIMAL.fullmatch(value):
+        raise MalformedValue(f"{shorten(value)!r} is not a decimal number")
+    return min(max(float(value), 0.0), MAX_DEADLINE_MS) * MILLISECOND
+
+
+def _parse_counts(value: bytes) -> tuple[int, int]:
+    """Return the tokens of the prompt and the maximum number of generated ones.
 
+    :raises MalformedValue: when these are not two counts.
 
-def _optional_int(value: bytes | None) -> int | None:
-    return None if value is None else int(value)
+    >>> _parse_counts(b"1460,80")
+    (1460, 80)
+    """
+    stated = value.split(b",")
+    if len(stated) < 2:
+        raise MalformedValue("a count is missing")
+    prompt_tokens, output_limit = (
+        parse_integer(each, MAX_COUNT) for each in stated[:2]
+    )
+    if min(prompt_tokens, output_limit) < 0:
+        raise MalformedValue("a count is negative")
+    return prompt_tokens, output_limit
 
 
 def _api_key(authorization: bytes | None) -> str | None:
--- a/tests/test_request_form.py
+++ b/tests/test_request_form.py
@@ -160,3 +160,38 @@
             assert (await read_response(reader)).status == 431
         writer.close()
         assert executed_requests(site) == []
+
+
+# Guards against 400 for headers that the request doesn't need.
+@pytest.mark.parametrize("name", ["X-Deadline-Ms", "X-Token-Usage", "Last-Event-Id"])
+@pytest.mark.parametrize("value", ["", "soon", "nan", "inf", "1-0,1-0", "9" * 400])
+async def test_unreadable_header_counts_as_not_stated(name, value):
+    async with running_site() as site:
+        headers = caller_headers() | {name: value}
+        address = site.gateways[0][1].callers
+        response = await send_request(address, "GET", "/lookup/a", headers)
+        assert response.status == 200
+        [request] = executed_requests(site)
+        assert "last-event-id" not in request.headers
+        is_logged = bool(value) and not (name == "X-Deadline-Ms" and value[0] == "9")
+        counter = site.gateways[0][0]._metrics.counter
+        assert counter("unreadable_headers", header=name.lower()) == is_logged
+
+
+@pytest.mark.parametrize("value", ["1500.5", "1500.", "+1500", "001500"])
+async def test_deadline_is_read_as_a_decimal_number(value):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        response = await site.get(node, "/lookup/a", X_Deadline_Ms=value)
+        assert response.status == 200
+        [request] = executed_requests(site)
+        assert 1000 < int(request.headers["x-deadline-ms"]) <= 1500
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "-1500.5"])
+async def test_deadline_that_has_passed_is_not_sent_to_an_engine(value):
+    async with running_site() as site:
+        node = site.gateways[0][1]
+        response = await site.get(node, "/lookup/a", X_Deadline_Ms=value)
+        assert response.status >= 500
+        assert executed_requests(site) == []
