Keep a request's id and host whatever Connection names

Seen: 502 for a request with `Connection: X-Request-Id`; with `Connection: host` its engine got no Host.

Cause: each option of Connection was dropped as a hop-by-hop header. RFC 9110, 7.6.1, forbids senders to name headers that are meant for all recipients, and engines refuse a request without its id.

Change: select_end_to_end keeps these two.

Evidence: without the change in headers.py the 3 new tests fail, with it they pass.

--- a/src/cyclamenyoke/platform/headers.py
+++ b/src/cyclamenyoke/platform/headers.py
@@ -53,6 +53,10 @@
 )
 """Headers that apply to one connection or are generated anew for each message."""
 
+FOR_ALL_RECIPIENTS = frozenset({b"host", REQUEST_ID})
+"""Headers without which an engine refuses a request; no ``Connection`` option removes
+them."""
+
 RESERVED_FOR_GATEWAY = frozenset(
     name.lower() for name in (DEADLINE, TARGET_ENGINE, TENANT, PRIORITY, LAST_EVENT_ID)
 )
@@ -74,5 +78,5 @@
         if key.lower() == b"connection"
         for name in value.split(b",")
     }
-    dropped = HOP_BY_HOP | also_dropped | connection_options
+    dropped = HOP_BY_HOP | also_dropped | (connection_options - FOR_ALL_RECIPIENTS)
     return [(name, value) for name, value in headers if name.lower() not in dropped]
--- a/tests/test_request_form.py
+++ b/tests/test_request_form.py
@@ -195,3 +195,19 @@
         response = await site.get(node, "/lookup/a", X_Deadline_Ms=value)
         assert response.status >= 500
         assert executed_requests(site) == []
+
+
+# Guards against engines that refuse a request since its id or host was dropped.
+@pytest.mark.parametrize(
+    "options", ["X-Request-Id", "host , X-HOP\t", "Keep-Alive, HOST"]
+)
+async def test_connection_options_do_not_remove_id_or_host(options):
+    async with running_site() as site:
+        headers = caller_headers("00aa", Connection=options, X_Hop="1")
+        address = site.gateways[0][1].callers
+        response = await send_request(address, "GET", "/lookup/a", headers)
+        assert response.status == 200
+        [request] = executed_requests(site)
+        assert request.headers["x-request-id"] == "00aa"
+        assert request.headers["host"] == HOST
+        assert ("x-hop" in request.headers) == ("X-HOP" not in options)
