Deny no request by limits that may be outdated

What callers saw: 413 or 431, which no client repeats, for a request within the limits that the operator had set: from a node that has just started and assumes the default limits (4 MiB, 16 KiB), where 503 would be true; and from one that does not know the version that raised a limit.

Cause: as for 401 and 404, a denial that is final followed from state whose age nobody knew.

Change: without a confirmed configuration a request beyond a limit gets 503 with Retry-After at once, and the node looks for a newer version meanwhile. The line "request refused" names size, limit, version and age.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -56,6 +56,11 @@
 SINGLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
 """Headers that a request may contain only once."""
 
+LIMIT_REASONS = frozenset(
+    {RefusalReason.HEADERS_TOO_LARGE, RefusalReason.BODY_TOO_LARGE}
+)
+"""Reasons that a newer configuration may lift."""
+
 CHUNKED = b"chunked"
 """The only transfer coding that is implemented."""
 
@@ -285,6 +290,7 @@
         self._writable.set()
         self._is_discarding = False
         self._rejection: HTTPStatus | None = None
+        self._rejection_headers: Sequence[Header] = ()
         self._reset_at: float | None = None
         # Unsent bytes of the last response when its reset was last put off.
         self._unsent_before = 0
@@ -606,8 +612,14 @@
         """
         if self._is_discarding:
             return
+        status = fault.status
+        headers: Sequence[Header] = ()
+        is_final = fault.reason not in LIMIT_REASONS
+        if not is_final and not self._server.are_limits_confirmed(self._received_at):
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            headers = self._server.unconfirmed_headers
         refusal = Refusal(
-            fault.status.value,
+            status.value,
             fault.reason,
             self._request_id(),
             shorten_path(self._target),
@@ -617,7 +629,7 @@
             fault.limit,
         )
         self._server.on_refused(refusal)
-        self._refuse(fault.status)
+        self._refuse(status, headers)
 
     def _request_id(self) -> str | None:
         """Return the id of the request that is being received, if it has come."""
@@ -626,8 +638,9 @@
                 return shorten(value.strip(OPTIONAL_WHITE_SPACE)) or None
         return None
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, headers: Sequence[Header] = ()) -> None:
         """Refuse the request that is being received and close the connection."""
+        self._rejection_headers = headers
         self._is_discarding = True
         self._is_receiving = False
         self._rejection = status
@@ -639,7 +652,11 @@
             return
         if not self._pending:
             if self._rejection is not None:
-                head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+                head = [
+                    *self._rejection_headers,
+                    (b"Content-Length", b"0"),
+                    (b"Connection", b"close"),
+                ]
                 self.write(encode_head(self._rejection.value, head))
                 self.close_gracefully()
             elif self._must_continue:
@@ -675,6 +692,9 @@
     :param on_handler_error: called with the exception that a handler raised.
     :param request_id_header: lower-case name of the header with a request's id, which
         refusals state.
+    :param are_limits_confirmed: returns whether a request that arrived at a time may be
+        denied by the limits in force. Otherwise it gets 503.
+    :param unconfirmed_headers: headers of these responses.
     """
 
     def __init__(
@@ -684,12 +704,16 @@
         on_refused: Callable[[Refusal], None],
         on_handler_error: Callable[[BaseException | None], None],
         request_id_header: bytes = b"",
+        are_limits_confirmed: Callable[[float], bool] = lambda arrived_at: True,
+        unconfirmed_headers: Sequence[Header] = (),
     ) -> None:
         self.handler = handler
         self.clock = clock
         self.on_refused = on_refused
         self.on_handler_error = on_handler_error
         self.request_id_header = request_id_header
+        self.are_limits_confirmed = are_limits_confirmed
+        self.unconfirmed_headers = unconfirmed_headers
         self.limits = CallerLimits()
         self.is_draining = False
         self.is_closed = False
--- a/src/cyclamenyoke/daemon/cluster_state.py
+++ b/src/cyclamenyoke/daemon/cluster_state.py
@@ -219,14 +219,20 @@
 
         :param until: when to return at the latest; the search goes on then.
         """
+        self.start_confirming()
+        if self._confirming is not None:
+            timeout = max(0.0, until - self._clock.now())
+            await asyncio.wait({self._confirming}, timeout=timeout)
+
+    def start_confirming(self) -> None:
+        """Look for a newer configuration, unless that is being done or just failed."""
         now = self._clock.now()
-        if self._confirming is None or self._confirming.done():
-            if now < self._next_confirming_at:
-                return
-            self._next_confirming_at = now + INITIAL_BACKOFF
-            self._metrics.count("config_confirmations")
-            self._confirming = asyncio.create_task(self._ask_for_newer_config())
-        await asyncio.wait({self._confirming}, timeout=max(0.0, until - now))
+        is_running = self._confirming is not None and not self._confirming.done()
+        if is_running or now < self._next_confirming_at:
+            return
+        self._next_confirming_at = now + INITIAL_BACKOFF
+        self._metrics.count("config_confirmations")
+        self._confirming = asyncio.create_task(self._ask_for_newer_config())
 
     def era_age(self, era: int) -> float:
         """Return for how many seconds this node has read lists of a store's era."""
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -34,7 +34,7 @@
 from cyclamenyoke.daemon.cluster_state import ClusterState, StoreSchema
 from cyclamenyoke.daemon.evacuation_sync import EvacuationSync
 from cyclamenyoke.daemon.expert_rebalancer import ExpertRebalancer
-from cyclamenyoke.daemon.forwarder import Forwarder
+from cyclamenyoke.daemon.forwarder import UNCONFIRMED_RETRY_AFTER, Forwarder
 from cyclamenyoke.daemon.membership import Membership
 from cyclamenyoke.daemon.process_signals import ProcessSignals
 from cyclamenyoke.daemon.quarantine_api import QuarantineHandler
@@ -56,7 +56,7 @@
 )
 from cyclamenyoke.platform.engine_client import HttpEngineClient
 from cyclamenyoke.platform.engine_control import HttpEngineControl
-from cyclamenyoke.platform.headers import REQUEST_ID
+from cyclamenyoke.platform.headers import REQUEST_ID, RETRY_AFTER
 from cyclamenyoke.platform.settings import SETTINGS_PATH_VARIABLE, load_settings
 from cyclamenyoke.platform.store_client import StoreClient
 from cyclamenyoke.ports.key_value_store import StoredItem
@@ -365,8 +365,20 @@
             self._on_refused,
             self._on_handler_error,
             REQUEST_ID,
+            self._are_limits_confirmed,
+            [(RETRY_AFTER, b"%.3f" % UNCONFIRMED_RETRY_AFTER)],
         )
 
+    def _are_limits_confirmed(self, arrived_at: float) -> bool:
+        """Return whether the limits in force may deny a request; look for newer ones.
+
+        :param arrived_at: when the request arrived.
+        """
+        if self._cluster_state.is_config_confirmed(arrived_at):
+            return True
+        self._cluster_state.start_confirming()
+        return False
+
     def _is_ready(self) -> bool:
         return self._cluster_state.is_synced and not self._stopping.is_set()
 
@@ -499,6 +511,7 @@
             size=refusal.size,
             limit=refusal.limit,
             config_version=self._cluster_state.config_version,
+            config_age=round(self._cluster_state.config_age(), 3),
         )
 
     def _on_unreadable_header(self, header: UnreadableHeader) -> None:
--- a/tests/test_config_confirmation.py
+++ b/tests/test_config_confirmation.py
@@ -10,6 +10,7 @@
     ConfigConfirmation,
     Evidence,
 )
+from cyclamenyoke.core.units import MEBIBYTE
 from cyclamenyoke.standins.platform import Faults
 from site_fixture import SITE_BOUNDS, configuration, free_port, route, running_site
 
@@ -150,3 +151,30 @@
         await site.wait_until(lambda: gateway._cluster_state.config_age() > 0.5)
         assert (await site.get(node, "/unknown/a")).status == 503
         assert (await site.get(node, "/lookup/a")).status == 200
+
+
+async def test_limits_that_a_node_only_assumes_deny_nothing_for_certain():
+    async with running_site(gateways=0, config=False) as site:
+        node = await site.add_gateway(wait_until_ready=False)
+        await site.wait_until(lambda: site.gateways[0][0]._caller_server._server)
+        response = await site.post(node, "/order/a", b"x" * (5 * MEBIBYTE))
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 0
+
+
+async def test_limits_of_an_outdated_version_deny_nothing_for_certain():
+    async with running_site(bounds=BOUNDS) as site:
+        gateway, node, _ = site.gateways[0]
+        assert (await site.post(node, "/order/a", b"x" * 20_000)).status == 413
+        padding = "x" * 6000
+        assert (await site.get(node, "/lookup/a", padding=padding)).status == 431
+        await set_faults(site, down=True)
+        await site.wait_until(lambda: gateway._cluster_state.config_age() > 0.5)
+        assert (await site.post(node, "/order/a", b"x" * 20_000)).status == 503
+        assert (await site.get(node, "/lookup/a", padding=padding)).status == 503
+        limits = {**configuration(2)["limits"], "max_body_bytes": 30_000}
+        site.publish(configuration(2, limits=limits))
+        site.platform.state.faults = Faults()
+        await site.post(node, "/order/a", b"x" * 20_000)
+        await site.wait_until(lambda: gateway._cluster_state.config_version == 2)
+        assert (await site.post(node, "/order/a", b"x" * 20_000)).status == 200
