Name the key and count the reason of each denial

A 401 or 404 said which version had decided, not which key was compared, and no counter held it beside the other refusals. The line has a digest of the key, too short to find the key by it, and refusals_total counts all reasons.

--- a/src/cyclamenyoke/core/refusals.py
+++ b/src/cyclamenyoke/core/refusals.py
@@ -2,10 +2,14 @@
 
 import enum
 from dataclasses import dataclass
+from hashlib import blake2b
 
 MAX_SHOWN_CHARACTERS = 120
 """Longest text from outside that a refusal carries."""
 
+KEY_DIGEST_BYTES = 4
+"""Size of the digest that stands for an API key: too short to find the key by it."""
+
 
 class RefusalReason(enum.Enum):
     """Why a request is refused before it is routed."""
@@ -80,3 +84,15 @@
     '/lookup/a'
     """
     return shorten(target.partition(b"?")[0])
+
+
+def key_digest(api_key: str | None) -> str | None:
+    """Return what stands for an API key in logs; ``None`` for no key.
+
+    >>> key_digest("key-of-customer")
+    '6733a275'
+    """
+    if api_key is None:
+        return None
+    data = api_key.encode("utf-8", "replace")
+    return blake2b(data, digest_size=KEY_DIGEST_BYTES).hexdigest()
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -35,6 +35,7 @@
 from cyclamenyoke.core.pass_model import GapRatio, PassModel
 from cyclamenyoke.core.peers import BudgetPart, Peers
 from cyclamenyoke.core.prompt_placement import Prompt, PromptPlacement, is_long
+from cyclamenyoke.core.refusals import key_digest
 from cyclamenyoke.core.request_delivery import (
     Attempt,
     AttemptOutcome,
@@ -1363,6 +1364,7 @@
         :param denial: what the configuration in force says.
         """
         self._metrics.count("requests", outcome=reason.value, service="")
+        self._metrics.count("refusals", reason=reason.value)
         self._log.info(
             "request refused",
             request=request.request_id,
@@ -1370,7 +1372,7 @@
             path=request.path,
             outcome=reason.value,
             denial=denial.value if denial else None,
-            has_key=request.api_key is not None,
+            key=key_digest(request.api_key),
             retry_after=retry_after,
             config_version=self._cluster_state.config_version,
             config_age=round(self._cluster_state.config_age(), 3),
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -5,7 +5,7 @@
 import pytest
 from logbook import TestHandler
 
-from cyclamenyoke.core.refusals import MAX_SHOWN_CHARACTERS
+from cyclamenyoke.core.refusals import MAX_SHOWN_CHARACTERS, key_digest
 from site_fixture import (
     API_KEY,
     caller_headers,
@@ -132,3 +132,18 @@
     async with running_site() as site:
         status, [fields] = await refuse(site, raw_request(lines=[line]))
         assert status == 400 and fields["value"]
+
+
+async def test_denial_names_the_configuration_and_the_key_that_decided():
+    async with running_site() as site:
+        data = raw_request(lines=[b"Authorization: Bearer other-key"])
+        data = data.replace(f"Authorization: Bearer {API_KEY}\r\n".encode(), b"")
+        status, lines = await refuse(site, data)
+        assert (status, len(lines)) == (401, 1)
+        fields = lines[0]
+        assert fields["denial"] == fields["outcome"] == "no_key"
+        assert fields["key"] == key_digest("other-key")
+        assert fields["config_version"] == 1
+        assert 0 <= fields["config_age"] < 2
+        metrics = site.gateways[0][0]._metrics
+        assert metrics.counter("refusals", reason="no_key") == 1
