Owe the budget retries that a silent endpoint may read later

Change: a retry that ends without a byte from its endpoint, also because its caller leaves, is noted as such a copy, and is owed until that endpoint is heard of and a window after. If both copies of a request are unread, both count: more than what is owed.

Measured: the new test without processes counts 1 late copy of 2 before, 2 after. Open: a response that was under way when a link or an endpoint stopped makes later copies count as read; nodes that are killed forget what they owe.

--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -133,6 +133,14 @@
             attempt.outcome is not AttemptOutcome.NOT_SENT for attempt in self.attempts
         )
 
+    @property
+    def is_repeat(self) -> bool:
+        """Whether an attempt before the last one reached an endpoint."""
+        return any(
+            attempt.outcome is not AttemptOutcome.NOT_SENT
+            for attempt in self.attempts[:-1]
+        )
+
     @property
     def can_send(self) -> bool:
         """Whether another attempt is safe and within the limit.
--- a/src/cyclamenyoke/core/retry_budget.py
+++ b/src/cyclamenyoke/core/retry_budget.py
@@ -97,8 +97,9 @@
       how many nodes it is divided, and whether this node has a part
       (:meth:`cyclamenyoke.core.peers.Peers.budget_part`).
     * A frozen endpoint reads at once what it was sent in many windows, also requests
-      that were repeated meanwhile. Such a copy that is older than a window counts until
-      the endpoint is heard of, and all of them count for a window after that.
+      that were repeated meanwhile, and the repeats. Such a copy that is older than a
+      window counts until the endpoint is heard of, and all of them count for a window
+      after that. If both copies of a request are unread, both count.
 
     :param ratio: retries allowed per first attempt.
     :param fixed_retries: additional retries of all nodes together in a window.
@@ -164,6 +165,13 @@
         if self._heard_at.get(endpoint, sent_at) <= sent_at:
             self._unread.setdefault(endpoint, deque()).append(now)
 
+    def on_given_up(self, endpoint: str, sent_at: float) -> None:
+        """Note that a retry got no answer, which its endpoint may read later.
+
+        :param sent_at: when it was sent, and counted.
+        """
+        self.on_repeated(endpoint, sent_at, sent_at)
+
     def on_heard(self, endpoint: str, now: float) -> None:
         """Note that an endpoint has sent something, so that it reads what it got."""
         self._heard_at.pop(endpoint, None)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -881,6 +881,7 @@
         self._on_load_change()
         engine_call: EngineCall | None = None
         has_outcome = False
+        outcome: AttemptOutcome | None = None
         try:
             engine_call = await self._engines.send(
                 endpoint,
@@ -902,6 +903,7 @@
             return AttemptOutcome.NOT_SENT
         finally:
             if engine_call is not None:
+                self._note_unread(context, attempt, outcome)
                 self._release_call(
                     context, endpoint, engine_call, has_outcome, max_connections
                 )
@@ -912,6 +914,22 @@
             self._on_load_change()
             self.dispatch()
 
+    def _note_unread(
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        outcome: AttemptOutcome | None,
+    ) -> None:
+        """Note a retry that its endpoint may read after it was given up.
+
+        :param outcome: ``None`` if the caller left.
+        """
+        is_given_up = outcome in (None, AttemptOutcome.INCOMPLETE)
+        is_silent = attempt.first_byte_at is None and not attempt.is_closed_by_endpoint
+        if is_given_up and is_silent and context.delivery.is_repeat:
+            budget = self._retry_budget(context.service)
+            budget.on_given_up(attempt.endpoint, attempt.sent_at)
+
     def _release_call(
         self,
         context: RequestContext,
--- a/tests/test_retry_arrivals.py
+++ b/tests/test_retry_arrivals.py
@@ -183,6 +183,30 @@
         assert budget._late_copies(gateway._clock.now()) == 1
 
 
+# Guards against retries that a frozen engine reads in a later window than they count.
+async def test_retry_at_a_silent_engine_counts_when_that_is_heard_of():
+    async with running_site(engines=2) as site:
+        gateway, node, _ = site.gateways[0]
+        engines = site.engines_of("app")
+        script_all(site, "app", Behaviour.SILENT)
+        first = asyncio.create_task(site.get(node, "/lookup/a"))
+        while not any(engine.state.received for engine in engines):
+            await asyncio.sleep(0.005)
+        silent, other = sorted(engines, key=lambda each: not each.state.received)
+        other.script.clear()
+        other.script.append(Behaviour.RESET)
+        silent.script.append(Behaviour.SILENT)
+        # The other engine has less to do, resets, and the retry goes to the silent one.
+        assert (await site.get(node, "/lookup/b")).status != 200
+        assert (await first).status == 200
+        silent.script.clear()
+        budget = gateway._forwarder._retry_budgets["app"]
+        answered = len(silent.state.executed)
+        while len(silent.state.executed) == answered:
+            assert (await site.get(node, "/lookup/a")).status == 200
+        assert budget._late_copies(gateway._clock.now()) == 2
+
+
 # Guards against copies that no longer count though their endpoint has not read them.
 async def test_failed_connection_does_not_count_as_hearing_from_the_endpoint(
     monkeypatch,
