--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -5,7 +5,9 @@
 import pytest
 from logbook import TestHandler
 
-from cyclamenyoke.core.refusals import MAX_SHOWN_CHARACTERS, key_digest
+from cyclamenyoke.adapters.http_ingress import HttpRequest
+from cyclamenyoke.core.refusals import MAX_SHOWN_CHARACTERS, Refusal, key_digest
+from cyclamenyoke.platform.caller_handlers import decode_request
 from site_fixture import (
     API_KEY,
     caller_headers,
@@ -147,3 +149,13 @@
         assert 0 <= fields["config_age"] < 2
         metrics = site.gateways[0][0]._metrics
         assert metrics.counter("refusals", reason="no_key") == 1
+
+
+def test_password_in_a_target_is_not_logged():
+    headers = [(b"Host", b"a"), (b"X-Request-Id", b"1")]
+    target = b"http://user:password@a/b"
+    refusal = decode_request(
+        HttpRequest(b"GET", target, headers, b"", 0.0, True, False)
+    )
+    assert isinstance(refusal, Refusal)
+    assert "password" not in refusal.path
