Look for tabs at line ends in heads only

Change: what is due of a body is fed as a whole, and bodies are kept in one buffer. Only heads are searched. The end of a chunked body is where a head may begin.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -61,6 +61,9 @@
 )
 """Reasons that a newer configuration may lift."""
 
+HEAD_END = b"\r\n\r\n"
+"""End of a head, and of a chunked body."""
+
 CHUNKED = b"chunked"
 """The only transfer coding that is implemented."""
 
@@ -185,6 +188,12 @@
     return b"\r\n".join([*lines, b"", b""])
 
 
+def _after(data: bytes, mark: bytes) -> int:
+    """Return the position after the first mark; the length of the data without one."""
+    position = data.find(mark)
+    return len(data) if position < 0 else position + len(mark)
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -299,6 +308,8 @@
         self._is_receiving = False
         # The last bytes received, if they may be a tab at the end of a header's line.
         self._unparsed = b""
+        # As the head states it; None for a chunked body or none.
+        self._content_length: int | None = None
         self._reset_message()
 
     @property
@@ -466,6 +477,26 @@
         if b"\t" not in data:
             self._feed(data)
             return
+        while data:
+            if self._is_head_complete and self._is_receiving:
+                end = self._possible_body_end(data)
+                self._feed(data[:end])
+            else:
+                end = _after(data, HEAD_END)
+                self._parse_head(data[:end])
+            data = data[end:]
+
+    def _possible_body_end(self, data: bytes) -> int:
+        """Return how much of the data can't be part of the next head; at least 1."""
+        if self._content_length is not None:
+            return max(1, self._content_length - len(self._body))
+        # The last line end of a chunked body may have come apart from its others.
+        if data.startswith((b"\r\n", b"\n")):
+            return data.index(b"\n") + 1
+        return _after(data, HEAD_END)
+
+    def _parse_head(self, data: bytes) -> None:
+        """Parse a part of a head, or its end."""
         start = 0
         for match in TAB_AT_LINE_END.finditer(data):
             text = data[start : match.start()].rstrip(OPTIONAL_WHITE_SPACE)
@@ -537,17 +568,17 @@
             if name.lower() == b"expect" and expectation == b"100-continue":
                 self._must_continue = True
             if name.lower() == b"content-length":
-                self._check_body_size(int(value))
+                self._content_length = int(value)
+                self._check_body_size(self._content_length)
         if self._must_continue and not self._is_discarding:
             self._start_next()
 
     def on_body(self, data: bytes) -> None:
         if self._is_discarding:
             return
-        self._body.append(data)
-        self._body_size += len(data)
+        self._body += data
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
-        self._check_body_size(self._body_size)
+        self._check_body_size(len(self._body))
 
     def on_message_complete(self) -> None:
         if self._is_discarding:
@@ -557,12 +588,12 @@
             self._parser.get_method(),
             target,
             headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._received_at,
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             self._parser.get_http_version() == "1.0",
         )
-        self._is_receiving = self._must_continue = False
+        self._is_receiving = self._must_continue = self._is_head_complete = False
         self._pending.append(request)
         self._start_next()
 
@@ -572,8 +603,8 @@
         self._headers: list[Header] = []
         self._header_size = 0
         self._is_head_complete = False
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
+        self._content_length = None
         self._must_continue = False
 
     def _count_header_bytes(self, size: int) -> None:
--- a/tests/test_request_form.py
+++ b/tests/test_request_form.py
@@ -1,9 +1,13 @@
 """The one form into which a request is brought before anything is compared."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
+from cyclamenyoke.adapters.clock import BootClock
+from cyclamenyoke.adapters.http_ingress import IngressConnection, IngressServer
+from cyclamenyoke.core.units import MEBIBYTE
 from site_fixture import (
     API_KEY,
     HOST,
@@ -211,3 +215,21 @@
         assert request.headers["x-request-id"] == "00aa"
         assert request.headers["host"] == HOST
         assert ("x-hop" in request.headers) == ("X-HOP" not in options)
+
+
+async def test_body_of_lines_that_end_with_tabs_takes_little_memory():
+    async def handler(request, responder):
+        return None
+
+    server = IngressServer(handler, BootClock(), print, print)
+    connection = IngressConnection(server)
+    body = b"\t\r\n" * (MEBIBYTE // 3)
+    head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % (
+        len(body) + 1
+    )
+    connection.data_received(head)
+    tracemalloc.start()
+    connection.data_received(body)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held < 3 * len(body)
