--- a/src/cyclamenyoke/daemon/cluster_state.py
+++ b/src/cyclamenyoke/daemon/cluster_state.py
@@ -87,12 +87,14 @@
     """The configuration in force at this node.
 
     :param raw_config: the value in the store, which is passed on to peers.
-    :param position: newest store position of the key that was processed, whether its
-        value was valid or not.
+    :param config_position: position of that value.
+    :param position: newest position of the key that this node has read from the store,
+        whether its value was valid or not.
     """
 
     config: GatewayConfig | None = None
     raw_config: bytes = b""
+    config_position: StorePosition = START
     position: StorePosition = START
 
 
@@ -148,6 +150,7 @@
         self._invalid_config_at = START
         self._confirming: asyncio.Task[None] | None = None
         self._next_confirming_at = 0.0
+        self._confirming_delay = INITIAL_BACKOFF
         self.on_change: Callable[[], None] = lambda: None
         self.on_config: Callable[[GatewayConfig], None] = lambda config: None
         self.on_endpoint_removed: Callable[[str], None] = lambda id_: None
@@ -230,7 +233,8 @@
         is_running = self._confirming is not None and not self._confirming.done()
         if is_running or now < self._next_confirming_at:
             return
-        self._next_confirming_at = now + INITIAL_BACKOFF
+        jitter = self._random.uniform(0.75, 1.25)
+        self._next_confirming_at = now + self._confirming_delay * jitter
         self._metrics.count("config_confirmations")
         self._confirming = asyncio.create_task(self._ask_for_newer_config())
 
@@ -260,7 +264,7 @@
         evacuation = self._evacuation.state
         return Snapshot(
             self._current.raw_config,
-            self._current.position,
+            self._current.config_position,
             self.list_age(),
             self._registry.position,
             list(self._registry.endpoints.values()),
@@ -436,8 +440,9 @@
         else:
             deadline = asked_at + watch_duration(rank, self._settings.bounds)
             value = await self._store.watch(key, self._current.position, deadline)
-            if value.value is None and self._clock.now() >= deadline:
-                # The store has looked for a change until then.
+            if not rank and value.value is None and self._clock.now() >= deadline:
+                # The store has looked for a change until then. A longer watch may have
+                # been cut off long before.
                 asked_at = deadline
         self._on_store_available()
         self._on_config_read(value, asked_at)
@@ -455,10 +460,26 @@
         self._on_store_available()
         self._on_config_read(value, asked_at)
 
+    async def _read_for_confirmation(self) -> None:
+        """Read the configuration; a failure does not count as losing the store.
+
+        The watch and the list of endpoints tell that, from which the node's rank
+        follows.
+        """
+        asked_at = self._clock.now()
+        try:
+            value = await self._store.get(self._schema.config_key)
+        except PlatformUnavailable as error:
+            self._metrics.count("store_failures")
+            self._report_once("confirmation", str(error), "configuration not confirmed")
+            return
+        self._reported.pop("confirmation", None)
+        self._on_config_read(value, asked_at)
+
     async def _ask_for_newer_config(self) -> None:
         """Ask the store, and a peer if the store does not answer at once."""
         asked_at = self._clock.now()
-        read = asyncio.create_task(self._read_config())
+        read = asyncio.create_task(self._read_for_confirmation())
         try:
             delay = PEER_CONFIRMATION_DELAY if self._reads_store else 0.0
             await asyncio.wait({read}, timeout=delay)
@@ -469,6 +490,9 @@
                 await read
         finally:
             read.cancel()
+        is_confirmed = self.is_config_confirmed(asked_at)
+        delay = INITIAL_BACKOFF if is_confirmed else 2 * self._confirming_delay
+        self._confirming_delay = min(MAX_BACKOFF, delay)
 
     def _confirming_peers(self) -> list[str]:
         return self._peers.peers_with_confirmed_config(
@@ -480,9 +504,10 @@
 
         :param asked_at: a time at which the response was true.
         """
-        if value.value is None:
-            self._current.position = max(self._current.position, value.position)
-        else:
+        # Advances for any value, since a watch from an older position returns the same
+        # one again at once.
+        self._current.position = max(self._current.position, value.position)
+        if value.value is not None:
             self._apply_config(value.value, value.position)
         if self._can_be_newest:
             self._confirmation.on_store_read(asked_at)
@@ -493,10 +518,8 @@
         return self.config is not None and self._invalid_config_at == START
 
     def _apply_config(self, raw_config: bytes, position: StorePosition) -> None:
-        # Advances for any value, since a watch from an older position returns the same
-        # one again at once. Versions alone decide what is in force: a store that was
-        # restored may hold an older one at a later position.
-        self._current.position = max(self._current.position, position)
+        # Versions alone decide what is in force: a store that was restored may hold an
+        # older one at a later position.
         try:
             config = self._schema.decode_config(raw_config)
         except CyclamenyokeError as error:
@@ -504,12 +527,14 @@
             self._invalid_config_at = max(self._invalid_config_at, position)
             self._report_once("config", str(error))
             return
-        if position >= self._invalid_config_at:
+        if position > self._invalid_config_at:
             self._invalid_config_at = START
         if config.version <= self.config_version:
             return
         before = self.config_version
-        self._current = ActiveConfig(config, raw_config, self._current.position)
+        self._current = ActiveConfig(
+            config, raw_config, position, self._current.position
+        )
         self._monitor.check(
             Invariant.CONFIG_NEVER_REVERTS,
             self.config_version > before,
--- a/tests/test_config_confirmation.py
+++ b/tests/test_config_confirmation.py
@@ -1,5 +1,6 @@
 """A denial takes a configuration that is known to be the newest one."""
 
+import asyncio
 from dataclasses import replace
 from math import inf
 
@@ -11,6 +12,7 @@
     Evidence,
 )
 from cyclamenyoke.core.units import MEBIBYTE
+from cyclamenyoke.ports.key_value_store import VersionedValue
 from cyclamenyoke.standins.platform import Faults
 from site_fixture import SITE_BOUNDS, configuration, free_port, route, running_site
 
@@ -178,3 +180,54 @@
         await site.post(node, "/order/a", b"x" * 20_000)
         await site.wait_until(lambda: gateway._cluster_state.config_version == 2)
         assert (await site.post(node, "/order/a", b"x" * 20_000)).status == 200
+
+
+async def test_started_node_denies_nothing_by_version_before_an_unreadable_one():
+    async with running_site(bounds=BOUNDS) as site:
+        gateway = site.gateways[0][0]
+        site.publish({**configuration(2), "routes": "none"})
+        await site.notify_watches()
+        await site.wait_until(lambda: gateway._cluster_state.config_age() > 0.5)
+        node = await site.add_gateway(wait_until_ready=False)
+        state = site.gateways[1][0]._cluster_state
+        await site.wait_until(lambda: state.config_version == 1)
+        for _ in range(1200):
+            await asyncio.sleep(0.01)
+            if 0 <= state.config_age() < 0.2:
+                break
+        assert (await site.get(node, "/unknown/a")).status == 503
+
+
+async def test_snapshot_of_an_older_version_does_not_make_it_the_newest():
+    async with running_site(gateways=2, bounds=BOUNDS) as site:
+        (first, node, _), (second, _, _) = site.gateways
+        states = [each._cluster_state for each in (first, second)]
+        await site.wait_until(lambda: states[1].config_version == 1)
+        site.publish({**configuration(2), "routes": "none"})
+        await site.notify_watches()
+        for state in states:
+            await site.wait_until(lambda s=state: s._invalid_config_at.revision > 0)
+        await site.wait_until(lambda: states[0].config_age() > 0.5)
+        await states[0]._fetch_config([second._settings.ip])
+        await asyncio.sleep(0.6)
+        assert (await site.get(node, "/unknown/a")).status == 503
+
+
+async def test_empty_answer_of_a_watch_that_was_cut_and_came_late_confirms_no_more():
+    async with running_site(bounds=BOUNDS) as site:
+        state = site.gateways[0][0]._cluster_state
+        excess = []
+        looked_until = None
+
+        async def watch(key, after, deadline):
+            nonlocal looked_until
+            if looked_until is not None:
+                excess.append(state._confirmation.confirmed_at - looked_until)
+            await asyncio.sleep(0.02)
+            looked_until = state._clock.now()
+            await asyncio.sleep(deadline - looked_until + 0.05)
+            return VersionedValue(after.revision, None, after.era)
+
+        state._store.watch = watch
+        await site.wait_until(lambda: len(excess) > 1)
+        assert max(excess) <= 0
