--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -285,10 +285,14 @@
         """Record a violated invariant with the seconds since the start of the run."""
         self.violations.append(f"{self.clock.now() - 1000:.3f}: {detail}")
 
-    def publish(self) -> None:
-        """Write the next configuration to the store, as the operator does."""
+    def publish(self, has_extra: bool | None = None) -> None:
+        """Write the next configuration to the store, as the operator does.
+
+        :param has_extra: whether it has the route "extra"; drawn if ``None``.
+        """
         self.config_version += self.random.randint(1, 3)
-        has_extra = self.random.random() < 0.5
+        if has_extra is None:
+            has_extra = self.random.random() < 0.5
         config = configuration(self.config_version)
         if has_extra:
             config["routes"].append(route("extra", "safe", "app"))
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -146,23 +146,25 @@
 
 
 class SoakWithIsolatedNodes(GatewaySoak):
-    """Some nodes reach neither the store nor each other while versions change."""
+    """Some nodes reach neither the store nor each other while a route is added."""
 
     async def _inject_faults(self) -> None:
+        env = self.env
         while True:
-            ips = set(self._sample_node_ips())
-            self.env.note_fault(6)
-            self.env.rejected_ips |= ips
-            self.env.partitioned_ips |= ips
-            await asyncio.sleep(6)
-            self.env.rejected_ips -= ips
-            self.env.partitioned_ips -= ips
+            env.publish(has_extra=False)
             await asyncio.sleep(1)
+            ips = set(self._sample_node_ips())
+            env.note_fault(6)
+            env.rejected_ips |= ips
+            env.partitioned_ips |= ips
+            await asyncio.sleep(0.5)
+            env.publish(has_extra=True)
+            await asyncio.sleep(5.5)
+            env.rejected_ips -= ips
+            env.partitioned_ips -= ips
 
     async def _publish_configs(self) -> None:
-        while True:
-            await asyncio.sleep(2.5)
-            self.env.publish()
+        """Leave all changes to the faults."""
 
 
 @pytest.mark.parametrize("seed", [3, 4])
