Log why a response is cut, and what a stopping gateway leaves unsent

Cause: nothing told a silent engine, a late signal and lost bytes apart. "request done" had no time of an engine's last event, and the end of the process was silent about bytes that the kernel had not taken. Change: "response cut" states when the stop was asked, when each attempt was sent, got its head, its first and last event, and ended, and the unsent bytes; "stopping" and "closing" state the seconds since the signal, "closing" and "stopped" the unsent bytes. No decision changes.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -213,6 +213,11 @@
         """Whether a part of the response has been sent."""
         return self._is_started
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the connection's responses that the kernel has not taken."""
+        return self._connection.unsent_bytes
+
     def respond(
         self, status: int, headers: Sequence[Header] = (), body: bytes = b""
     ) -> None:
@@ -327,10 +332,11 @@
     def is_busy(self) -> bool:
         """Whether a request is received or handled, or its response not yet sent."""
         is_handling = self._is_receiving or self._task is not None
-        return is_handling or self._unsent_bytes > 0
+        return is_handling or self.unsent_bytes > 0
 
     @property
-    def _unsent_bytes(self) -> int:
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the kernel has not taken."""
         transport = self._transport
         if transport is None or self._is_lost:
             return 0
@@ -380,7 +386,7 @@
     def check_deadlines(self, now: float) -> None:
         """Close or reject if a deadline has passed."""
         if self._reset_at is not None:
-            if self._unsent_bytes < self._unsent_before:
+            if self.unsent_bytes < self._unsent_before:
                 self._extend_linger()
             elif now >= self._reset_at:
                 self.reset()
@@ -389,7 +395,7 @@
             return
         if self._is_receiving:
             self._reject(self._lateness(now))
-        elif self._unsent_bytes:
+        elif self.unsent_bytes:
             self.close_gracefully()
         elif self._transport is not None:
             self._transport.close()
@@ -411,7 +417,7 @@
 
     def _extend_linger(self) -> None:
         """Wait for the caller to read, or for its last bytes if all data is sent."""
-        self._unsent_before = self._unsent_bytes
+        self._unsent_before = self.unsent_bytes
         limits = self._server.limits
         timeout = limits.idle_timeout if self._unsent_before else LINGER_TIMEOUT
         self._reset_at = self._server.clock.now() + timeout
@@ -788,6 +794,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses to all callers that the kernel has not taken."""
+        return sum(connection.unsent_bytes for connection in self._connections)
+
     async def start(self, address: str) -> None:
         """Start accepting connections.
 
--- a/src/cyclamenyoke/core/graceful_shutdown.py
+++ b/src/cyclamenyoke/core/graceful_shutdown.py
@@ -33,11 +33,13 @@
 class GracefulShutdown:
     """One shutdown, from the request to stop until the last connection closes.
 
+    :param asked_at: when the platform asked the node to stop.
     :param cut_off_at: when requests in flight are cut off because the kill is near.
     :param min_close_at: earliest time at which an idle node may close its connections.
     :param flush_until: until when the last responses may be written to the sockets.
     """
 
+    asked_at: float
     cut_off_at: float
     min_close_at: float
     flush_until: float
@@ -54,7 +56,7 @@
         margin = min(KILL_MARGIN, MAX_KILL_MARGIN_SHARE * grace)
         cut_off_at = now + grace - margin
         min_close_at = min(cut_off_at, now + MIN_DRAIN_DURATION)
-        return cls(cut_off_at, min_close_at, cut_off_at + margin / 2, monitor)
+        return cls(now, cut_off_at, min_close_at, cut_off_at + margin / 2, monitor)
 
     def can_end(self, now: float, deadline: float, expected: float | None) -> bool:
         """Return whether a request that is sent now ends before it would be cut off.
--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -65,6 +65,8 @@
     :param first_byte_at: when the first part of the response arrived.
     :param outcome: ``None`` while the attempt is in progress.
     :param events: number of events of a stream that it yielded, without comments.
+    :param first_event_at: when the first event of a stream arrived.
+    :param last_event_at: when the latest one arrived.
     :param ended_at: when it ended; ``None`` before.
     :param detail: why it did not succeed.
     :param is_closed_by_endpoint: whether the endpoint's end of the connection ended it.
@@ -76,6 +78,8 @@
     first_byte_at: float | None = None
     outcome: AttemptOutcome | None = None
     events: int = 0
+    first_event_at: float | None = None
+    last_event_at: float | None = None
     ended_at: float | None = None
     detail: str = ""
     is_closed_by_endpoint: bool = False
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1320,6 +1320,9 @@
         if all(event.is_comment for event in events):
             return False
         context.prompt.on_first_event()
+        attempt, now = context.delivery.attempts[-1], self._clock.now()
+        attempt.first_event_at = attempt.first_event_at or now
+        attempt.last_event_at = now
         if not context.has_event:
             context.has_event = True
             self._observe_first_event(context)
@@ -1383,6 +1386,7 @@
         """Send the caller its final response; return the outcome for the log."""
         delivery, writer = context.delivery, context.writer
         if context.is_head_sent:
+            self._log_cut(context)
             writer.abort()
             return "cut"
         if context.failure is not None:
@@ -1400,6 +1404,42 @@
         writer.reject(reason, retry_after)
         return reason.value
 
+    def _log_cut(self, context: RequestContext) -> None:
+        """Log what tells why a response ends before it is complete.
+
+        Times are in seconds after the request arrived.
+        """
+        arrived_at, now = context.request.arrived_at, self._clock.now()
+        asked_at = self.shutdown.asked_at if self.shutdown is not None else None
+
+        def after(at: float | None) -> float | None:
+            return None if at is None else round(at - arrived_at, 3)
+
+        self._log.info(
+            "response cut",
+            request=context.request.request_id,
+            route=context.route.name,
+            reason=context.detail,
+            stop_asked=after(asked_at),
+            cut=after(now),
+            deadline=after(context.delivery.deadline),
+            last_event=context.last_event_id,
+            unsent_bytes=context.writer.unsent_bytes,
+            attempts=[
+                {
+                    "endpoint": attempt.endpoint,
+                    "outcome": attempt.outcome.value if attempt.outcome else "open",
+                    "sent": after(attempt.sent_at),
+                    "head": after(attempt.first_byte_at),
+                    "first_event": after(attempt.first_event_at),
+                    "last_event": after(attempt.last_event_at),
+                    "ended": after(attempt.ended_at),
+                    "events": attempt.events,
+                }
+                for attempt in context.delivery.attempts
+            ],
+        )
+
     def _record_health(self, endpoint: str, outcome: AttemptOutcome) -> None:
         now = self._clock.now()
         actions: dict[AttemptOutcome, Callable[[], None]] = {
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -335,7 +335,11 @@
             for _, server in self._servers:
                 server.close()
             await self._store.close()
-        self._log.info("stopped")
+        self._log.info(
+            "stopped",
+            connections=self._caller_server.connection_count,
+            unsent_bytes=self._caller_server.unsent_bytes,
+        )
 
     async def _drain(self) -> None:
         """Serve until callers know of the shutdown and no request is in progress.
@@ -345,7 +349,11 @@
         grace = self._settings.bounds.grace
         shutdown = GracefulShutdown.begin(self._stop_asked_at, grace, self._monitor)
         self._forwarder.shutdown = shutdown
-        self._log.info("stopping", connections=self._caller_server.connection_count)
+        self._log.info(
+            "stopping",
+            connections=self._caller_server.connection_count,
+            seconds_since_signal=round(self._clock.now() - self._stop_asked_at, 3),
+        )
         for _, server in self._servers:
             server.is_draining = True
         self._membership.announce_draining()
@@ -358,7 +366,12 @@
         shutdown.on_close(self._clock.now(), busy_count)
         for _, server in self._servers:
             server.close()
-        self._log.info("closing", busy=busy_count)
+        self._log.info(
+            "closing",
+            busy=busy_count,
+            unsent_bytes=self._caller_server.unsent_bytes,
+            seconds_since_signal=round(self._clock.now() - self._stop_asked_at, 3),
+        )
         if busy_count:
             self._forwarder.cut_off()
         while self._caller_server.busy_count:
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -93,6 +93,10 @@
         self._responder = responder
         self._request_id = request_id
 
+    @property
+    def unsent_bytes(self) -> int:
+        return self._responder.unsent_bytes
+
     def reject(self, reason: RejectionReason, retry_after: float | None = None) -> None:
         headers = [*HEADERS_BY_REASON.get(reason, ())]
         if self._request_id is not None:
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -171,6 +171,8 @@
 class RecordingResponseWriter(ResponseWriter):
     """Records the response that a caller receives."""
 
+    unsent_bytes = 0
+
     def __init__(self) -> None:
         self.outcome = ""
         self.body = b""
