Count what has arrived before an engine counts as silent

Callers saw streams cut, and engines repeats, after a gateway's process had stood still for a second (short of processor time, or stopped). Cause: the timer of the silence is due when the process runs again, and cancels the read although the engine's events wait in the socket, or were just read. All streams and lookups of the process are then repeated at once. Change: the wait for an event only waits (EngineCall.wait), and an event that is there after the time counts (EngineCall.has_event). The simulated calls of the randomised run do the same.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -232,6 +232,11 @@
         """Whether another request may be sent."""
         return not (self._is_closed or self._must_not_reuse or self._matches_request)
 
+    @property
+    def has_event(self) -> bool:
+        """Whether an event of the response has not been received yet."""
+        return bool(self._events)
+
     def has_refused(self, request_id: str) -> bool:
         """Return whether the server has refused a request of this id here."""
         return request_id in self._refused
@@ -271,11 +276,15 @@
             return
         self._transport.write(data)
 
-    async def receive(self) -> ResponseEvent:
-        """Wait for the next event of the response and return it."""
+    async def wait(self) -> None:
+        """Wait until there is an event of the response."""
         while not self._events:
             self._event_available = asyncio.get_running_loop().create_future()
             await self._event_available
+
+    async def receive(self) -> ResponseEvent:
+        """Wait for the next event of the response and return it."""
+        await self.wait()
         event = self._events.popleft()
         if isinstance(event, bytearray):
             self._buffered_bytes = 0
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1,6 +1,7 @@
 """Handles requests: routing, admission, sending with retries, and the response."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
@@ -1073,10 +1074,12 @@
                 last_progress = response.progress
                 progress_at = loop.time()
                 idle_until = self._silent_at(context, progress_at)
-            try:
+            # What has arrived counts although the time is over: this process may have
+            # stood still while the endpoint wrote.
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(idle_until):
-                    event = await engine_call.receive()
-            except TimeoutError:
+                    await engine_call.wait()
+            if not engine_call.has_event:
                 # Other endpoints may have shown meanwhile that all are slow.
                 idle_until = self._silent_at(context, progress_at)
                 if loop.time() < idle_until:
@@ -1087,6 +1090,7 @@
                     return AttemptOutcome.INCOMPLETE
                 idle_until = loop.time() + min(remaining, MOVE_CHECK_INTERVAL)
                 continue
+            event = await engine_call.receive()
             self._on_notice(context, endpoint, event)
             try:
                 remaining = max(0.0, context.delivery.deadline - self._clock.now())
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -149,6 +149,13 @@
         self._is_released = False
         self._must_close = False
 
+    @property
+    def has_event(self) -> bool:
+        return self._connection.has_event
+
+    async def wait(self) -> None:
+        await self._connection.wait()
+
     async def receive(self) -> EngineEvent:
         event = await self._connection.receive()
         match event:
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -112,6 +112,15 @@
 class EngineCall(ABC):
     """One request sent to one endpoint."""
 
+    @property
+    @abstractmethod
+    def has_event(self) -> bool:
+        """Whether :meth:`receive` returns at once."""
+
+    @abstractmethod
+    async def wait(self) -> None:
+        """Wait until there is an event. Nothing is lost if this is cancelled."""
+
     @abstractmethod
     async def receive(self) -> EngineEvent:
         """Return the next event of the response."""
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -670,16 +670,32 @@
 
     def __init__(self, events) -> None:
         self._events = events
+        self._next = None
+
+    @property
+    def has_event(self):
+        return self._next is not None and self._next.done()
+
+    async def wait(self):
+        if self._next is None:
+            self._next = asyncio.create_task(self._read())
+        await asyncio.wait({self._next})
 
     async def receive(self):
+        await self.wait()
+        read, self._next = self._next, None
+        return read.result()
+
+    def release(self):
+        if self._next is not None:
+            self._next.cancel()
+
+    async def _read(self):
         try:
             return await anext(self._events)
         except StopAsyncIteration:
             return EngineResponseFailed("connection closed")
 
-    def release(self):
-        pass
-
 
 class Node:
     """One gateway process; its parts are connected as in the daemon."""
