Keep a stream at its silent engine until another one goes on with it

Callers saw streams that had begun end without the rest, most beside a SIGTERM. Cause: after a second without an event a stream was given up and its connection closed, and only then was it repeated elsewhere. If the repeat was refused, found no room, or had not begun when the gateway closed, the caller had neither: the answer at the first engine, which only was silent, had been thrown away. An engine's silence is no reason to end an answer sooner. Class: giving up what one has before something takes its place. Change: a response that has begun stays open beside its repeat (daemon/silent_call.py), with its slot. Whichever engine has the next event goes on, and the other one is left; if no repeat can be sent or it ends, the request waits for the first engine until its deadline. It does not queue for a repeat meanwhile. On three of five tests of test_silent_engines.py fail (streams incomplete); now all pass, with test_gateway_pauses.py, test_lost_requests.py, test_graceful_shutdown.py and test_retry_arrivals.py (90 passed).

--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -171,6 +171,16 @@
         self.attempts.append(attempt)
         return attempt
 
+    def reopen(self, attempt: Attempt) -> None:
+        """Let an earlier attempt be the current one again, since its endpoint goes on.
+
+        It was not closed, so that no endpoint gets the request once more.
+        """
+        self.attempts.remove(attempt)
+        self.attempts.append(attempt)
+        attempt.outcome = attempt.ended_at = None
+        attempt.detail = ""
+
     def final_status(self, now: float) -> FinalStatus:
         """Return what the caller is told if the request ends now."""
         if self.is_confirmed_not_run:
--- a/src/cyclamenyoke/core/reservations.py
+++ b/src/cyclamenyoke/core/reservations.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 from collections.abc import Hashable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import TracebackType
 from typing import TypeVar
 from weakref import WeakSet
@@ -55,6 +55,13 @@
         """Give everything back. Only the first call has an effect."""
         self._reservations.release(self)
 
+    def hand_over(self) -> "Reservation":
+        """Return a reservation that takes the place of this one.
+
+        The prompt is not counted any more: the endpoint has read it.
+        """
+        return self._reservations.hand_over(self)
+
 
 class Reservations:
     """The reservations of one node that have not been released.
@@ -98,6 +105,15 @@
         self._balancer.on_completed(reservation.endpoint.id, reservation.probe)
         self._balancer.count_customer(reservation.service, reservation.customer, -1)
 
+    def hand_over(self, reservation: Reservation) -> Reservation:
+        """Let a new reservation hold what another one does, without its prompt."""
+        if reservation.prompt is not None:
+            reservation.prompt.release()
+        successor = replace(reservation, prompt=None)
+        self._live.discard(reservation)
+        self._live.add(successor)
+        return successor
+
     def check(self, monitor: InvariantMonitor) -> None:
         """Check that the balancer counts exactly the live reservations."""
         live = list(self._live)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
-from cyclamenyoke.adapters.event_stream import EventSplitter, StreamEvent
+from cyclamenyoke.adapters.event_stream import StreamEvent
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.adapters.read_pacer import ReadPacer
@@ -57,6 +57,8 @@
 from cyclamenyoke.core.silence_timeout import SilenceTimeout
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.daemon.cluster_state import ClusterState
+from cyclamenyoke.daemon.partial_response import PartialResponse
+from cyclamenyoke.daemon.silent_call import SilentCall, wait_for_event
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
     NO_NOTICE,
@@ -191,6 +193,8 @@
         before.
     :param held_bytes: memory reserved for its responses.
     :param fingerprint: computed only when it is needed.
+    :param silent: a response that has begun at an endpoint which is silent, until
+        another endpoint goes on.
     :param may_have_ended_engine: whether its latest attempt ended with its engine just
         as that began to write on its prompt.
     """
@@ -214,8 +218,28 @@
     last_event_at: float | None = None
     held_bytes: int = 0
     fingerprint: RequestFingerprint | None = None
+    silent: SilentCall | None = None
     may_have_ended_engine: bool = False
 
+    @property
+    def is_first_resumed(self) -> bool:
+        """Whether the endpoint that was silent goes on with its response."""
+        return self.silent is not None and self.silent.has_resumed
+
+    async def read_silent(self) -> None:
+        """Read what the endpoint that was silent has sent meanwhile."""
+        if self.silent is None:
+            return
+        await self.silent.read()
+        if self.silent.is_released:
+            self.silent = None
+
+    def drop_silent(self) -> None:
+        """Give up the response at the silent endpoint, if there is one."""
+        if self.silent is not None:
+            self.silent.release()
+            self.silent = None
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -239,26 +263,6 @@
     decision: asyncio.Future[Admitted | Rejected]
 
 
-@dataclass(slots=True)
-class PartialResponse:
-    """The part of an endpoint's response that was received so far.
-
-    :param progress: increases with each part that brings the response forward. Bytes
-        that do not complete an event of a stream, and comments, are no progress.
-    """
-
-    progress: int = 0
-    head: EngineResponseHead | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    body: bytearray = field(default_factory=bytearray)
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the response is forwarded event by event."""
-        head = self.head
-        return head is not None and head.is_event_stream and head.is_success
-
-
 class Forwarder:
     """Forwards requests to endpoints and their responses to callers.
 
@@ -459,6 +463,7 @@
             outcome = self._send_final_response(context)
         finally:
             self._serving.discard(task)
+            context.drop_silent()
             self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
@@ -467,12 +472,26 @@
     ) -> str:
         """Send the request to endpoints until one answers it or no attempt is left.
 
+        A stream whose endpoint is silent goes on there if no other one goes on with it.
         Returns the outcome for the log.
         """
-        delivery = context.delivery
         max_connections = self._connection_limit(config, context.service)
+        while True:
+            if await self._send_attempts(context, config, max_connections):
+                return "answered"
+            silent, context.silent = context.silent, None
+            if silent is None or silent.is_released:
+                return self._send_final_response(context)
+            if await self._go_on(context, silent, max_connections):
+                return "answered"
+
+    async def _send_attempts(
+        self, context: RequestContext, config: GatewayConfig, max_connections: int
+    ) -> bool:
+        """Send the request to endpoints; return whether one has answered it."""
+        delivery = context.delivery
         while delivery.can_send:
-            if self._clock.now() >= delivery.deadline:
+            if context.is_first_resumed or self._clock.now() >= delivery.deadline:
                 break
             if not self._can_end(context):
                 break
@@ -495,13 +514,52 @@
                 )
             await self._on_attempt_ended(context, endpoint, attempt, max_connections)
             if attempt.outcome is AttemptOutcome.ANSWERED:
-                return "answered"
+                return True
             if context.may_have_ended_engine and not self._quarantine.are_written_on(
                 context.service, context.request.shared_parts
             ):
                 context.detail = "prompt may have ended its engine"
                 break
-        return self._send_final_response(context)
+        return False
+
+    async def _go_on(
+        self, context: RequestContext, silent: SilentCall, max_connections: int
+    ) -> bool:
+        """Go on with a response whose endpoint was silent; return whether it ended."""
+        attempt, endpoint = silent.attempt, silent.endpoint
+        context.delivery.reopen(attempt)
+        try:
+            attempt.outcome = await self._receive_rest(context, silent)
+            self._record_health(endpoint.id, attempt.outcome)
+        finally:
+            if context.silent is None or context.silent.call is not silent.call:
+                silent.release()
+            context.last_event_at = None
+            self._on_load_change()
+            self.dispatch()
+        await self._on_attempt_ended(context, endpoint, attempt, max_connections)
+        return attempt.outcome is AttemptOutcome.ANSWERED
+
+    async def _receive_rest(
+        self, context: RequestContext, silent: SilentCall
+    ) -> AttemptOutcome:
+        """Forward what came since the endpoint was silent, and then the rest."""
+        head = silent.response.head
+        assert head is not None
+        events = silent.take_events()
+        remaining = max(0.0, context.delivery.deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(remaining):
+                self._note_events(context, events)
+                if not await self._forward_events(context, head, events):
+                    return AttemptOutcome.INCOMPLETE
+        except TimeoutError:
+            context.detail = "caller does not read its response"
+            return AttemptOutcome.INCOMPLETE
+        if silent.end is not None:
+            context.delivery.attempts[-1].is_closed_by_endpoint = silent.end.is_at_close
+            return self._complete(context, head, silent.response)
+        return await self._receive(context, silent.reservation, silent.call, silent)
 
     def _can_end(self, context: RequestContext) -> bool:
         """Return whether a request may be sent, with regard to the node's shutdown.
@@ -731,6 +789,10 @@
         admission_request = self._admission_request(context)
         now = self._clock.now()
         decision = self._admission.decide(admission_request, now)
+        if isinstance(decision, Enqueued) and context.silent is not None:
+            # Its endpoint may go on meanwhile.
+            self._admission.remove(admission_request)
+            return None
         if isinstance(decision, Enqueued):
             decision_future = asyncio.get_running_loop().create_future()
             self._waiting[admission_request] = WaitingRequest(context, decision_future)
@@ -960,7 +1022,7 @@
                 context.delivery.deadline,
                 max_connections,
             )
-            outcome = await self._receive(context, endpoint, engine_call)
+            outcome = await self._receive(context, reservation, engine_call)
             has_outcome = True
             self._record_health(endpoint.id, outcome)
             return outcome
@@ -973,9 +1035,10 @@
         finally:
             if engine_call is not None:
                 self._note_unread(context, attempt, outcome)
-                self._release_call(
-                    context, endpoint, engine_call, has_outcome, max_connections
-                )
+                if context.silent is None or context.silent.call is not engine_call:
+                    self._release_call(
+                        context, endpoint, engine_call, has_outcome, max_connections
+                    )
                 seconds = self._clock.now() - attempt.sent_at
                 self._admission.on_duration(context.service, seconds)
             context.last_event_at = None
@@ -1057,17 +1120,22 @@
             await self._on_attempt_ended(context, endpoint, attempt, max_connections)
 
     async def _receive(
-        self, context: RequestContext, endpoint: Endpoint, engine_call: EngineCall
+        self,
+        context: RequestContext,
+        reservation: Reservation,
+        engine_call: EngineCall,
+        before: SilentCall | None = None,
     ) -> AttemptOutcome:
-        """Read one response.
+        """Read one response, or the rest of one whose endpoint was silent before.
 
-        It is incomplete if the endpoint is silent and the request can be moved.
+        It is incomplete if the endpoint is silent and the request can be moved; a
+        stream that has begun is kept meanwhile.
         Without room elsewhere an endpoint in overload is the first to answer. A caller
         that reads slowly has until the deadline: a stream that is left while an event
         is being written can't be resumed after the right one.
         """
         loop = asyncio.get_running_loop()
-        response = PartialResponse()
+        response = PartialResponse() if before is None else before.response
         last_progress = -1
         while True:
             if response.progress != last_progress:
@@ -1078,20 +1146,25 @@
             # stood still while the endpoint wrote.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(idle_until):
-                    await engine_call.wait()
+                    await wait_for_event(engine_call, context.silent)
+            await context.read_silent()
+            if context.is_first_resumed:
+                context.detail = "the endpoint before goes on"
+                return AttemptOutcome.INCOMPLETE
             if not engine_call.has_event:
                 # Other endpoints may have shown meanwhile that all are slow.
                 idle_until = self._silent_at(context, progress_at)
                 if loop.time() < idle_until:
                     continue
-                remaining = context.delivery.deadline - self._clock.now()
-                if remaining <= 0 or self._can_move(context):
+                if self._must_leave(context):
                     context.detail = "endpoint is silent"
+                    self._keep_silent(context, reservation, engine_call, response)
                     return AttemptOutcome.INCOMPLETE
+                remaining = context.delivery.deadline - self._clock.now()
                 idle_until = loop.time() + min(remaining, MOVE_CHECK_INTERVAL)
                 continue
             event = await engine_call.receive()
-            self._on_notice(context, endpoint, event)
+            self._on_notice(context, reservation.endpoint, event)
             try:
                 remaining = max(0.0, context.delivery.deadline - self._clock.now())
                 async with asyncio.timeout(remaining):
@@ -1104,6 +1177,27 @@
             if outcome is not None:
                 return outcome
 
+    def _must_leave(self, context: RequestContext) -> bool:
+        """Return whether a request no longer waits for its silent endpoint alone."""
+        if self._clock.now() >= context.delivery.deadline:
+            return True
+        return context.silent is None and self._can_move(context)
+
+    def _keep_silent(
+        self,
+        context: RequestContext,
+        reservation: Reservation,
+        engine_call: EngineCall,
+        response: PartialResponse,
+    ) -> None:
+        """Keep a response that has begun, in case its silent endpoint goes on."""
+        is_late = self._clock.now() >= context.delivery.deadline
+        if context.is_head_sent and response.is_stream and not is_late:
+            attempt = context.delivery.attempts[-1]
+            context.silent = SilentCall(
+                attempt, reservation.hand_over(), engine_call, response
+            )
+
     def _can_move(self, context: RequestContext) -> bool:
         """Return whether another endpoint and the budget have room for a repeat."""
         service, now = context.service, self._clock.now()
@@ -1323,6 +1417,7 @@
         """
         if all(event.is_comment for event in events):
             return False
+        context.drop_silent()
         context.prompt.on_first_event()
         attempt, now = context.delivery.attempts[-1], self._clock.now()
         attempt.first_event_at = attempt.first_event_at or now
