Let callers of the soak end their run instead of waiting beyond it

Cause: a caller drew its time to the next request (9.4 s in the mean) and slept it out even if it went beyond the end of the run, so that the longest of 150 such times outlasted END_TIMEOUT. No fault of a gateway.

A caller now ends its run when the next request would come after it. The order of its random draws is unchanged. The test failed before with a timeout after 5 s.

--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -214,7 +214,10 @@
         """Send requests until a time by the monotonic clock."""
         shares = [route.share for route in self._routes]
         while time.monotonic() < until:
-            await asyncio.sleep(self._random.expovariate(1 / self._think_time))
+            think_time = self._random.expovariate(1 / self._think_time)
+            if time.monotonic() + think_time >= until:
+                break
+            await asyncio.sleep(think_time)
             if not self._directory.addresses:
                 continue
             route = self._random.choices(self._routes, shares)[0]
