Excuse a cut in a stop only if an engine had begun on the request

Rule LOST excuses a cut in the last sixth of the grace if an engine was still at work on the request. The soak excused it if an engine merely held the request: it looked at when the engine's part ended and not whether it had begun, so that a stream in an engine's queue, or with a prompt that waits, counted as at work. It also took an engine that the gateway had given up for its silence as at work until that engine noticed.

At work is now an engine that had begun before the cut (for a stream: had written its first event, which engines record as "wrote") and that had neither ended nor been given up before the last sixth. A gateway has given an engine up when it sends the request to another one; an arrival at an engine with a fault of its own may be read late and shows nothing.

Stricter only: the test of a cut that is allowed now states the first event. Four of the new tests failed before (a queue, no event, a lookup that has not begun, an engine given up); the others guard what stays allowed.

--- a/tests/process_soak/engine.py
+++ b/tests/process_soak/engine.py
@@ -1,7 +1,8 @@
 """One engine, or one server of a plain service, as a process.
 
 It records each request that arrives (``arrived``, with ``result`` ``run`` or
-``refused``), when it begins to work on it (``began``), and how that ends (``left``):
+``refused``), when it begins to work on it (``began``), when it writes the first event
+of a stream (``wrote``), and how that ends (``left``):
 ``answered``; ``failed``, an answer with status 500; ``reset``, the engine itself broke
 off; ``dropped``, the gateway closed the connection; ``expired`` at the deadline.
 
@@ -241,6 +242,8 @@
         for number in range(first, self._events + 1):
             event = stream_event(request.id, number, self._events)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if number == first:
+                self._add("wrote", request, "")
             await writer.drain()
             if number < self._events:
                 await asyncio.sleep(self._interval * faults.slowness)
--- a/tests/process_soak/loss_rules.py
+++ b/tests/process_soak/loss_rules.py
@@ -166,11 +166,29 @@
     if stop is None or sent.at > stop.at + LATE_REQUEST:
         return False
     last_part = stop.at + grace * (1 - LAST_SHARE_OF_GRACE)
-    ends = [
-        request.end_at_engine(each) for each in request.arrivals if each.result == "run"
-    ]
-    at_work = any(end is None or end.at >= last_part for end in ends)
-    return ended.at >= last_part and at_work
+    return ended.at >= last_part and any(
+        _works_at(seen, request, each, last_part) for each in request.arrivals
+    )
+
+
+def _works_at(
+    seen: Observations, request: Request, arrival: Event, last_part: float
+) -> bool:
+    """Return whether an engine was at work in a last part of a request's time.
+
+    It is if it has begun before the end and neither ended nor been given up before that
+    part.
+    """
+    begin, end = request.begin_at_engine(arrival), request.end_at_engine(arrival)
+    if begin is None or begin.at > request.ended.at:
+        return False
+    if end is not None and end.at < last_part:
+        return False
+    return not any(
+        arrival.at < each.at < last_part
+        and seen.is_sound(each.process, request.sent.at, each.at)
+        for each in request.arrivals
+    )
 
 
 def check_ends(seen: Observations) -> Findings:
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -28,6 +28,7 @@
     ended: Event | None = None
     arrivals: list[Event] = field(default_factory=list)
     runs: list[Event] = field(default_factory=list)
+    first_events: list[Event] = field(default_factory=list)
     ends: list[Event] = field(default_factory=list)
     plain_timeouts: tuple[float, ...] = ()
 
@@ -63,6 +64,19 @@
         )
         return next(ends, None)
 
+    def begin_at_engine(self, arrival: Event) -> Event | None:
+        """Return how an engine began to work on one of the arrivals.
+
+        Work on a stream begins with its first event.
+        """
+        is_stream = self.sent.kind == "streaming"
+        begins = (
+            begin
+            for begin in (self.first_events if is_stream else self.runs)
+            if begin.process == arrival.process and begin.at >= arrival.at
+        )
+        return next(begins, None)
+
 
 @dataclass(slots=True)
 class Stop:
@@ -220,6 +234,7 @@
             "ended": self._on_ended,
             "arrived": self._on_arrived,
             "began": self._on_began,
+            "wrote": self._on_wrote,
             "left": self._on_left,
             "signal": self._on_signal,
             "started": self._on_started,
@@ -258,6 +273,10 @@
         if event.request in self.requests:
             self.requests[event.request].runs.append(event)
 
+    def _on_wrote(self, event: Event) -> None:
+        if event.request in self.requests:
+            self.requests[event.request].first_events.append(event)
+
     def _on_left(self, event: Event) -> None:
         if event.request in self.requests:
             self.requests[event.request].ends.append(event)
--- a/tests/process_soak/record.py
+++ b/tests/process_soak/record.py
@@ -16,7 +16,8 @@
 class Event(msgspec.Struct, omit_defaults=True):
     """One observation. ``what`` says which; fields that do not apply are left out.
 
-    Callers record ``sent`` and ``ended``, engines ``arrived``, ``began`` and ``left``.
+    Callers record ``sent`` and ``ended``, engines ``arrived``, ``began``,
+    ``wrote`` (the first event of a stream) and ``left``.
     The run itself records ``signal``, ``started``, ``exited``, ``fault``, ``store``
     (the store is disturbed), ``harmed`` (an engine is), ``disturbed`` (a gateway is, by
     its links), ``leaving`` (the store has accepted that an engine leaves or is gone),
--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -35,6 +35,11 @@
     return Event(at, "began", process=engine, **fields)
 
 
+def wrote(at, id_="r", engine="e1"):
+    """Return the first event of a stream that an engine writes."""
+    return Event(at, "wrote", process=engine, request=id_)
+
+
 def left(at, id_="r", engine="e1", result="answered"):
     return Event(at, "left", process=engine, request=id_, result=result)
 
@@ -341,6 +346,7 @@
     return [
         sent(sent_at, kind="streaming", deadline=30.0),
         *run(sent_at, service="llm"),
+        wrote(sent_at + 0.1),
         ended(ended_at, result="cut"),
         left(left_at, result="dropped"),
     ]
@@ -362,6 +368,67 @@
     assert findings(signal(10.0, "SIGTERM"), cut_late(12.9, 17.2, 16.0)) == ["LOST"]
 
 
+def cut_unbegun(*events):
+    """Return a stream that an engine holds and that is cut at the end of the grace."""
+    kept = sent(12.0, kind="streaming", deadline=30.0), arrived(12.0, service="llm")
+    cut = ended(17.2, result="cut"), left(17.2, result="dropped")
+    return findings(signal(10.0, "SIGTERM"), *kept, *events, *cut)
+
+
+def test_a_stream_in_the_queue_of_its_engine_is_not_at_work_at_the_end_of_the_grace():
+    assert cut_unbegun() == ["LOST"]
+
+
+def test_a_stream_without_an_event_is_not_at_work_at_the_end_of_the_grace():
+    assert cut_unbegun(began(12.1, service="llm")) == ["LOST"]
+    assert cut_unbegun(began(12.1, service="llm"), wrote(17.3)) == ["LOST"]
+
+
+def test_a_stream_that_begins_in_the_last_sixth_of_the_grace_is_at_work():
+    assert cut_unbegun(began(12.1, service="llm"), wrote(17.1)) == []
+
+
+def test_a_lookup_without_an_answer_is_at_work_once_its_engine_began():
+    kept = sent(12.9, deadline=30.0), arrived(12.9)
+    cut = ended(16.7, result="cut"), left(16.7, result="dropped")
+    stop = signal(9.9, "SIGTERM")
+    bounds = {"plain_timeouts": (8.0,)}
+    assert findings(stop, *kept, began(13.0), *cut, **bounds) == []
+    assert findings(stop, *kept, *cut, **bounds) == ["LOST"]
+
+
+def moved(moved_at, *events):
+    """Return a stream that goes to a second engine and is cut at the end of the grace.
+
+    The first, which had begun, notices that it was given up when it runs again.
+    """
+    first = [*run(12.0, service="llm"), wrote(12.1), left(17.3, result="dropped")]
+    second = [arrived(moved_at, engine="e2", service="llm"), *events]
+    cut = sent(12.0, kind="streaming", deadline=30.0), ended(17.2, result="cut")
+    return findings(signal(10.0, "SIGTERM"), first, second, *cut)
+
+
+def test_an_engine_that_was_given_up_for_its_silence_is_not_at_work():
+    dropped = left(15.0, result="dropped")
+    assert moved(15.0, dropped) == ["LOST"]
+    assert moved(15.0) == ["LOST"]
+
+
+def test_an_engine_that_was_given_up_in_the_last_sixth_of_the_grace_was_at_work():
+    assert moved(16.9) == []
+
+
+def test_an_engine_that_goes_on_with_a_stream_that_was_moved_is_at_work():
+    again = began(15.0, engine="e2", service="llm"), wrote(15.1, engine="e2")
+    assert moved(15.0, *again) == []
+
+
+def test_a_request_that_a_frozen_engine_reads_late_does_not_end_work_elsewhere():
+    again = began(15.0, engine="e2", service="llm"), wrote(15.1, engine="e2")
+    late = arrived(16.0, service="llm")
+    assert moved(15.0, *again, late, harmed(14.0, 16.0)) == []
+
+
 def test_a_cut_by_the_kill_at_the_end_of_the_grace_is_found():
     stop = signal(10.0, "SIGTERM"), signal(18.0, "SIGKILL")
     assert findings(*stop, cut_late(14.0, 18.0, 18.0)) == ["LOST"]
