Play long streams with pauses and callers that read slowly in the soak

The soak of real processes never played the neighbourhood of streams that are cut beside a SIGTERM: its streams lasted 0.96 s, all alike and without a gap, and every caller read at once.

A profile may now give streams a shape: a length that is drawn from the request's id, the same at each engine, so that a stream can be resumed; a wait before the first event and a pause in the middle, drawn for each engine; longer events. A share of the callers may read slowly or pause for seconds, with a small receive buffer set before they connect and a small bound on what they hold unread. Their own pauses do not count as a silence of the gateway, and they read on at the timeout of the route.

long_streams plays stop_in_turn, stop_twice and reload with these, long_streams_in_trouble plays them beside frozen and slow engines and harmed links.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -24,6 +24,8 @@
     parser.add_argument("--rate", type=float, default=120.0)
     parser.add_argument("--work", type=float, default=0.02)
     parser.add_argument("--events", type=int, default=12, help="events of a stream")
+    parser.add_argument("--engines", type=int, default=4, help="engines of streams")
+    parser.add_argument("--slots", type=int, default=6, help="slots of an engine")
     parser.add_argument("--grace", type=float, default=8.0)
     parser.add_argument("--slack", type=float, default=40.0)
     parser.add_argument("--busy", type=int, default=0)
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -13,6 +13,7 @@
 import argparse
 import asyncio
 import itertools
+import socket
 import time
 import zlib
 from pathlib import Path
@@ -22,6 +23,7 @@
 
 from process_soak.engine import SIGNATURE, plain_body, stream_event
 from process_soak.record import Record
+from process_soak.slow_reading import PROMPT, Reading, SlowReading
 
 HOST = "soak.example"
 API_KEY = "key-of-customer"
@@ -91,6 +93,10 @@
 
 USUAL = Variant()
 
+SLOW_BUFFER_BYTES = 1024
+"""Bound on the bytes that a slow caller holds unread; more than the head of a response
+has."""
+
 
 def api_key(number: int) -> str:
     """Return the customer's API key with a number; the first has 0."""
@@ -192,8 +198,13 @@
         random: Random,
         connections: itertools.count,
         variants: list[Variant],
+        padding: int = 0,
+        slow_reading: SlowReading | None = None,
     ) -> None:
         self._name = name
+        self._padding = padding
+        is_slow = slow_reading is not None and slow_reading.is_slow(name)
+        self._slow_reading = slow_reading if is_slow else None
         self._variants = variants
         self._variant = USUAL
         self._routes = routes
@@ -299,9 +310,26 @@
         host, _, port = self._gateway.rpartition(":")
         self._connection, self._uses = next(self._connections), 0
         async with asyncio.timeout(CONNECT_TIMEOUT):
-            opened = await asyncio.open_connection(host, int(port))
+            opened = await self._open(host, int(port))
         self._reader, self._writer = opened
 
+    async def _open(
+        self, host: str, port: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._slow_reading is None:
+            return await asyncio.open_connection(host, port)
+        sock = socket.socket()
+        try:
+            # Only before it connects does the size bound the window.
+            size = self._slow_reading.receive_bytes
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (host, port))
+            return await asyncio.open_connection(sock=sock, limit=SLOW_BUFFER_BYTES)
+        except BaseException:
+            sock.close()
+            raise
+
     def _close(self) -> None:
         if self._writer is not None:
             self._writer.close()
@@ -341,25 +369,36 @@
 
     async def _read_stream(self, route: Route, request_id: str) -> None:
         body = b""
-        while True:
+        reading = self._draw_reading(request_id)
+        times_out_at = time.monotonic() + route.deadline
+        for piece in itertools.count(1):
             async with asyncio.timeout(route.patience):
                 size = int(await self._reader.readuntil(b"\r\n"), 16)
                 chunk = await self._reader.readexactly(size + 2)
             if not size:
                 break
+            left = max(0.0, times_out_at - time.monotonic())
+            await asyncio.sleep(min(left, reading.rest_after(piece)))
             # Comments are whole events, and gateways forward whole events only.
             body += chunk[:-2].replace(COMMENT, b"")
             self._check_events(request_id, body)
         if not self._check_events(request_id, body):
             raise Disordered(f"complete after {body[-80:]!r}")
 
+    def _draw_reading(self, request_id: str) -> Reading:
+        if self._slow_reading is None:
+            return PROMPT
+        return self._slow_reading.draw(request_id)
+
     def _check_events(self, request_id: str, body: bytes) -> bool:
         """Check what has come of a stream; return whether all of it has."""
         first, is_whole, _ = body.partition(b"\n\n")
         if not is_whole:
             return False
         last = int(first.rpartition(b"/")[2])
-        events = [stream_event(request_id, n, last) for n in range(1, last + 1)]
+        events = [
+            stream_event(request_id, n, last, self._padding) for n in range(1, last + 1)
+        ]
         expected = b"".join(events)
         if not expected.startswith(body):
             raise Disordered(f"events up to {body[-80:]!r}")
@@ -406,6 +445,7 @@
     :param probed: gateways to which requests on the routes in ``probe_routes`` are sent
         by a caller of their own each, whether callers are told to use them or not.
     :param variants: what a share of the requests is drawn from.
+    :param padding: bytes by which events of streams are longer.
     """
 
     name: str
@@ -419,6 +459,8 @@
     probed: list[str] = []
     probe_routes: list[Route] = []
     variants: list[Variant] = []
+    padding: int = 0
+    slow_reading: SlowReading | None = None
 
 
 async def _main(plan: Plan, record: Record) -> None:
@@ -438,6 +480,8 @@
             Random(random.random()),
             connections,
             plan.variants,
+            plan.padding,
+            plan.slow_reading,
         )
         for number in range(plan.callers)
     ]
--- a/tests/process_soak/engine.py
+++ b/tests/process_soak/engine.py
@@ -23,6 +23,7 @@
 
 from process_soak.endless import SHAPES
 from process_soak.record import FOREVER, Record
+from process_soak.stream_shape import StreamCourse, StreamShape
 
 MAX_QUEUED_PER_SLOT = 4
 """Requests per slot that wait for one; more are refused."""
@@ -77,9 +78,13 @@
     return f"answer to {request_id} ".encode() * 16
 
 
-def stream_event(request_id: str, number: int, last: int) -> bytes:
-    """Return one event of a stream."""
-    return f"id: {number}\ndata: {request_id} {number}/{last}\n\n".encode()
+def stream_event(request_id: str, number: int, last: int, padding: int = 0) -> bytes:
+    """Return one event of a stream.
+
+    :param padding: bytes by which it is longer.
+    """
+    text = request_id + "." * padding
+    return f"id: {number}\ndata: {text} {number}/{last}\n\n".encode()
 
 
 class Engine:
@@ -88,6 +93,7 @@
     :param work: seconds that a plain request takes, or a stream until its first event.
     :param events: events of a stream; 0 for a plain service.
     :param interval: seconds between two events.
+    :param shape: what streams are drawn from; all alike without it.
     """
 
     def __init__(
@@ -100,6 +106,7 @@
         interval: float,
         record: Record,
         random: Random,
+        shape: StreamShape | None = None,
     ) -> None:
         self._id = id_
         self._service = service
@@ -109,6 +116,7 @@
         self._work = work
         self._events = events
         self._interval = interval
+        self._shape = shape
         self._record = record
         self._random = random
         self._faults = EngineFaults()
@@ -218,8 +226,10 @@
         faults, draw = self._faults, self._random.random()
         work = self._work * faults.slowness * self._random.uniform(0.7, 1.3)
         first = int(request.headers.get("last-event-id", 0)) + 1
-        intervals = max(0, self._events - first) * self._interval * faults.slowness
-        self._add("began", request, "", until=time.monotonic() + work + intervals)
+        course = self._draw_course(request, first)
+        rest = course.wait + course.pause
+        rest += max(0, course.events - first) * self._interval * faults.slowness
+        self._add("began", request, "", until=time.monotonic() + work + rest)
         if draw < faults.reset + faults.close:
             self._add("left", request, "reset")
             if draw < faults.reset:
@@ -228,7 +238,7 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
             raise Broken
-        await asyncio.sleep(work)
+        await asyncio.sleep(work + course.wait)
         if self._random.random() < faults.fail:
             self._write(writer, request, 500, [f"{SIGNATURE}: {self._id}.0"], b"")
             return "failed"
@@ -239,17 +249,25 @@
             return "answered"
         fields = [f"{SIGNATURE}: {self._id}.0", "Content-Type: text/event-stream"]
         self._write(writer, request, 200, fields, None)
-        for number in range(first, self._events + 1):
-            event = stream_event(request.id, number, self._events)
+        padding = self._shape.padding if self._shape else 0
+        for number in range(first, course.events + 1):
+            event = stream_event(request.id, number, course.events, padding)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             if number == first:
                 self._add("wrote", request, "")
             await writer.drain()
-            if number < self._events:
-                await asyncio.sleep(self._interval * faults.slowness)
+            if number < course.events:
+                interval = self._interval * faults.slowness
+                await asyncio.sleep(interval + course.rest_after(number))
         writer.write(b"0\r\n\r\n")
         return "answered"
 
+    def _draw_course(self, request: Request, first: int) -> StreamCourse:
+        """Return how a stream is written, from its first event that is missing."""
+        if self._shape is None:
+            return StreamCourse(self._events)
+        return self._shape.draw(request.id, self._id, first)
+
     def _write(
         self,
         writer: asyncio.StreamWriter,
@@ -293,7 +311,8 @@
     record = Record(options.record)
     random = Random(options.seed)
     sizes = options.slots, options.work, options.events, options.interval
-    engine = Engine(options.id, options.service, *sizes, record, random)
+    shape = options.shape and msgspec.json.decode(options.shape, type=StreamShape)
+    engine = Engine(options.id, options.service, *sizes, record, random, shape)
     host, _, port = options.address.rpartition(":")
     server = await asyncio.start_server(engine.serve, host, int(port), backlog=512)
     record.add("started", process=options.id)
@@ -311,4 +330,5 @@
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--interval", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--shape", help="StreamShape as JSON")
     asyncio.run(_main(parser.parse_args()))
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -24,6 +24,8 @@
     Process,
     Site,
 )
+from process_soak.slow_reading import SlowReading
+from process_soak.stream_shape import StreamShape
 
 CONTENTS: dict[str, Sequence[int]] = {
     "routes": range(MAX_EXTRA_ROUTES + 1),
@@ -492,6 +494,9 @@
     :param max_gap: longest such time; most faults last longer, so that they overlap.
     :param has_variants: whether callers send requests that only some versions allow.
     :param plain_timeouts: see :class:`process_soak.site.Bounds`.
+    :param shape: see :class:`process_soak.site.Sizes`; its seed is that of the run.
+    :param slow_reading: the same.
+    :param is_drawn: whether a run without a stated profile may have this one.
     """
 
     names: tuple[str, ...]
@@ -499,8 +504,23 @@
     max_gap: float = 4.0
     has_variants: bool = False
     plain_timeouts: tuple[float, ...] = ()
+    shape: StreamShape | None = None
+    slow_reading: SlowReading | None = None
+    is_drawn: bool = True
+
+
+LONG_STREAMS = StreamShape(
+    min_events=4,
+    max_events=110,
+    wait_share=0.4,
+    pause_share=0.7,
+    min_pause=1.0,
+    max_pause=4.0,
+    padding=1000,
+)
+"""Streams that last from less than a second to longer than the grace."""
 
-
+STOPS = ("stop_in_turn", "stop_in_turn", "stop_twice", "reload")
 PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
 PROFILES = {
     "all": Profile(COMMON_FAULTS),
@@ -536,9 +556,34 @@
         1.4,
         has_variants=True,
     ),
+    "long_streams": Profile(
+        STOPS,
+        0.5,
+        2.0,
+        shape=LONG_STREAMS,
+        slow_reading=SlowReading(0.2),
+        is_drawn=False,
+    ),
+    "long_streams_in_trouble": Profile(
+        (
+            *STOPS,
+            *("engine_frozen", "engines_slow"),
+            *("links_delayed", "links_silent", "links_held"),
+        ),
+        0.5,
+        2.0,
+        shape=LONG_STREAMS,
+        slow_reading=SlowReading(0.2),
+        is_drawn=False,
+    ),
 }
 
 
+def draw_profile(random: Random) -> str:
+    """Return the name of a profile."""
+    return random.choice(sorted(name for name in PROFILES if PROFILES[name].is_drawn))
+
+
 def draw_faults(random: Random, profile: str, seconds: float) -> list[Fault]:
     """Return the series of faults of a run."""
     faults = []
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -6,13 +6,27 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
-
-from process_soak.faults import NEED_PROXY, PROFILES, Fault, Injector, draw_faults
+from typing import TypeVar
+
+import msgspec
+
+from process_soak.faults import (
+    NEED_PROXY,
+    PROFILES,
+    Fault,
+    Injector,
+    draw_faults,
+    draw_profile,
+)
 from process_soak.networks import hold
 from process_soak.observations import Observations
 from process_soak.record import read_events
 from process_soak.rules import check, summary
 from process_soak.site import PORTS, Bounds, Site, Sizes
+from process_soak.slow_reading import SlowReading
+from process_soak.stream_shape import StreamShape
+
+Drawn = TypeVar("Drawn", StreamShape, SlowReading)
 
 END_TIMEOUT = 15.0
 """Seconds in which callers end after their last request."""
@@ -45,6 +59,8 @@
     gateway: str
     network: str
     directory: Path
+    engines: int = 4
+    slots: int = 6
 
 
 @dataclass(slots=True)
@@ -70,22 +86,27 @@
 
 def _play_alone(options: Options) -> Report:
     random = Random(options.seed)
-    profile = options.profile or random.choice(sorted(PROFILES))
+    profile = options.profile or draw_profile(random)
+    played = PROFILES[profile]
     directory = options.directory.absolute() / f"{options.seed}-{profile}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
     sizes = Sizes(
         gateways=options.gateways,
+        engines=options.engines,
+        slots=options.slots,
         callers=options.callers,
         rate=options.rate,
         work=options.work,
         events=options.events,
         busy=options.busy,
+        shape=_seed(played.shape, options.seed),
+        slow_reading=_seed(played.slow_reading, options.seed),
     )
     bounds = Bounds(
         grace=options.grace,
         retry_slack=options.slack,
-        plain_timeouts=PROFILES[profile].plain_timeouts,
+        plain_timeouts=played.plain_timeouts,
     )
     faults = draw_faults(random, profile, options.seconds)
     site = Site(
@@ -97,16 +118,16 @@
         options.gateway,
         options.network,
         any(fault.name in NEED_PROXY for fault in faults),
-        PROFILES[profile].has_variants,
+        played.has_variants,
     )
     began = asyncio.run(_play(site, faults, options.seconds))
     names = {f"{each.ip}:{PORTS['front']}": each.name for each in site.gateways}
     seen = Observations(read_events(directory), bounds, names)
     findings = check(seen)
-    played = ", ".join(f"{fault.name} {fault.at:.1f}" for fault in faults)
+    series = ", ".join(f"{fault.name} {fault.at:.1f}" for fault in faults)
     head = f"seed {options.seed} {profile}: {len(findings)} findings; {summary(seen)}"
     text = "\n".join(
-        [head, f"  {played}; began at {began:.2f}", *(f"  {each}" for each in findings)]
+        [head, f"  {series}; began at {began:.2f}", *(f"  {each}" for each in findings)]
     )
     (directory / "report.txt").write_text(text)
     if not findings:
@@ -118,6 +139,10 @@
     return Report(findings, text, answered)
 
 
+def _seed(drawn: Drawn | None, seed: int) -> Drawn | None:
+    return drawn and msgspec.structs.replace(drawn, seed=seed)
+
+
 async def _play(site: Site, faults: list[Fault], seconds: float) -> float:
     """Play the faults; return when the callers started."""
     injector = Injector(site)
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -21,6 +21,8 @@
 from process_soak.link_proxy import LinkFaults, LinkOrder
 from process_soak.networks import gateway_ip
 from process_soak.record import Record
+from process_soak.slow_reading import SlowReading
+from process_soak.stream_shape import StreamShape
 
 RESTART_DELAY = 0.5
 """Seconds after its end in which the platform starts a gateway again."""
@@ -79,6 +81,8 @@
     :param work: seconds that an engine needs for a plain request.
     :param events: events of a stream, ``interval`` seconds apart.
     :param busy: processes that only use the processor.
+    :param shape: what streams are drawn from, in place of ``events``.
+    :param slow_reading: how a share of the callers reads streams.
     """
 
     gateways: int = 6
@@ -92,6 +96,8 @@
     interval: float = 0.08
     leave_share: float = 0.02
     busy: int = 0
+    shape: StreamShape | None = None
+    slow_reading: SlowReading | None = None
 
 
 ROUTES = [
@@ -345,6 +351,8 @@
                 fronts[number::processes],
                 extra_routes(MAX_EXTRA_ROUTES),
                 VARIANTS if self._has_variants else [],
+                self.sizes.shape.padding if self.sizes.shape else 0,
+                self.sizes.slow_reading,
             )
             path = self.directory / f"callers-{number}.json"
             path.write_bytes(msgspec.json.encode(plan))
@@ -483,6 +491,8 @@
         words += ["--seed", str(self.random.getrandbits(32))]
         if is_llm:
             words += ["--events", str(sizes.events), "--interval", str(sizes.interval)]
+            if sizes.shape is not None:
+                words += ["--shape", msgspec.json.encode(sizes.shape).decode()]
         engine.child = await self._spawn(words, engine.name)
         await self._until(lambda: self.set_engine_faults(engine, EngineFaults()))
         await self.register(engine)
