Give the soak's store, engines and links addresses that nobody else gets

The soak chose free ports of 127.0.0.1 and its processes bound them later, in the range that the system gives to outgoing connections. Change: each gets an address of the run's own network, once, with a port below the system's range; the stand-in of the store takes the host at which it listens.

--- a/src/cyclamenyoke/standins/__main__.py
+++ b/src/cyclamenyoke/standins/__main__.py
@@ -17,12 +17,13 @@
 
 
 @app.command
-def platform(port: int, *, seed: int = 1) -> None:
+def platform(port: int, *, host: str = LOOPBACK, seed: int = 1) -> None:
     """Run a stand-in for the platform's key-value store.
 
+    :param host: address at which it listens.
     :param seed: the random seed of its faults.
     """
-    asyncio.run(_serve(StandInPlatform(Random(seed)).application(), port))
+    asyncio.run(_serve(StandInPlatform(Random(seed)).application(), host, port))
 
 
 @app.command
@@ -31,11 +32,11 @@
 
     :param token_time: seconds between two tokens.
     """
-    asyncio.run(_serve(StandInEndpoint(token_time), port))
+    asyncio.run(_serve(StandInEndpoint(token_time), LOOPBACK, port))
 
 
-async def _serve(application: Any, port: int) -> None:
-    server = HttpServer(application, LOOPBACK, port)
+async def _serve(application: Any, host: str, port: int) -> None:
+    server = HttpServer(application, host, port)
     await server.start()
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/process_soak/networks.py
+++ b/tests/process_soak/networks.py
@@ -1,9 +1,10 @@
 """The loopback networks from which gateways of a run get their addresses.
 
-Networks 127.1 to 127.254 can be used; the store, engines and links listen in 127.0. A
-run holds its network alone, until its process ends.
+Networks 127.1 to 127.254 can be used; the store, engines and links listen there as
+well. A run holds its network alone, until its process ends.
 """
 
+import itertools
 import re
 import socket
 from collections.abc import Iterable, Iterator
@@ -12,6 +13,10 @@
 LOCK_PORT = 8200
 """Port of the first address that a run binds; gateways use others."""
 
+FIRST_SERVICE_PORT = 20_000
+"""First port of the store, engines and links, which get one each; the system gives none
+of these to outgoing connections."""
+
 FIRST, LAST = 1, 254
 """Second numbers of the networks."""
 
@@ -56,6 +61,12 @@
     return f"{network}.{number // 200}.{number % 200 + 1}"
 
 
+def service_addresses(network: str) -> Iterator[str]:
+    """Return addresses for the store, engines and links, each of them once."""
+    for port in itertools.count(FIRST_SERVICE_PORT):
+        yield f"{network}.255.1:{port}"
+
+
 @contextmanager
 def hold(network: str, gateways: int, ports: Iterable[int]) -> Iterator[None]:
     """Hold a network alone. The system ends that when this process dies.
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -19,7 +19,7 @@
 from process_soak.callers import HOST, Plan, Route, Variant, api_key
 from process_soak.engine import FAULTS_PATH, EngineFaults
 from process_soak.link_proxy import LinkFaults, LinkOrder
-from process_soak.networks import gateway_ip
+from process_soak.networks import gateway_ip, service_addresses
 from process_soak.record import Record
 from process_soak.slow_reading import SlowReading
 from process_soak.stream_shape import StreamShape
@@ -295,24 +295,25 @@
         self._version = 0
         self._configuring = asyncio.Lock()
         self._asking: list[asyncio.Task[None]] = []
-        self.store = f"127.0.0.1:{free_port()}"
+        self._addresses = service_addresses(network)
+        self.store = next(self._addresses)
         self._has_links = has_links
         self._has_variants = has_variants
-        self._links_control = f"127.0.0.1:{free_port()}"
+        self._links_control = next(self._addresses)
         self._links: dict[str, str] = {}
 
     # Starting.
 
     async def start(self) -> None:
         """Start all processes but the callers; return once each gateway is ready."""
-        port = self.store.rpartition(":")[2]
-        store = ["-m", "cyclamenyoke.standins", "platform", port]
+        host, _, port = self.store.rpartition(":")
+        store = ["-m", "cyclamenyoke.standins", "platform", port, "--host", host]
         self._others.append(await self._spawn(store, "store"))
         await self._until(lambda: self._put({}))
         await self.configure(Contents(plain_timeout=self.shortest_timeout))
         for service, count in ((LLM, self.sizes.engines), (APP, self.sizes.servers)):
             for number in range(count):
-                address = f"127.0.0.1:{free_port()}"
+                address = next(self._addresses)
                 engine = EngineProcess(f"{service}-{number}", service, address)
                 self.engines.append(engine)
         if self._has_links:
@@ -460,7 +461,7 @@
     async def _start_links(self) -> None:
         targets = {each.name: each.address for each in self.engines}
         targets[STORE] = self.store
-        self._links = {name: f"127.0.0.1:{free_port()}" for name in targets}
+        self._links = {name: next(self._addresses) for name in targets}
         words = ["-m", "process_soak.link_proxy", "--control", self._links_control]
         for name, target in targets.items():
             words += ["--link", f"{name},{self._links[name]},{target}"]
--- a/tests/test_process_soak_networks.py
+++ b/tests/test_process_soak_networks.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 from contextlib import closing
+from itertools import islice
+from pathlib import Path
 
 import pytest
 
@@ -18,6 +20,7 @@
     gateway_ip,
     hold,
     parse_network,
+    service_addresses,
 )
 from process_soak.site import PORTS, ROOT
 
@@ -127,3 +130,16 @@
 
 def test_lock_uses_no_port_of_gateways():
     assert LOCK_PORT not in PORTS.values()
+
+
+# Guards against a port that another process gets between its choice and its use.
+def test_services_of_a_run_get_no_address_that_others_may_have():
+    drawn = [
+        address
+        for network in ("127.20", "127.21")
+        for address in islice(service_addresses(network), 40)
+    ]
+    assert len(set(drawn)) == 80
+    range_of_others = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+    first_of_others = int(range_of_others.split()[0])
+    assert all(int(each.rpartition(":")[2]) < first_of_others for each in drawn)
