Bound callers' connections by the descriptors of the settings

What callers saw: connections without a byte use up a gateway's descriptors. Engines, the store and the readiness check then get none, and ordinary callers wait in the queue of new connections. At the end of its descriptors asyncio tries each waiting connection again as often as the backlog holds.

Change: core/connection_limit.py divides the descriptors between callers, the auxiliary addresses and internal connections, and chooses the idle connection that is closed for a new one: those that never sent a whole request, kept ones, those in the middle of a body; the longest idle first. None whose request has been read or whose response is unsent. A new connection without room gets 503 with Retry-After before it is read. The listener accepts 16 connections in a pass of the loop, and one failure for want of descriptors ends a pass.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import errno
 import socket
 import struct
 from collections.abc import Callable, Coroutine, Sequence
@@ -23,6 +24,7 @@
     TABS_TO_SPACES,
     normalize_head,
 )
+from cyclamenyoke.core.connection_limit import ConnectionLimit, ConnectionUse
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -32,6 +34,16 @@
 """Connections that may wait to be accepted; enough for a burst from all callers of a
 small site."""
 
+MAX_ACCEPTS_AT_ONCE = 16
+"""Connections that are accepted before the event loop goes on, so that those above the
+limit are closed before many more are accepted."""
+
+NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
+"""Errors of accepting while there is no file descriptor left."""
+
+FULL_RETRY_AFTER = 1 * SECOND
+"""Seconds after which a caller that found no room for its connection may try again."""
+
 SWEEP_INTERVAL = 500 * MILLISECOND
 """Seconds between two checks of the connections' deadlines."""
 
@@ -192,6 +204,10 @@
     return b"\r\n".join([*lines, b"", b""])
 
 
+def _has_unsent(connection: "IngressConnection") -> bool:
+    return connection.has_unsent
+
+
 def _after(data: bytes, mark: bytes, start: int) -> int:
     """Return the position after the next mark; the length of the data without one."""
     position = data.find(mark, start)
@@ -308,6 +324,7 @@
         # Unsent bytes of the last response when its reset was last put off.
         self._unsent_before = 0
         self._is_lost = False
+        self._has_handled = False
         self._deadline = server.clock.now() + server.limits.header_timeout
         self._is_receiving = False
         # The last bytes received, if they may be a tab at the end of a header's line.
@@ -329,6 +346,19 @@
         is_handling = self._is_receiving or self._task is not None
         return is_handling or self._unsent_bytes > 0
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of a response has not been passed to the kernel."""
+        return self._unsent_bytes > 0
+
+    @property
+    def _use(self) -> ConnectionUse:
+        if self._task is not None or self._pending:
+            return ConnectionUse.HANDLING
+        if self._is_receiving and self._is_head_complete:
+            return ConnectionUse.RECEIVING
+        return ConnectionUse.KEPT if self._has_handled else ConnectionUse.NEW
+
     @property
     def _unsent_bytes(self) -> int:
         transport = self._transport
@@ -426,6 +456,18 @@
         elif self._is_receiving:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def close_for_room(self) -> None:
+        """Close now, since the server has no room; no request is passed on from here.
+
+        Callers that have sent a part of a request learn that it has not run.
+        """
+        if self._transport is None:
+            return
+        if not self._has_handled or self._is_receiving:
+            self.write(self._server.full_response)
+        self._is_discarding = True
+        self._transport.close()
+
     # asyncio callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -436,6 +478,8 @@
         # whose callers are alive and pause to read.
         probe_idle_peer(transport.get_extra_info("socket"))
         self._server.on_open(self)
+        if self._is_discarding:
+            return
         if self._server.is_closed:
             # Accepted just before the server closed.
             transport.close()
@@ -593,6 +637,7 @@
             if name.lower() == b"content-length":
                 self._content_length = int(value)
                 self._check_body_size(self._content_length)
+        self._server.connection_limit.update(self, self._use)
         if self._must_continue and not self._is_discarding:
             self._start_next()
 
@@ -724,8 +769,10 @@
             self._transport.pause_reading()
         request = self._pending.popleft()
         responder = Responder(self, request)
+        self._has_handled = True
         self._task = asyncio.create_task(self._server.handler(request, responder))
         self._task.add_done_callback(partial(self._on_done, responder))
+        self._server.connection_limit.update(self, self._use)
 
     def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
@@ -739,6 +786,40 @@
             # Not after a response that closes the connection.
             if self._reset_at is None:
                 self._start_next()
+        self._server.connection_limit.update(self, self._use)
+
+
+class PacedListener(socket.socket):
+    """A listening socket that accepts a few connections in each pass of the event loop.
+
+    The loop would otherwise accept as many as the backlog holds before it opens any,
+    and would go on trying, as often, while there is no file descriptor left.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._accepts_left = MAX_ACCEPTS_AT_ONCE
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept a connection.
+
+        :raises BlockingIOError: if there is none, or it is left to the next pass.
+        """
+        if self._accepts_left == 0:
+            raise BlockingIOError
+        if self._accepts_left == MAX_ACCEPTS_AT_ONCE:
+            asyncio.get_running_loop().call_soon(self._renew)
+        self._accepts_left -= 1
+        try:
+            return super().accept()
+        except OSError as error:
+            if error.errno in NO_DESCRIPTOR_ERRORS:
+                # The loop pauses accepting once, rather than for each further try.
+                self._accepts_left = 0
+            raise
+
+    def _renew(self) -> None:
+        self._accepts_left = MAX_ACCEPTS_AT_ONCE
 
 
 class IngressServer:
@@ -752,6 +833,9 @@
     :param are_limits_confirmed: returns whether a request that arrived at a time may be
         denied by the limits in force. Otherwise it gets 503.
     :param unconfirmed_headers: headers of these responses.
+    :param connection_limit: without a limit if left out.
+    :param full_headers: headers of the response to a connection for which there is no
+        room.
     """
 
     def __init__(
@@ -763,6 +847,8 @@
         request_id_header: bytes = b"",
         are_limits_confirmed: Callable[[float], bool] = lambda arrived_at: True,
         unconfirmed_headers: Sequence[Header] = (),
+        connection_limit: ConnectionLimit[IngressConnection] | None = None,
+        full_headers: Sequence[Header] = (),
     ) -> None:
         self.handler = handler
         self.clock = clock
@@ -771,6 +857,11 @@
         self.request_id_header = request_id_header
         self.are_limits_confirmed = are_limits_confirmed
         self.unconfirmed_headers = unconfirmed_headers
+        self.connection_limit = connection_limit or ConnectionLimit()
+        self.full_response = encode_head(
+            HTTPStatus.SERVICE_UNAVAILABLE.value,
+            [*full_headers, (b"Content-Length", b"0"), (b"Connection", b"close")],
+        )
         self.limits = CallerLimits()
         self.is_draining = False
         self.is_closed = False
@@ -794,7 +885,7 @@
         :param address: ``IP:PORT`` to listen on.
         """
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = PacedListener()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, int(port)))
         loop = asyncio.get_running_loop()
@@ -817,12 +908,20 @@
             connection.close_for_stop()
 
     def on_open(self, connection: IngressConnection) -> None:
-        """Register a new connection."""
+        """Register a new connection, and close another one or this one without room."""
         self._connections.add(connection)
+        if self.connection_limit.is_reached:
+            idle = self.connection_limit.make_room(_has_unsent)
+            if idle is None:
+                connection.close_for_room()
+                return
+            idle.close_for_room()
+        self.connection_limit.add(connection)
 
     def on_close(self, connection: IngressConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self.connection_limit.remove(connection)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -17,11 +17,17 @@
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
-from cyclamenyoke.adapters.http_ingress import HttpRequest, IngressServer, Responder
+from cyclamenyoke.adapters.http_ingress import (
+    FULL_RETRY_AFTER,
+    HttpRequest,
+    IngressServer,
+    Responder,
+)
 from cyclamenyoke.adapters.logs import Log, install_nonblocking_logs
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
 from cyclamenyoke.core.cold_endpoints import ColdEndpoints, ColdObserver
+from cyclamenyoke.core.connection_limit import ConnectionLimit, share_descriptors
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
 from cyclamenyoke.core.engine_limits import EngineLimits, LimitObserver
 from cyclamenyoke.core.gateway_config import GatewayConfig
@@ -242,23 +248,29 @@
         self._quarantine_handler = QuarantineHandler(
             self._quarantine, self._clock, self._log
         )
+        shares = share_descriptors(settings.file_descriptors)
         self._caller_server = self._create_server(
             CallerHandler(
                 self._forwarder.serve, self._on_refused, self._on_unreadable_header
-            )
+            ),
+            shares.callers,
         )
         self._servers = [
             (settings.callers, self._caller_server),
-            (settings.readiness, self._create_server(ReadinessHandler(self._is_ready))),
+            (
+                settings.readiness,
+                self._create_server(ReadinessHandler(self._is_ready), shares.auxiliary),
+            ),
             (
                 settings.directory,
                 self._create_server(
-                    DirectoryHandler(self._addresses, self._address_lifetime, random)
+                    DirectoryHandler(self._addresses, self._address_lifetime, random),
+                    shares.auxiliary,
                 ),
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
-                self._create_server(self._serve_operators),
+                self._create_server(self._serve_operators, shares.auxiliary),
             ),
         ]
         self._stopping = asyncio.Event()
@@ -366,7 +378,7 @@
                 break
             await asyncio.sleep(FLUSH_POLL_INTERVAL)
 
-    def _create_server(self, handler: object) -> IngressServer:
+    def _create_server(self, handler: object, max_connections: int) -> IngressServer:
         return IngressServer(
             handler,  # type: ignore[arg-type]
             self._clock,
@@ -375,6 +387,8 @@
             REQUEST_ID,
             self._are_limits_confirmed,
             [(RETRY_AFTER, b"%.3f" % UNCONFIRMED_RETRY_AFTER)],
+            ConnectionLimit(max_connections),
+            [(RETRY_AFTER, b"%.3f" % FULL_RETRY_AFTER)],
         )
 
     def _are_limits_confirmed(self, arrived_at: float) -> bool:
@@ -442,6 +456,8 @@
         self._metrics.gauge(
             "evacuated_data_centres", len(self._evacuation.state.active)
         )
+        for name, count in self._count_without_room().items():
+            self._metrics.gauge(name, count)
         self._set_retry_budget_gauges()
         peak = getrusage(RUSAGE_SELF).ru_maxrss * KIBIBYTE
         self._metrics.gauge("peak_memory_bytes", peak)
@@ -450,6 +466,14 @@
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         responder.respond(200, [content_type], self._metrics.render().encode())
 
+    def _count_without_room(self) -> dict[str, int]:
+        """Return how many connections have been closed or refused for room."""
+        limits = [server.connection_limit for _, server in self._servers]
+        return {
+            "connections_closed_for_room": sum(each.closed_count for each in limits),
+            "connections_refused": sum(each.refused_count for each in limits),
+        }
+
     def _set_retry_budget_gauges(self) -> None:
         now = self._clock.now()
         for service, state in self._forwarder.retry_budget_states(now).items():
@@ -467,10 +491,15 @@
 
     async def _run_housekeeping(self) -> None:
         next_totals_at = self._clock.now() + TOTALS_INTERVAL
+        without_room = self._count_without_room()
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._pool.close_expired()
             self._cold_endpoints.refresh(self._clock.now())
+            counts = self._count_without_room()
+            if counts != without_room:
+                without_room = counts
+                self._log.warning("too many connections from callers", **counts)
             if self._clock.now() >= next_totals_at:
                 next_totals_at += TOTALS_INTERVAL
                 self._log.info(
