Give auxiliary addresses small limits of their own

What operators saw: the addresses of readiness, directory and operators take bodies of up to max_body_bytes on each connection, though they serve none or small ones. A crowd fills the process through them as well.

Cause: the operator's configuration set the limits of all of a gateway's servers.

Change: CallerLimits.for_auxiliary keeps the timeouts of the configuration and fixes the sizes: heads of 8 KiB, bodies of 4 KiB (the quarantine API at the operators' address needs a few hundred bytes). They don't depend on the configuration, so a refusal needs no confirmation of it: 413 and 431. A part of a body that exceeds the limit is no longer appended before it is refused.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -644,9 +644,10 @@
     def on_body(self, data: bytes) -> None:
         if self._is_discarding:
             return
-        self._body += data
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
-        self._check_body_size(len(self._body))
+        self._check_body_size(len(self._body) + len(data))
+        if not self._is_discarding:
+            self._body += data
 
     def on_message_complete(self) -> None:
         if self._is_discarding:
--- a/src/cyclamenyoke/core/gateway_config.py
+++ b/src/cyclamenyoke/core/gateway_config.py
@@ -1,10 +1,10 @@
 """The configuration of a gateway: routes, services, customers and caller limits."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
-from cyclamenyoke.core.units import MEBIBYTE, SECOND
+from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE, SECOND
 
 
 class RetryMode(enum.Enum):
@@ -133,6 +133,13 @@
     cold_rate: float = 0.0
 
 
+MAX_AUXILIARY_HEADER_BYTES = 8 * KIBIBYTE
+"""Largest head of a request to an auxiliary address, such as that of the directory."""
+
+MAX_AUXILIARY_BODY_BYTES = 4 * KIBIBYTE
+"""Largest body of such a request; only operators send one, to lift a quarantine."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits on callers' requests, in bytes and seconds."""
@@ -142,6 +149,14 @@
     header_timeout: float = 3 * SECOND
     idle_timeout: float = 15 * SECOND
 
+    def for_auxiliary(self) -> "CallerLimits":
+        """Return the limits of auxiliary addresses: these timeouts, and fixed sizes."""
+        return replace(
+            self,
+            max_header_bytes=MAX_AUXILIARY_HEADER_BYTES,
+            max_body_bytes=MAX_AUXILIARY_BODY_BYTES,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Customer:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -254,23 +254,26 @@
                 self._forwarder.serve, self._on_refused, self._on_unreadable_header
             ),
             shares.callers,
+            self._are_limits_confirmed,
         )
         self._servers = [
             (settings.callers, self._caller_server),
             (
                 settings.readiness,
-                self._create_server(ReadinessHandler(self._is_ready), shares.auxiliary),
+                self._create_auxiliary_server(
+                    ReadinessHandler(self._is_ready), shares.auxiliary
+                ),
             ),
             (
                 settings.directory,
-                self._create_server(
+                self._create_auxiliary_server(
                     DirectoryHandler(self._addresses, self._address_lifetime, random),
                     shares.auxiliary,
                 ),
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
-                self._create_server(self._serve_operators, shares.auxiliary),
+                self._create_auxiliary_server(self._serve_operators, shares.auxiliary),
             ),
         ]
         self._stopping = asyncio.Event()
@@ -378,14 +381,27 @@
                 break
             await asyncio.sleep(FLUSH_POLL_INTERVAL)
 
-    def _create_server(self, handler: object, max_connections: int) -> IngressServer:
+    def _create_auxiliary_server(
+        self, handler: object, max_connections: int
+    ) -> IngressServer:
+        # The sizes are not those of the configuration, so nothing has to confirm them.
+        server = self._create_server(handler, max_connections, lambda arrived_at: True)
+        server.limits = server.limits.for_auxiliary()
+        return server
+
+    def _create_server(
+        self,
+        handler: object,
+        max_connections: int,
+        are_limits_confirmed: Callable[[float], bool],
+    ) -> IngressServer:
         return IngressServer(
             handler,  # type: ignore[arg-type]
             self._clock,
             self._on_refused,
             self._on_handler_error,
             REQUEST_ID,
-            self._are_limits_confirmed,
+            are_limits_confirmed,
             [(RETRY_AFTER, b"%.3f" % UNCONFIRMED_RETRY_AFTER)],
             ConnectionLimit(max_connections),
             [(RETRY_AFTER, b"%.3f" % FULL_RETRY_AFTER)],
@@ -535,7 +551,8 @@
             if service.cold_rate > 0
         }
         for _, server in self._servers:
-            server.limits = config.limits
+            server.limits = config.limits.for_auxiliary()
+        self._caller_server.limits = config.limits
 
     def _on_refused(self, refusal: Refusal) -> None:
         self._metrics.count("refusals", reason=refusal.reason.value)
