Don't take bytes behind a refused request for a request in progress

What callers would see: a gateway that stops within a second of refusing a request, behind which its caller had sent the begin of another one in the same block, ends with RuntimeError (write after write_eof) while it closes its connections. All others are cut then, whatever they wait for.

Cause: the parser goes on to the end of the block after a refusal. A message that begins there marked the lingering connection as receiving, so that it counted as busy, and close_for_stop refused it once more.

Change: a connection that discards receives nothing.

Measured: test_requests_behind_a_refused_one_do_not_stop_the_server_from_closing fails on the code before with that RuntimeError, and passes now.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -605,7 +605,7 @@
 
     def on_message_begin(self) -> None:
         self._reset_message()
-        if not self._is_receiving:
+        if not self._is_receiving and not self._is_discarding:
             self._is_receiving = True
             self._received_at = self._server.clock.now()
 
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -392,3 +392,20 @@
     loop.run_forever()
     loop.close()
     assert len(acted) == 1 and acted[0] < connected_at - 0.04
+
+
+async def test_requests_behind_a_refused_one_do_not_stop_the_server_from_closing():
+    async def handle(request, responder):
+        responder.respond(200)
+
+    server = IngressServer(handle, BootClock(), lambda status: None, lambda error: None)
+    address = f"127.0.0.1:{free_port('127.0.0.1')}"
+    await server.start(address)
+    server.limits = CallerLimits(max_header_bytes=100)
+    reader, writer = await connect(address)
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nX-Long: %b\r\n\r\n" % (b"x" * 200)
+    writer.write(head + b"GET / HTTP/1.1\r\n")
+    assert (await read_response(reader)).status == 431
+    server.close()
+    assert server.busy_count == 0
+    writer.close()
