--- a/src/cyclamenyoke/core/refusals.py
+++ b/src/cyclamenyoke/core/refusals.py
@@ -22,6 +22,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     TOO_SLOW = "too_slow"
+    NO_MEMORY = "no_memory"
     MISSING_HEADER = "missing_header"
     UNSUPPORTED_TARGET = "unsupported_target"
 
