--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import collections
+import errno
 import socket
 import struct
+import sys
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -23,6 +25,15 @@
     TABS_TO_SPACES,
     normalize_head,
 )
+from cyclamenyoke.core.caller_memory import (
+    CONNECTION_BYTES,
+    SMALL_REQUEST_BYTES,
+    TEXT_COPIES,
+    CallerMemory,
+    MemoryHolder,
+    request_cost,
+)
+from cyclamenyoke.core.connection_limit import ConnectionLimit, ConnectionUse
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
 from cyclamenyoke.core.units import KIBIBYTE, MILLISECOND, SECOND
@@ -32,9 +43,22 @@
 """Connections that may wait to be accepted; enough for a burst from all callers of a
 small site."""
 
+MAX_ACCEPTS_AT_ONCE = 16
+"""Connections that are accepted before the event loop goes on, so that those above the
+limit are closed before many more are accepted."""
+
+NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
+"""Errors of accepting while there is no file descriptor left."""
+
+FULL_RETRY_AFTER = 1 * SECOND
+"""Seconds after which a caller that found no room for its connection may try again."""
+
 SWEEP_INTERVAL = 500 * MILLISECOND
 """Seconds between two checks of the connections' deadlines."""
 
+RECEIVE_BUFFER_BYTES = 32 * KIBIBYTE
+"""Size of the kernel's buffer for what the server has not yet read."""
+
 LINGER_TIMEOUT = 1 * SECOND
 """Seconds for which data from the caller is read and discarded after the last response,
 because a TCP reset could destroy a rejection before the caller has read it."""
@@ -192,6 +216,10 @@
     return b"\r\n".join([*lines, b"", b""])
 
 
+def _has_unsent(connection: "IngressConnection") -> bool:
+    return connection.has_unsent
+
+
 def _after(data: bytes, mark: bytes, start: int) -> int:
     """Return the position after the next mark; the length of the data without one."""
     position = data.find(mark, start)
@@ -292,7 +320,7 @@
             self._connection.close_gracefully()
 
 
-class IngressConnection(asyncio.Protocol):
+class IngressConnection(asyncio.Protocol, MemoryHolder):
     """One connection from a caller."""
 
     def __init__(self, server: "IngressServer") -> None:
@@ -302,7 +330,10 @@
         # The parser would reject some transfer codings before they are known here, and
         # pass over others; check_framing is stricter and covers all.
         self._parser.set_dangerous_leniencies(lenient_transfer_encoding=True)
-        self._pending: collections.deque[HttpRequest] = collections.deque()
+        # Whole requests with the memory that they occupy.
+        self._pending: collections.deque[tuple[HttpRequest, int]] = collections.deque()
+        # Whole requests before the rejected one that are refused for lack of memory.
+        self._refused_count = 0
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -310,9 +341,13 @@
         self._rejection: HTTPStatus | None = None
         self._rejection_headers: Sequence[Header] = ()
         self._reset_at: float | None = None
+        # As the account of the memory knows them.
+        self._claimed_bytes = 0
+        self._counted_unsent = 0
         # Unsent bytes of the last response when its reset was last put off.
         self._unsent_before = 0
         self._is_lost = False
+        self._has_handled = False
         self._deadline = server.clock.now() + server.limits.header_timeout
         self._is_receiving = False
         # The last bytes received, if they may be a tab at the end of a header's line.
@@ -334,6 +369,25 @@
         is_handling = self._is_receiving or self._task is not None
         return is_handling or self.unsent_bytes > 0
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of a response has not been passed to the kernel."""
+        return self.unsent_bytes > 0
+
+    @property
+    def _use(self) -> ConnectionUse:
+        if self._task is not None or self._pending:
+            return ConnectionUse.HANDLING
+        if self._is_receiving and self._is_head_complete:
+            return ConnectionUse.RECEIVING
+        return ConnectionUse.KEPT if self._has_handled else ConnectionUse.NEW
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests that are received or wait, and of unsent responses."""
+        waiting = sum(len(request.body) for request, _ in self._pending)
+        return self._header_size + len(self._body) + waiting + self.unsent_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that the kernel has not taken."""
@@ -348,6 +402,7 @@
         """Send bytes unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._count_unsent()
 
     async def drain(self) -> None:
         """Wait until the send buffer has room."""
@@ -371,6 +426,7 @@
         the data, or once it has read nothing for the idle timeout.
         """
         self._is_discarding = True
+        self._drop_unserved()
         self._extend_linger()
         transport = self._transport
         if transport is None or not transport.can_write_eof():
@@ -385,6 +441,7 @@
 
     def check_deadlines(self, now: float) -> None:
         """Close or reject if a deadline has passed."""
+        self._count_unsent()
         if self._reset_at is not None:
             if self.unsent_bytes < self._unsent_before:
                 self._extend_linger()
@@ -432,6 +489,18 @@
         elif self._is_receiving:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def close_for_room(self) -> None:
+        """Close now, since the server has no room; no request is passed on from here.
+
+        Callers that have sent a part of a request learn that it has not run.
+        """
+        if self._transport is None:
+            return
+        if not self._has_handled or self._is_receiving:
+            self.write(self._server.full_response)
+        self._is_discarding = True
+        self._transport.close()
+
     # asyncio callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -442,22 +511,33 @@
         # whose callers are alive and pause to read.
         probe_idle_peer(transport.get_extra_info("socket"))
         self._server.on_open(self)
+        if self._is_discarding:
+            return
         if self._server.is_closed:
             # Accepted just before the server closed.
             transport.close()
+        elif not self._server.memory.open(self, self._server.clock.now()):
+            self._is_discarding = True
+            fault = self._no_memory("connection", CONNECTION_BYTES)
+            self._report(fault.status, fault)
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_lost = True
         self._writable.set()
-        self._pending.clear()
+        self._drop_unserved()
+        # It refers to this connection, which would be freed only by the collector.
+        del self._parser
         if self._task is not None:
             self._task.cancel()
+        self._server.memory.close(self)
         self._server.on_close(self)
 
     def pause_writing(self) -> None:
         self._writable.clear()
 
     def resume_writing(self) -> None:
+        self._count_unsent()
         self._writable.set()
 
     def data_received(self, data: bytes) -> None:
@@ -481,6 +561,8 @@
             return
         if is_in_head and not self._is_head_complete:
             self._count_unfinished_head(message, len(data))
+        if self._is_receiving:
+            self._claim_memory()
 
     def _count_unfinished_head(self, message: int, size: int) -> None:
         """Bound a head whose last field has no end, which the parser keeps.
@@ -567,7 +649,7 @@
 
     def on_message_begin(self) -> None:
         self._reset_message()
-        if not self._is_receiving:
+        if not self._is_receiving and not self._is_discarding:
             self._is_receiving = True
             self._received_at = self._server.clock.now()
 
@@ -577,7 +659,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers of a chunked body are not checked as headers are, and are dropped.
-        if not self._is_head_complete:
+        if not self._is_head_complete and not self._is_discarding:
             self._headers.append((name, value))
         self._count_header_bytes(len(name) + len(value) + len(b": \r\n"))
 
@@ -599,46 +681,125 @@
             if name.lower() == b"content-length":
                 self._content_length = int(value)
                 self._check_body_size(self._content_length)
+        self._server.connection_limit.update(self, self._use)
+        if self._is_discarding:
+            return
+        is_large = (self._content_length or 0) > SMALL_REQUEST_BYTES // TEXT_COPIES
+        if is_large or self._has_header(b"transfer-encoding"):
+            is_expected = self._server.is_expected(self._build_request(b""))
+            self._server.memory.expect(self, is_expected)
+        self._claim_memory()
         if self._must_continue and not self._is_discarding:
             self._start_next()
 
     def on_body(self, data: bytes) -> None:
         if self._is_discarding:
             return
-        self._body += data
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
-        self._check_body_size(len(self._body))
+        self._check_body_size(len(self._body) + len(data))
+        if not self._is_discarding:
+            self._body += data
 
     def on_message_complete(self) -> None:
         if self._is_discarding:
             return
+        self._claim_memory()
+        if self._is_discarding:
+            return
+        request = self._build_request(bytes(self._body))
+        self._is_receiving = self._must_continue = self._is_head_complete = False
+        self._free_message()
+        size = self._server.memory.complete(self)
+        self._pending.append((request, size))
+        self._start_next()
+
+    def _build_request(self, body: bytes) -> HttpRequest:
         target, headers = normalize_head(self._target, self._headers)
-        request = HttpRequest(
+        return HttpRequest(
             self._parser.get_method(),
             target,
             headers,
-            bytes(self._body),
+            body,
             self._received_at,
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             self._parser.get_http_version() == "1.0",
         )
-        self._is_receiving = self._must_continue = self._is_head_complete = False
-        self._pending.append(request)
-        self._start_next()
 
     def _reset_message(self) -> None:
         self._received_at = self._server.clock.now()
         self._message_number += 1
         # Of blocks that belong to this head as a whole.
         self._unfinished_head_bytes = 0
-        self._target = b""
-        self._headers: list[Header] = []
+        self._free_message()
         self._header_size = 0
         self._is_head_complete = False
-        self._body = bytearray()
         self._content_length = None
         self._must_continue = False
 
+    def _free_message(self) -> None:
+        """Free what has been received of a request."""
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body = bytearray()
+        self._claimed_bytes = 0
+
+    def _drop_unserved(self) -> None:
+        """Free the requests that are received or wait."""
+        self._pending.clear()
+        self._free_message()
+        self._unparsed = b""
+        self._server.memory.release_unserved(self)
+
+    def _claim_memory(self) -> None:
+        """Claim memory for the request that is being received, or refuse it.
+
+        A body whose length is stated is claimed as a whole.
+        """
+        if self._is_discarding:
+            return
+        head_bytes = max(self._header_size, self._unfinished_head_bytes)
+        body_bytes = max(self._content_length or 0, len(self._body))
+        size = request_cost(len(self._headers), head_bytes, body_bytes)
+        if size <= self._claimed_bytes:
+            return
+        if self._server.memory.receive(self, size, self._server.clock.now()):
+            self._claimed_bytes = size
+        else:
+            self._reject(self._no_memory("request", size))
+
+    def _no_memory(self, part: str, size: int) -> Fault:
+        return Fault(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            RefusalReason.NO_MEMORY,
+            part,
+            size=size,
+            limit=self._server.memory.limit,
+        )
+
+    def _count_unsent(self) -> None:
+        """Account for the bytes of responses that the caller has not read."""
+        unsent = self.unsent_bytes
+        if unsent != self._counted_unsent:
+            self._counted_unsent = unsent
+            self._server.memory.set_unsent(self, unsent, self._server.clock.now())
+
+    # Called by the account of the memory, also by reset().
+
+    def refuse_unserved(self) -> None:
+        """Refuse the requests that are received or wait, and close the connection."""
+        waiting = len(self._pending)
+        self._pending.clear()
+        self._refused_count += waiting
+        if self._rejection is not None:
+            return
+        fault = self._no_memory("request", self._claimed_bytes)
+        if self._is_receiving:
+            self._reject(fault)
+            return
+        # The last of them is the one that closes the connection.
+        self._refused_count -= 1
+        self._reject(fault)
+
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
         self._check_header_bytes(self._header_size)
@@ -677,10 +838,16 @@
             return
         status = fault.status
         headers: Sequence[Header] = ()
+        if fault.reason is RefusalReason.NO_MEMORY:
+            headers = self._server.no_memory_headers
         is_limit = fault.reason in LIMIT_REASONS
         if is_limit and not self._server.are_limits_confirmed(self._received_at):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             headers = self._server.unconfirmed_headers
+        self._report(status, fault)
+        self._refuse(status, headers)
+
+    def _report(self, status: HTTPStatus, fault: Fault) -> None:
         refusal = Refusal(
             status.value,
             fault.reason,
@@ -692,7 +859,9 @@
             fault.limit,
         )
         self._server.on_refused(refusal)
-        self._refuse(status, headers)
+
+    def _has_header(self, name: bytes) -> bool:
+        return any(key.lower() == name for key, _ in self._headers)
 
     def _request_id(self) -> str | None:
         """Return the id of the request that is being received, if it has come."""
@@ -707,6 +876,9 @@
         self._is_discarding = True
         self._is_receiving = False
         self._rejection = status
+        self._free_message()
+        self._unparsed = b""
+        self._server.memory.receive(self, 0, self._server.clock.now())
         self._start_next()
 
     def _start_next(self) -> None:
@@ -715,6 +887,7 @@
             return
         if not self._pending:
             if self._rejection is not None:
+                self._refuse_waiting()
                 head = [
                     *self._rejection_headers,
                     (b"Content-Length", b"0"),
@@ -728,13 +901,25 @@
             return
         if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
-        request = self._pending.popleft()
+            self._server.memory.set_unread(self, RECEIVE_BUFFER_BYTES)
+        request, size = self._pending.popleft()
+        self._server.memory.start(self, size)
         responder = Responder(self, request)
+        self._has_handled = True
         self._task = asyncio.create_task(self._server.handler(request, responder))
         self._task.add_done_callback(partial(self._on_done, responder))
+        self._server.connection_limit.update(self, self._use)
+
+    def _refuse_waiting(self) -> None:
+        """Answer whole requests that were refused before the rejected one."""
+        head = [*self._server.no_memory_headers, (b"Content-Length", b"0")]
+        status = HTTPStatus.SERVICE_UNAVAILABLE.value
+        self.write(encode_head(status, head) * self._refused_count)
+        self._refused_count = 0
 
     def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
+        self._server.memory.finish(self)
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         if not task.cancelled() and task.exception() is not None:
             self._server.on_handler_error(task.exception())
@@ -742,9 +927,44 @@
             responder.end_unanswered()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
+            self._server.memory.set_unread(self, 0)
             # Not after a response that closes the connection.
             if self._reset_at is None:
                 self._start_next()
+        self._server.connection_limit.update(self, self._use)
+
+
+class PacedListener(socket.socket):
+    """A listening socket that accepts a few connections in each pass of the event loop.
+
+    The loop would otherwise accept as many as the backlog holds before it opens any,
+    and would go on trying, as often, while there is no file descriptor left.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._accepts_left = MAX_ACCEPTS_AT_ONCE
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept a connection.
+
+        :raises BlockingIOError: if there is none, or it is left to the next pass.
+        """
+        if self._accepts_left == 0:
+            raise BlockingIOError
+        if self._accepts_left == MAX_ACCEPTS_AT_ONCE:
+            asyncio.get_running_loop().call_soon(self._renew)
+        self._accepts_left -= 1
+        try:
+            return super().accept()
+        except OSError as error:
+            if error.errno in NO_DESCRIPTOR_ERRORS:
+                # The loop pauses accepting once, rather than for each further try.
+                self._accepts_left = 0
+            raise
+
+    def _renew(self) -> None:
+        self._accepts_left = MAX_ACCEPTS_AT_ONCE
 
 
 class IngressServer:
@@ -758,6 +978,13 @@
     :param are_limits_confirmed: returns whether a request that arrived at a time may be
         denied by the limits in force. Otherwise it gets 503.
     :param unconfirmed_headers: headers of these responses.
+    :param connection_limit: without a limit if left out.
+    :param full_headers: headers of the response to a connection for which there is no
+        room.
+    :param memory: account of what the connections occupy; by default without a limit.
+    :param no_memory_headers: headers of the responses to requests that find no room.
+    :param is_expected: returns whether a request, without its body, is likely to be
+        allowed. Others lose their memory first.
     """
 
     def __init__(
@@ -769,6 +996,11 @@
         request_id_header: bytes = b"",
         are_limits_confirmed: Callable[[float], bool] = lambda arrived_at: True,
         unconfirmed_headers: Sequence[Header] = (),
+        connection_limit: ConnectionLimit[IngressConnection] | None = None,
+        full_headers: Sequence[Header] = (),
+        memory: CallerMemory | None = None,
+        no_memory_headers: Sequence[Header] = (),
+        is_expected: Callable[[HttpRequest], bool] = lambda request: True,
     ) -> None:
         self.handler = handler
         self.clock = clock
@@ -777,6 +1009,14 @@
         self.request_id_header = request_id_header
         self.are_limits_confirmed = are_limits_confirmed
         self.unconfirmed_headers = unconfirmed_headers
+        self.connection_limit = connection_limit or ConnectionLimit()
+        self.full_response = encode_head(
+            HTTPStatus.SERVICE_UNAVAILABLE.value,
+            [*full_headers, (b"Content-Length", b"0"), (b"Connection", b"close")],
+        )
+        self.memory = memory or CallerMemory(sys.maxsize)
+        self.no_memory_headers = no_memory_headers
+        self.is_expected = is_expected
         self.limits = CallerLimits()
         self.is_draining = False
         self.is_closed = False
@@ -799,14 +1039,20 @@
         """Bytes of responses to all callers that the kernel has not taken."""
         return sum(connection.unsent_bytes for connection in self._connections)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the open connections hold."""
+        return sum(connection.held_bytes for connection in self._connections)
+
     async def start(self, address: str) -> None:
         """Start accepting connections.
 
         :param address: ``IP:PORT`` to listen on.
         """
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = PacedListener()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((host, int(port)))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
@@ -828,12 +1074,20 @@
             connection.close_for_stop()
 
     def on_open(self, connection: IngressConnection) -> None:
-        """Register a new connection."""
+        """Register a new connection, and close another one or this one without room."""
         self._connections.add(connection)
+        if self.connection_limit.is_reached:
+            idle = self.connection_limit.make_room(_has_unsent)
+            if idle is None:
+                connection.close_for_room()
+                return
+            idle.close_for_room()
+        self.connection_limit.add(connection)
 
     def on_close(self, connection: IngressConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self.connection_limit.remove(connection)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -17,11 +17,18 @@
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.connection_pool import ConnectionPool
-from cyclamenyoke.adapters.http_ingress import HttpRequest, IngressServer, Responder
+from cyclamenyoke.adapters.http_ingress import (
+    FULL_RETRY_AFTER,
+    HttpRequest,
+    IngressServer,
+    Responder,
+)
 from cyclamenyoke.adapters.logs import Log, install_nonblocking_logs
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.caller_memory import CallerMemory, caller_memory_limit
 from cyclamenyoke.core.cold_endpoints import ColdEndpoints, ColdObserver
+from cyclamenyoke.core.connection_limit import ConnectionLimit, share_descriptors
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
 from cyclamenyoke.core.engine_limits import EngineLimits, LimitObserver
 from cyclamenyoke.core.gateway_config import GatewayConfig
@@ -48,6 +55,7 @@
     CallerHandler,
     DirectoryHandler,
     ReadinessHandler,
+    decode_request,
 )
 from cyclamenyoke.platform.documents import (
     CONFIG_KEY,
@@ -68,6 +76,9 @@
 """Longest time in seconds for which callers may cache the directory's addresses: about
 the time after which the directory drops a dead node."""
 
+NO_MEMORY_RETRY_AFTER = 500 * MILLISECOND
+"""Retry-After in seconds of a request that finds no memory."""
+
 STOP_POLL_INTERVAL = 50 * MILLISECOND
 """Interval in seconds at which a shutdown checks whether it is complete."""
 
@@ -242,23 +253,34 @@
         self._quarantine_handler = QuarantineHandler(
             self._quarantine, self._clock, self._log
         )
+        shares = share_descriptors(settings.file_descriptors)
+        self._caller_memory = CallerMemory(caller_memory_limit(settings.memory_bytes))
         self._caller_server = self._create_server(
             CallerHandler(
                 self._forwarder.serve, self._on_refused, self._on_unreadable_header
-            )
+            ),
+            shares.callers,
+            self._are_limits_confirmed,
+            self._is_expected,
         )
         self._servers = [
             (settings.callers, self._caller_server),
-            (settings.readiness, self._create_server(ReadinessHandler(self._is_ready))),
+            (
+                settings.readiness,
+                self._create_auxiliary_server(
+                    ReadinessHandler(self._is_ready), shares.auxiliary
+                ),
+            ),
             (
                 settings.directory,
-                self._create_server(
-                    DirectoryHandler(self._addresses, self._address_lifetime, random)
+                self._create_auxiliary_server(
+                    DirectoryHandler(self._addresses, self._address_lifetime, random),
+                    shares.auxiliary,
                 ),
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
-                self._create_server(self._serve_operators),
+                self._create_auxiliary_server(self._serve_operators, shares.auxiliary),
             ),
         ]
         self._stopping = asyncio.Event()
@@ -379,17 +401,41 @@
                 break
             await asyncio.sleep(FLUSH_POLL_INTERVAL)
 
-    def _create_server(self, handler: object) -> IngressServer:
+    def _create_auxiliary_server(
+        self, handler: object, max_connections: int
+    ) -> IngressServer:
+        # The sizes are not those of the configuration, so nothing has to confirm them.
+        server = self._create_server(handler, max_connections, lambda arrived_at: True)
+        server.limits = server.limits.for_auxiliary()
+        return server
+
+    def _create_server(
+        self,
+        handler: object,
+        max_connections: int,
+        are_limits_confirmed: Callable[[float], bool],
+        is_expected: Callable[[HttpRequest], bool] = lambda request: False,
+    ) -> IngressServer:
         return IngressServer(
             handler,  # type: ignore[arg-type]
             self._clock,
             self._on_refused,
             self._on_handler_error,
             REQUEST_ID,
-            self._are_limits_confirmed,
+            are_limits_confirmed,
             [(RETRY_AFTER, b"%.3f" % UNCONFIRMED_RETRY_AFTER)],
+            ConnectionLimit(max_connections),
+            [(RETRY_AFTER, b"%.3f" % FULL_RETRY_AFTER)],
+            self._caller_memory,
+            [(RETRY_AFTER, b"%.3f" % NO_MEMORY_RETRY_AFTER)],
+            is_expected,
         )
 
+    def _is_expected(self, request: HttpRequest) -> bool:
+        """Return whether the configuration in force allows a caller's request."""
+        inbound = decode_request(request)
+        return not isinstance(inbound, Refusal) and self._forwarder.is_allowed(inbound)
+
     def _are_limits_confirmed(self, arrived_at: float) -> bool:
         """Return whether the limits in force may deny a request; look for newer ones.
 
@@ -455,14 +501,31 @@
         self._metrics.gauge(
             "evacuated_data_centres", len(self._evacuation.state.active)
         )
+        for name, count in self._count_without_room().items():
+            self._metrics.gauge(name, count)
         self._set_retry_budget_gauges()
         peak = getrusage(RUSAGE_SELF).ru_maxrss * KIBIBYTE
         self._metrics.gauge("peak_memory_bytes", peak)
+        servers = [server for _, server in self._servers]
+        connection_count = sum(server.connection_count for server in servers)
+        self._metrics.gauge("caller_connections", connection_count)
+        held_bytes = sum(server.held_bytes for server in servers)
+        self._metrics.gauge("caller_held_bytes", held_bytes)
+        self._metrics.gauge("caller_memory_bytes", self._caller_memory.held)
+        self._metrics.gauge("caller_memory_limit_bytes", self._caller_memory.limit)
         for task, is_failing in self._supervisor.failing.items():
             self._metrics.gauge("task_failing", is_failing, task=task)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         responder.respond(200, [content_type], self._metrics.render().encode())
 
+    def _count_without_room(self) -> dict[str, int]:
+        """Return how many connections have been closed or refused for room."""
+        limits = [server.connection_limit for _, server in self._servers]
+        return {
+            "connections_closed_for_room": sum(each.closed_count for each in limits),
+            "connections_refused": sum(each.refused_count for each in limits),
+        }
+
     def _set_retry_budget_gauges(self) -> None:
         now = self._clock.now()
         for service, state in self._forwarder.retry_budget_states(now).items():
@@ -480,10 +543,15 @@
 
     async def _run_housekeeping(self) -> None:
         next_totals_at = self._clock.now() + TOTALS_INTERVAL
+        without_room = self._count_without_room()
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._pool.close_expired()
             self._cold_endpoints.refresh(self._clock.now())
+            counts = self._count_without_room()
+            if counts != without_room:
+                without_room = counts
+                self._log.warning("too many connections from callers", **counts)
             if self._clock.now() >= next_totals_at:
                 next_totals_at += TOTALS_INTERVAL
                 self._log.info(
@@ -519,7 +587,8 @@
             if service.cold_rate > 0
         }
         for _, server in self._servers:
-            server.limits = config.limits
+            server.limits = config.limits.for_auxiliary()
+        self._caller_server.limits = config.limits
 
     def _on_refused(self, refusal: Refusal) -> None:
         self._metrics.count("refusals", reason=refusal.reason.value)
