Bound what callers' small chunks and pipelined requests take at a stretch

Cause: asyncio hands over up to 256 KiB at once, each part of which is a call from the parser; and the bound on pipelined requests was checked only when one of them started.

Change: IngressConnection reads into a shared buffer, 4 KiB at the begin of a message and up to 64 KiB of a body, and awaits its turn after a read of many parts. PacedReads in read_pacer.py holds that logic for it and for HttpConnection. Reading pauses as soon as 8 requests wait; a read never goes beyond the end of a body of known length by more than 4 KiB, and beyond 64 requests that wait a further one gets 503. A chunked body may take 8 bytes for each of its own, which covers chunks of one byte, and 256 KiB for extensions; beyond that 413. A deadline that passes while a connection awaits its turn isn't held against its caller.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -17,25 +17,12 @@
 
 import httptools
 
-from cyclamenyoke.adapters.read_pacer import ReadPacer
+from cyclamenyoke.adapters.read_pacer import PacedReads, ReadPacer
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE, SECOND
 from cyclamenyoke.exceptions import CyclamenyokeError
 
 Header = tuple[bytes, bytes]
 
-MAX_READ_BYTES = 64 * KIBIBYTE
-"""Largest number of bytes that are read and parsed at once."""
-
-FIRST_READ_BYTES = 16 * KIBIBYTE
-"""The same at the begin of a response, whose parts may be small."""
-
-COSTLY_READ_BYTES = 8 * KIBIBYTE
-"""The same after a read of many parts."""
-
-MAX_PARTS_PER_READ = 256
-"""Header fields and parts of a body in one read above which the connection awaits its
-turn for the next one. Each of them is a call from the parser."""
-
 READ_HIGH_WATER_BYTES = 256 * KIBIBYTE
 """Unread bytes of a response at which reading from the socket is paused."""
 
@@ -179,10 +166,6 @@
     return buffer[0]
 
 
-# What is read is parsed before the event loop goes on, so that one buffer serves all.
-_read_buffer = memoryview(bytearray(MAX_READ_BYTES))
-
-
 class LimitExceeded(CyclamenyokeError):
     """A response exceeds a limit, so that the rest of it is not parsed."""
 
@@ -202,7 +185,7 @@
         self, on_closed: Callable[["HttpConnection"], None], pacer: ReadPacer
     ) -> None:
         self._on_closed = on_closed
-        self._pacer = pacer
+        self._reads = PacedReads(pacer, self._update_reading, lambda: self._is_closed)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         # Parts of a body are joined here: many small ones take far more memory than one
@@ -222,10 +205,6 @@
         # Bytes received since the request was sent, less twice those of bodies.
         self._overhead_bytes = 0
         self._skipped_bytes = 0
-        self._read_bytes = FIRST_READ_BYTES
-        # Header fields and parts of a body in the present read.
-        self._parts = 0
-        self._awaits_turn = False
 
     @property
     def is_reusable(self) -> bool:
@@ -264,7 +243,7 @@
         self._buffered_bytes = 0
         self._update_reading()
         self._overhead_bytes = self._skipped_bytes = 0
-        self._read_bytes = FIRST_READ_BYTES
+        self._reads.restart()
         self._is_long_request = len(data) > LONG_REQUEST_BYTES
         if self._transport is None or self._is_closed:
             self._events.append(ResponseFailed("connection is closed"))
@@ -295,16 +274,15 @@
         self._transport = transport
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return _read_buffer[: self._read_bytes]
+        return self._reads.buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._matches_request is None:
             self._fail_and_close("data received while no request is in progress")
             return
         self._overhead_bytes += nbytes
-        self._parts = 0
         try:
-            self._parser.feed_data(_read_buffer[:nbytes])
+            self._parser.feed_data(self._reads.begin(nbytes))
         except httptools.HttpParserError as error:
             limit = error.__context__
             is_limit = isinstance(limit, LimitExceeded)
@@ -315,7 +293,7 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail_and_close("response head or framing is too long")
             return
-        self._pace(nbytes)
+        self._reads.end(nbytes)
 
     def eof_received(self) -> bool:
         # The transport drops what is sent from now on.
@@ -334,13 +312,13 @@
     # httptools callbacks.
 
     def on_message_begin(self) -> None:
-        self._parts += 1
+        self._reads.parts += 1
         if self._matches_request is None:
             self._must_not_reuse = True
         self._head = ResponseHead(0, [])
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._parts += 1
+        self._reads.parts += 1
         if self._head is None:
             return
         self._head.headers.append((name, value))
@@ -367,7 +345,7 @@
             self._finish()
 
     def on_body(self, data: bytes) -> None:
-        self._parts += 1
+        self._reads.parts += 1
         self._overhead_bytes -= 2 * len(data)
         if self._is_skipping:
             self._skipped_bytes += len(data)
@@ -424,34 +402,16 @@
             self._is_skipping = False
             return
         self._matches_request = None
-        if self._parts > MAX_PARTS_PER_READ:
+        if self._reads.is_costly:
             # It would not read until its turn.
             self._must_not_reuse = True
         self._push(ResponseEnd(is_at_close))
 
-    def _pace(self, received: int) -> None:
-        """Choose the size of the next read, and let it await its turn if it is costly.
-
-        :param received: bytes of the last read.
-        """
-        if self._parts > MAX_PARTS_PER_READ:
-            self._read_bytes = COSTLY_READ_BYTES
-            self._awaits_turn = True
-            self._update_reading()
-            self._pacer.wait_turn(self._on_turn)
-        elif received == self._read_bytes:
-            self._read_bytes = MAX_READ_BYTES
-
-    def _on_turn(self) -> bool:
-        self._awaits_turn = False
-        self._update_reading()
-        return not self._is_closed
-
     def _update_reading(self) -> None:
         """Pause reading from the socket, or resume it."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._awaits_turn or self._buffered_bytes >= READ_HIGH_WATER_BYTES:
+        if self._reads.awaits_turn or self._buffered_bytes >= READ_HIGH_WATER_BYTES:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -18,6 +18,7 @@
 import httptools
 
 from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
+from cyclamenyoke.adapters.read_pacer import PacedReads, ReadPacer
 from cyclamenyoke.adapters.request_form import (
     OPTIONAL_WHITE_SPACE,
     TAB_AT_LINE_END,
@@ -52,8 +53,23 @@
 because a TCP reset could destroy a rejection before the caller has read it."""
 
 MAX_PIPELINED_REQUESTS = 8
-"""Pipelined requests above which reading is paused. Checked when one of them starts,
-not while it is handled."""
+"""Pipelined requests at which reading is paused."""
+
+MAX_PENDING_REQUESTS = 64
+"""Pipelined requests beyond which a further one is refused; one read may contain more
+than those at which reading is paused."""
+
+FIRST_READ_BYTES = 4 * KIBIBYTE
+"""Bytes that are read at once while no body is received, and so a bound on the requests
+that are received before reading is paused."""
+
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes that a chunked body may take for each of its own: those of a chunk of one byte
+with leading zeros in its size."""
+
+MAX_OVERHEAD_BYTES = 256 * KIBIBYTE
+"""Largest number of bytes that a chunked body may take beyond these: extensions of
+chunks. It is checked after each read."""
 
 WRITE_HIGH_WATER_BYTES = 64 * KIBIBYTE
 """Unsent bytes for a slow caller at which the source of the response is paused."""
@@ -303,8 +319,12 @@
             self._connection.close_gracefully()
 
 
-class IngressConnection(asyncio.Protocol):
-    """One connection from a caller."""
+class IngressConnection(asyncio.BufferedProtocol):
+    """One connection from a caller.
+
+    Reads are small, and a connection whose bytes are costly to parse awaits its turn,
+    so that the time of the event loop is bounded whatever callers send.
+    """
 
     def __init__(self, server: "IngressServer") -> None:
         self._server = server
@@ -317,6 +337,12 @@
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._reads = PacedReads(
+            server.read_pacer,
+            self._update_reading,
+            lambda: self._is_lost,
+            FIRST_READ_BYTES,
+        )
         self._is_discarding = False
         self._rejection: HTTPStatus | None = None
         self._rejection_headers: Sequence[Header] = ()
@@ -332,6 +358,7 @@
         # As the head states it; None for a chunked body or none.
         self._content_length: int | None = None
         self._message_number = 0
+        self._overhead_bytes = 0
         self._reset_message()
 
     @property
@@ -417,6 +444,9 @@
             return
         if self._task is not None or now < self._deadline:
             return
+        if self._reads.awaits_turn:
+            # The caller may have sent what is missing.
+            return
         if self._is_receiving:
             self._reject(self._lateness(now))
         elif self._unsent_bytes:
@@ -498,7 +528,26 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        if self._content_length is None or not self._is_receiving:
+            return self._reads.buffer()
+        # No requests after a body are read along with its end.
+        missing = self._content_length - len(self._body)
+        return self._reads.buffer(max(missing, FIRST_READ_BYTES))
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = self._reads.begin(nbytes)
+        if self._is_discarding:
+            return
+        self.data_received(bytes(data))
+        self._check_overhead(nbytes)
+        self._reads.end(nbytes)
+        if not (self._is_receiving and self._is_head_complete):
+            self._reads.restart()
+        self._update_reading()
+
     def data_received(self, data: bytes) -> None:
+        """Parse bytes from the caller."""
         if self._is_discarding:
             return
         # Empty lines before a request are no part of it.
@@ -601,19 +650,54 @@
             str(error).encode("latin-1", "replace"),
         )
 
+    def _check_overhead(self, received: int) -> None:
+        """Bound the bytes of a chunked body's framing."""
+        if not self._is_receiving or not self._is_head_complete:
+            return
+        self._overhead_bytes = max(0, self._overhead_bytes + received)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            fault = Fault(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                RefusalReason.FRAMING_TOO_LARGE,
+                "body",
+                size=self._overhead_bytes,
+                limit=MAX_OVERHEAD_BYTES,
+            )
+            self._reject(fault)
+
+    def _update_reading(self) -> None:
+        """Pause reading from the socket, or resume it."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
+        if self._reads.awaits_turn or (is_full and not self._is_discarding):
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     # httptools callbacks.
 
     def on_message_begin(self) -> None:
+        self._reads.parts += 1
         self._reset_message()
         if not self._is_receiving and not self._is_discarding:
             self._is_receiving = True
             self._received_at = self._server.clock.now()
+        if len(self._pending) >= MAX_PENDING_REQUESTS and not self._is_discarding:
+            fault = Fault(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                RefusalReason.TOO_MANY_PIPELINED,
+                size=len(self._pending),
+                limit=MAX_PENDING_REQUESTS,
+            )
+            self._reject(fault)
 
     def on_url(self, url: bytes) -> None:
         self._target += url
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._reads.parts += 1
         # Trailers of a chunked body are not checked as headers are, and are dropped.
         if not self._is_head_complete:
             self._headers.append((name, value))
@@ -642,6 +726,8 @@
             self._start_next()
 
     def on_body(self, data: bytes) -> None:
+        self._reads.parts += 1
+        self._overhead_bytes -= FRAMING_PER_BODY_BYTE * len(data)
         if self._is_discarding:
             return
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
@@ -677,6 +763,8 @@
         self._is_head_complete = False
         self._body = bytearray()
         self._content_length = None
+        # Bytes received since the head, less those that the body may take.
+        self._overhead_bytes = 0
         self._must_continue = False
 
     def _count_header_bytes(self, size: int) -> None:
@@ -717,6 +805,8 @@
             return
         status = fault.status
         headers: Sequence[Header] = ()
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            headers = self._server.full_headers
         is_limit = fault.reason in LIMIT_REASONS
         if is_limit and not self._server.are_limits_confirmed(self._received_at):
             status = HTTPStatus.SERVICE_UNAVAILABLE
@@ -766,8 +856,6 @@
                 self._must_continue = False
                 self.write(CONTINUE)
             return
-        if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
         request = self._pending.popleft()
         responder = Responder(self, request)
         self._has_handled = True
@@ -783,10 +871,10 @@
         if self._transport is not None and not self._transport.is_closing():
             responder.end_unanswered()
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
             # Not after a response that closes the connection.
             if self._reset_at is None:
                 self._start_next()
+            self._update_reading()
         self._server.connection_limit.update(self, self._use)
 
 
@@ -859,11 +947,13 @@
         self.are_limits_confirmed = are_limits_confirmed
         self.unconfirmed_headers = unconfirmed_headers
         self.connection_limit = connection_limit or ConnectionLimit()
+        self.full_headers = full_headers
         self.full_response = encode_head(
             HTTPStatus.SERVICE_UNAVAILABLE.value,
             [*full_headers, (b"Content-Length", b"0"), (b"Connection", b"close")],
         )
         self.limits = CallerLimits()
+        self.read_pacer = ReadPacer()
         self.is_draining = False
         self.is_closed = False
         self._connections: set[IngressConnection] = set()
--- a/src/cyclamenyoke/core/refusals.py
+++ b/src/cyclamenyoke/core/refusals.py
@@ -21,6 +21,8 @@
     UPGRADE_WITH_BODY = "upgrade_with_body"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    FRAMING_TOO_LARGE = "framing_too_large"
+    TOO_MANY_PIPELINED = "too_many_pipelined"
     TOO_SLOW = "too_slow"
     MISSING_HEADER = "missing_header"
     UNSUPPORTED_TARGET = "unsupported_target"
