Read bodies of known length in whole blocks

Bodies with a length have no framing that costs calls of the parser, so they need not begin with small reads as chunked ones do. Also the use of a connection is noted only where it may have changed.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -531,7 +531,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         if self._content_length is None or not self._is_receiving:
             return self._reads.buffer()
-        # No requests after a body are read along with its end.
+        # Few requests after a body are read along with its end.
         missing = self._content_length - len(self._body)
         return self._reads.buffer(max(missing, FIRST_READ_BYTES))
 
@@ -544,7 +544,8 @@
         self._reads.end(nbytes)
         if not (self._is_receiving and self._is_head_complete):
             self._reads.restart()
-        self._update_reading()
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._update_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
@@ -861,7 +862,7 @@
         self._has_handled = True
         self._task = asyncio.create_task(self._server.handler(request, responder))
         self._task.add_done_callback(partial(self._on_done, responder))
-        self._server.connection_limit.update(self, self._use)
+        self._server.connection_limit.update(self, ConnectionUse.HANDLING)
 
     def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
@@ -875,7 +876,8 @@
             if self._reset_at is None:
                 self._start_next()
             self._update_reading()
-        self._server.connection_limit.update(self, self._use)
+        if self._task is None:
+            self._server.connection_limit.update(self, self._use)
 
 
 class PacedListener(socket.socket):
--- a/src/cyclamenyoke/adapters/read_pacer.py
+++ b/src/cyclamenyoke/adapters/read_pacer.py
@@ -126,13 +126,12 @@
         if self._pacer.is_contended:
             self._read_bytes = CONTENDED_READ_BYTES
 
-    def buffer(self, wanted: int | None = None) -> memoryview:
+    def buffer(self, size: int | None = None) -> memoryview:
         """Return the buffer for the next read; all connections share it.
 
-        :param wanted: bytes of the present message that are missing, if known.
+        :param size: bytes to read at most, if it is known that they are not costly.
         """
-        size = self._read_bytes
-        return _read_buffer[: size if wanted is None else min(size, wanted)]
+        return _read_buffer[: self._read_bytes if size is None else size]
 
     def begin(self, received: int) -> memoryview:
         """Return what was read, before it is parsed."""
