Close a lingering connection for room without a second response

A connection whose first request was refused and that waits for its caller's last bytes was written to after its end had been sent, when it was closed for a new one. The RuntimeError left both connections open and uncounted.

Measured: test_refused_connection_that_lingers_makes_room_for_a_new_one fails on the commit before (an error of the event loop), and passes now.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -493,7 +493,8 @@
         """
         if self._transport is None:
             return
-        if not self._has_handled or self._is_receiving:
+        is_unanswered = not self._has_handled or self._is_receiving
+        if is_unanswered and not self._is_discarding:
             self.write(self._server.full_response)
         self._is_discarding = True
         self._transport.close()
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -205,3 +205,18 @@
     assert counts == [16, 16, 8]
     for sock in [listener, *clients, *accepted]:
         sock.close()
+
+
+async def test_refused_connection_that_lingers_makes_room_for_a_new_one():
+    errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: errors.append(context)
+    )
+    async with Site(1) as site:
+        site.release.set()
+        refused = await site.open(b"GET / HTTP/1.1\r\nBroken\r\n\r\n")
+        response = await send_request(site.address, "GET", "/", {"Host": "h"})
+        assert response.status == 200
+        assert (await read_response(refused)).status == 400
+        assert await refused.read() == b""
+        assert errors == []
