Give the directory a larger share of callers' connections

Callers may keep their connections to the directory, and a site has some 100 of them; 42 connections would have been met by sound callers.

--- a/src/cyclamenyoke/core/connection_limit.py
+++ b/src/cyclamenyoke/core/connection_limit.py
@@ -19,12 +19,15 @@
 """Share of the sockets for the store, peers, listening, and connections that have been
 accepted but not yet counted."""
 
-AUXILIARY_SHARE = 1 / 32
-"""Share of the sockets for the connections of each auxiliary address, such as that of
-the readiness check."""
+DIRECTORY_SHARE = 1 / 8
+"""Share of the sockets for connections to the directory; callers may keep them."""
 
-AUXILIARY_ADDRESSES = 3
-"""Addresses for readiness, the directory and operators."""
+MONITORING_SHARE = 1 / 32
+"""Share of the sockets for connections to each of the addresses for readiness and
+operators."""
+
+MONITORING_ADDRESSES = 2
+"""Addresses for readiness and operators."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,27 +35,30 @@
     """Largest numbers of connections from callers.
 
     :param callers: at the address that serves callers' requests.
-    :param auxiliary: at each of the other addresses.
+    :param directory: at the address of the directory.
+    :param monitoring: at each of the addresses for readiness and operators.
     """
 
     callers: int
-    auxiliary: int
+    directory: int
+    monitoring: int
 
 
 def share_descriptors(file_descriptors: int) -> ConnectionShares:
     """Divide the process's file descriptors.
 
     Each request of a caller may occupy a connection to an endpoint, so callers get half
-    of what internal connections and auxiliary addresses leave.
+    of what internal connections and the other addresses leave.
 
     >>> share_descriptors(1570)
-    ConnectionShares(callers=579, auxiliary=42)
+    ConnectionShares(callers=515, directory=171, monitoring=42)
     """
     sockets = max(file_descriptors - RESERVED_FILES, file_descriptors // 2)
-    auxiliary = max(1, int(sockets * AUXILIARY_SHARE))
+    directory = max(1, int(sockets * DIRECTORY_SHARE))
+    monitoring = max(1, int(sockets * MONITORING_SHARE))
     internal = int(sockets * INTERNAL_SHARE)
-    rest = sockets - internal - AUXILIARY_ADDRESSES * auxiliary
-    return ConnectionShares(max(1, rest // 2), auxiliary)
+    rest = sockets - internal - directory - MONITORING_ADDRESSES * monitoring
+    return ConnectionShares(max(1, rest // 2), directory, monitoring)
 
 
 class ConnectionUse(enum.Enum):
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -261,19 +261,19 @@
             (
                 settings.readiness,
                 self._create_auxiliary_server(
-                    ReadinessHandler(self._is_ready), shares.auxiliary
+                    ReadinessHandler(self._is_ready), shares.monitoring
                 ),
             ),
             (
                 settings.directory,
                 self._create_auxiliary_server(
                     DirectoryHandler(self._addresses, self._address_lifetime, random),
-                    shares.auxiliary,
+                    shares.directory,
                 ),
             ),
             (
                 f"{settings.ip}:{settings.metrics_port}",
-                self._create_auxiliary_server(self._serve_operators, shares.auxiliary),
+                self._create_auxiliary_server(self._serve_operators, shares.monitoring),
             ),
         ]
         self._stopping = asyncio.Event()
