--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -526,7 +526,8 @@
         """
         if self._transport is None:
             return
-        if not self._has_handled or self._is_receiving:
+        is_unanswered = not self._has_handled or self._is_receiving
+        if is_unanswered and not self._is_discarding:
             self.write(self._server.full_response)
         self._is_discarding = True
         self._transport.close()
@@ -573,7 +574,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         if self._content_length is None or not self._is_receiving:
             return self._reads.buffer()
-        # No requests after a body are read along with its end.
+        # Few requests after a body are read along with its end.
         missing = self._content_length - len(self._body)
         return self._reads.buffer(max(missing, FIRST_READ_BYTES))
 
@@ -586,7 +587,8 @@
         self._reads.end(nbytes)
         if not (self._is_receiving and self._is_head_complete):
             self._reads.restart()
-        self._update_reading()
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._update_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
@@ -995,7 +997,7 @@
         self._has_handled = True
         self._task = asyncio.create_task(self._server.handler(request, responder))
         self._task.add_done_callback(partial(self._on_done, responder))
-        self._server.connection_limit.update(self, self._use)
+        self._server.connection_limit.update(self, ConnectionUse.HANDLING)
 
     def _refuse_waiting(self) -> None:
         """Answer whole requests that were refused before the rejected one."""
@@ -1017,7 +1019,8 @@
             if self._reset_at is None:
                 self._start_next()
             self._update_reading()
-        self._server.connection_limit.update(self, self._use)
+        if self._task is None:
+            self._server.connection_limit.update(self, self._use)
 
 
 class PacedListener(socket.socket):
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -70,9 +70,10 @@
 def test_shares_leave_each_caller_a_connection_to_an_endpoint(descriptors):
     shares = share_descriptors(descriptors)
     assert shares.callers >= 1
-    assert shares.auxiliary >= 1
+    assert shares.directory >= 1
+    assert shares.monitoring >= 1
     if descriptors >= 16:
-        used = 2 * shares.callers + 3 * shares.auxiliary
+        used = 2 * shares.callers + shares.directory + 2 * shares.monitoring
         assert used <= descriptors
 
 
@@ -205,3 +206,18 @@
     assert counts == [16, 16, 8]
     for sock in [listener, *clients, *accepted]:
         sock.close()
+
+
+async def test_refused_connection_that_lingers_makes_room_for_a_new_one():
+    errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: errors.append(context)
+    )
+    async with Site(1) as site:
+        site.release.set()
+        refused = await site.open(b"GET / HTTP/1.1\r\nBroken\r\n\r\n")
+        response = await send_request(site.address, "GET", "/", {"Host": "h"})
+        assert response.status == 200
+        assert (await read_response(refused)).status == 400
+        assert await refused.read() == b""
+        assert errors == []
