Show the bytes and connections of callers as metrics

Cause: neither the log nor the metrics told how much of a process's memory callers hold, so that crowds could not be told from other causes of a high peak_memory_bytes.

Change: gauges caller_held_bytes (requests that are received or wait, and unsent responses, of all addresses) and caller_connections.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -386,6 +386,12 @@
             return ConnectionUse.RECEIVING
         return ConnectionUse.KEPT if self._has_handled else ConnectionUse.NEW
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests that are received or wait, and of unsent responses."""
+        waiting = sum(len(request.body) for request in self._pending)
+        return self._header_size + len(self._body) + waiting + self._unsent_bytes
+
     @property
     def _unsent_bytes(self) -> int:
         transport = self._transport
@@ -973,6 +979,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the open connections hold."""
+        return sum(connection.held_bytes for connection in self._connections)
+
     async def start(self, address: str) -> None:
         """Start accepting connections.
 
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -477,6 +477,11 @@
         self._set_retry_budget_gauges()
         peak = getrusage(RUSAGE_SELF).ru_maxrss * KIBIBYTE
         self._metrics.gauge("peak_memory_bytes", peak)
+        servers = [server for _, server in self._servers]
+        connection_count = sum(server.connection_count for server in servers)
+        self._metrics.gauge("caller_connections", connection_count)
+        held_bytes = sum(server.held_bytes for server in servers)
+        self._metrics.gauge("caller_held_bytes", held_bytes)
         for task, is_failing in self._supervisor.failing.items():
             self._metrics.gauge("task_failing", is_failing, task=task)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
