Bound the memory that all callers of a node hold together

What callers saw: a gateway whose callers sent many large bodies of legal size at once, most short of their end, ran out of memory and ended (crowds of 300 connections: 340 to 867 MB where a machine has 222).

Cause: each body was bounded by max_body_bytes and nothing bounded their sum, nor the requests pipelined behind them, nor responses that callers don't read. A refused connection kept its body until its end, a request's body was kept twice, and a closed connection was freed by the cyclic collector only, since its parser refers to it.

Change: core/caller_memory.py, one account for all addresses of a node, with a limit from memory_mb. A stated length is claimed at the head; what finds no room is refused with 503 and Retry-After. Requests that aren't passed on make room for newcomers once they have held theirs for long, by size times time; those without a known route or key go first; small requests have room of their own. A request that is handled keeps its memory, and each whole request that is refused gets its response. Refused and closed connections free their buffers at once. The receive buffer of a connection is bounded, which also bounds what the kernel holds.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -9,6 +9,7 @@
 import errno
 import socket
 import struct
+import sys
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +26,14 @@
     TABS_TO_SPACES,
     normalize_head,
 )
+from cyclamenyoke.core.caller_memory import (
+    CONNECTION_BYTES,
+    SMALL_REQUEST_BYTES,
+    TEXT_COPIES,
+    CallerMemory,
+    MemoryHolder,
+    request_cost,
+)
 from cyclamenyoke.core.connection_limit import ConnectionLimit, ConnectionUse
 from cyclamenyoke.core.gateway_config import CallerLimits
 from cyclamenyoke.core.refusals import Refusal, RefusalReason, shorten, shorten_path
@@ -48,6 +57,9 @@
 SWEEP_INTERVAL = 500 * MILLISECOND
 """Seconds between two checks of the connections' deadlines."""
 
+RECEIVE_BUFFER_BYTES = 32 * KIBIBYTE
+"""Size of the kernel's buffer for what the server has not yet read."""
+
 LINGER_TIMEOUT = 1 * SECOND
 """Seconds for which data from the caller is read and discarded after the last response,
 because a TCP reset could destroy a rejection before the caller has read it."""
@@ -319,7 +331,7 @@
             self._connection.close_gracefully()
 
 
-class IngressConnection(asyncio.BufferedProtocol):
+class IngressConnection(asyncio.BufferedProtocol, MemoryHolder):
     """One connection from a caller.
 
     Reads are small, and a connection whose bytes are costly to parse awaits its turn,
@@ -333,7 +345,10 @@
         # The parser would reject some transfer codings before they are known here, and
         # pass over others; check_framing is stricter and covers all.
         self._parser.set_dangerous_leniencies(lenient_transfer_encoding=True)
-        self._pending: collections.deque[HttpRequest] = collections.deque()
+        # Whole requests with the memory that they occupy.
+        self._pending: collections.deque[tuple[HttpRequest, int]] = collections.deque()
+        # Whole requests before the rejected one that are refused for lack of memory.
+        self._refused_count = 0
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -347,6 +362,9 @@
         self._rejection: HTTPStatus | None = None
         self._rejection_headers: Sequence[Header] = ()
         self._reset_at: float | None = None
+        # As the account of the memory knows them.
+        self._claimed_bytes = 0
+        self._counted_unsent = 0
         # Unsent bytes of the last response when its reset was last put off.
         self._unsent_before = 0
         self._is_lost = False
@@ -389,7 +407,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of requests that are received or wait, and of unsent responses."""
-        waiting = sum(len(request.body) for request in self._pending)
+        waiting = sum(len(request.body) for request, _ in self._pending)
         return self._header_size + len(self._body) + waiting + self._unsent_bytes
 
     @property
@@ -405,6 +423,7 @@
         """Send bytes unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._count_unsent()
 
     async def drain(self) -> None:
         """Wait until the send buffer has room."""
@@ -428,6 +447,7 @@
         the data, or once it has read nothing for the idle timeout.
         """
         self._is_discarding = True
+        self._drop_unserved()
         self._extend_linger()
         transport = self._transport
         if transport is None or not transport.can_write_eof():
@@ -442,6 +462,7 @@
 
     def check_deadlines(self, now: float) -> None:
         """Close or reject if a deadline has passed."""
+        self._count_unsent()
         if self._reset_at is not None:
             if self._unsent_bytes < self._unsent_before:
                 self._extend_linger()
@@ -520,19 +541,28 @@
         if self._server.is_closed:
             # Accepted just before the server closed.
             transport.close()
+        elif not self._server.memory.open(self, self._server.clock.now()):
+            self._is_discarding = True
+            fault = self._no_memory("connection", CONNECTION_BYTES)
+            self._report(fault.status, fault)
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_lost = True
         self._writable.set()
-        self._pending.clear()
+        self._drop_unserved()
+        # They refer to this connection, which would be freed only by the collector.
+        del self._parser, self._reads
         if self._task is not None:
             self._task.cancel()
+        self._server.memory.close(self)
         self._server.on_close(self)
 
     def pause_writing(self) -> None:
         self._writable.clear()
 
     def resume_writing(self) -> None:
+        self._count_unsent()
         self._writable.set()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -576,6 +606,8 @@
             return
         if is_in_head and not self._is_head_complete:
             self._count_unfinished_head(message, len(data))
+        if self._is_receiving:
+            self._claim_memory()
 
     def _count_unfinished_head(self, message: int, size: int) -> None:
         """Bound a head whose last field has no end, which the parser keeps.
@@ -680,8 +712,10 @@
         is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
         if self._reads.awaits_turn or (is_full and not self._is_discarding):
             self._transport.pause_reading()
+            self._server.memory.set_unread(self, RECEIVE_BUFFER_BYTES)
         else:
             self._transport.resume_reading()
+            self._server.memory.set_unread(self, 0)
 
     # httptools callbacks.
 
@@ -707,7 +741,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._reads.parts += 1
         # Trailers of a chunked body are not checked as headers are, and are dropped.
-        if not self._is_head_complete:
+        if not self._is_head_complete and not self._is_discarding:
             self._headers.append((name, value))
         self._count_header_bytes(len(name) + len(value) + len(b": \r\n"))
 
@@ -730,6 +764,13 @@
                 self._content_length = int(value)
                 self._check_body_size(self._content_length)
         self._server.connection_limit.update(self, self._use)
+        if self._is_discarding:
+            return
+        is_large = (self._content_length or 0) > SMALL_REQUEST_BYTES // TEXT_COPIES
+        if is_large or self._has_header(b"transfer-encoding"):
+            is_expected = self._server.is_expected(self._build_request(b""))
+            self._server.memory.expect(self, is_expected)
+        self._claim_memory()
         if self._must_continue and not self._is_discarding:
             self._start_next()
 
@@ -746,35 +787,103 @@
     def on_message_complete(self) -> None:
         if self._is_discarding:
             return
+        self._claim_memory()
+        if self._is_discarding:
+            return
+        request = self._build_request(bytes(self._body))
+        self._is_receiving = self._must_continue = self._is_head_complete = False
+        self._free_message()
+        size = self._server.memory.complete(self)
+        self._pending.append((request, size))
+        self._start_next()
+
+    def _build_request(self, body: bytes) -> HttpRequest:
         target, headers = normalize_head(self._target, self._headers)
-        request = HttpRequest(
+        return HttpRequest(
             self._parser.get_method(),
             target,
             headers,
-            bytes(self._body),
+            body,
             self._received_at,
             self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             self._parser.get_http_version() == "1.0",
         )
-        self._is_receiving = self._must_continue = self._is_head_complete = False
-        self._pending.append(request)
-        self._start_next()
 
     def _reset_message(self) -> None:
         self._received_at = self._server.clock.now()
         self._message_number += 1
         # Of blocks that belong to this head as a whole.
         self._unfinished_head_bytes = 0
-        self._target = b""
-        self._headers: list[Header] = []
+        self._free_message()
         self._header_size = 0
         self._is_head_complete = False
-        self._body = bytearray()
         self._content_length = None
         # Bytes received since the head, less those that the body may take.
         self._overhead_bytes = 0
         self._must_continue = False
 
+    def _free_message(self) -> None:
+        """Free what has been received of a request."""
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body = bytearray()
+        self._claimed_bytes = 0
+
+    def _drop_unserved(self) -> None:
+        """Free the requests that are received or wait."""
+        self._pending.clear()
+        self._free_message()
+        self._unparsed = b""
+        self._server.memory.release_unserved(self)
+
+    def _claim_memory(self) -> None:
+        """Claim memory for the request that is being received, or refuse it.
+
+        A body whose length is stated is claimed as a whole.
+        """
+        if self._is_discarding:
+            return
+        head_bytes = max(self._header_size, self._unfinished_head_bytes)
+        body_bytes = max(self._content_length or 0, len(self._body))
+        size = request_cost(len(self._headers), head_bytes, body_bytes)
+        if size <= self._claimed_bytes:
+            return
+        if self._server.memory.receive(self, size, self._server.clock.now()):
+            self._claimed_bytes = size
+        else:
+            self._reject(self._no_memory("request", size))
+
+    def _no_memory(self, part: str, size: int) -> Fault:
+        return Fault(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            RefusalReason.NO_MEMORY,
+            part,
+            size=size,
+            limit=self._server.memory.limit,
+        )
+
+    def _count_unsent(self) -> None:
+        """Account for the bytes of responses that the caller has not read."""
+        unsent = self._unsent_bytes
+        if unsent != self._counted_unsent:
+            self._counted_unsent = unsent
+            self._server.memory.set_unsent(self, unsent, self._server.clock.now())
+
+    # Called by the account of the memory, also by reset().
+
+    def refuse_unserved(self) -> None:
+        """Refuse the requests that are received or wait, and close the connection."""
+        waiting = len(self._pending)
+        self._pending.clear()
+        self._refused_count += waiting
+        if self._rejection is not None:
+            return
+        if not self._is_receiving:
+            # The last of them is the one that closes the connection.
+            self._refused_count -= 1
+        self._reject(self._no_memory("request", self._claimed_bytes))
+        self._update_reading()
+
     def _count_header_bytes(self, size: int) -> None:
         self._header_size += size
         self._check_header_bytes(self._header_size)
@@ -813,12 +922,18 @@
             return
         status = fault.status
         headers: Sequence[Header] = ()
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        if fault.reason is RefusalReason.NO_MEMORY:
+            headers = self._server.no_memory_headers
+        elif status is HTTPStatus.SERVICE_UNAVAILABLE:
             headers = self._server.full_headers
         is_limit = fault.reason in LIMIT_REASONS
         if is_limit and not self._server.are_limits_confirmed(self._received_at):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             headers = self._server.unconfirmed_headers
+        self._report(status, fault)
+        self._refuse(status, headers)
+
+    def _report(self, status: HTTPStatus, fault: Fault) -> None:
         refusal = Refusal(
             status.value,
             fault.reason,
@@ -830,7 +945,9 @@
             fault.limit,
         )
         self._server.on_refused(refusal)
-        self._refuse(status, headers)
+
+    def _has_header(self, name: bytes) -> bool:
+        return any(key.lower() == name for key, _ in self._headers)
 
     def _request_id(self) -> str | None:
         """Return the id of the request that is being received, if it has come."""
@@ -845,6 +962,9 @@
         self._is_discarding = True
         self._is_receiving = False
         self._rejection = status
+        self._free_message()
+        self._unparsed = b""
+        self._server.memory.receive(self, 0, self._server.clock.now())
         self._start_next()
 
     def _start_next(self) -> None:
@@ -853,6 +973,7 @@
             return
         if not self._pending:
             if self._rejection is not None:
+                self._refuse_waiting()
                 head = [
                     *self._rejection_headers,
                     (b"Content-Length", b"0"),
@@ -864,15 +985,24 @@
                 self._must_continue = False
                 self.write(CONTINUE)
             return
-        request = self._pending.popleft()
+        request, size = self._pending.popleft()
+        self._server.memory.start(self, size)
         responder = Responder(self, request)
         self._has_handled = True
         self._task = asyncio.create_task(self._server.handler(request, responder))
         self._task.add_done_callback(partial(self._on_done, responder))
         self._server.connection_limit.update(self, ConnectionUse.HANDLING)
 
+    def _refuse_waiting(self) -> None:
+        """Answer whole requests that were refused before the rejected one."""
+        head = [*self._server.no_memory_headers, (b"Content-Length", b"0")]
+        status = HTTPStatus.SERVICE_UNAVAILABLE.value
+        self.write(encode_head(status, head) * self._refused_count)
+        self._refused_count = 0
+
     def _on_done(self, responder: Responder, task: asyncio.Task[None]) -> None:
         self._task = None
+        self._server.memory.finish(self)
         self._deadline = self._server.clock.now() + self._server.limits.idle_timeout
         if not task.cancelled() and task.exception() is not None:
             self._server.on_handler_error(task.exception())
@@ -934,6 +1064,10 @@
     :param connection_limit: without a limit if left out.
     :param full_headers: headers of the response to a connection for which there is no
         room.
+    :param memory: account of what the connections occupy; by default without a limit.
+    :param no_memory_headers: headers of the responses to requests that find no room.
+    :param is_expected: returns whether a request, without its body, is likely to be
+        allowed. Others lose their memory first.
     """
 
     def __init__(
@@ -947,6 +1081,9 @@
         unconfirmed_headers: Sequence[Header] = (),
         connection_limit: ConnectionLimit[IngressConnection] | None = None,
         full_headers: Sequence[Header] = (),
+        memory: CallerMemory | None = None,
+        no_memory_headers: Sequence[Header] = (),
+        is_expected: Callable[[HttpRequest], bool] = lambda request: True,
     ) -> None:
         self.handler = handler
         self.clock = clock
@@ -961,6 +1098,9 @@
             HTTPStatus.SERVICE_UNAVAILABLE.value,
             [*full_headers, (b"Content-Length", b"0"), (b"Connection", b"close")],
         )
+        self.memory = memory or CallerMemory(sys.maxsize)
+        self.no_memory_headers = no_memory_headers
+        self.is_expected = is_expected
         self.limits = CallerLimits()
         self.read_pacer = ReadPacer()
         self.is_draining = False
@@ -992,6 +1132,7 @@
         host, _, port = address.rpartition(":")
         sock = PacedListener()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((host, int(port)))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
--- a/src/cyclamenyoke/core/refusals.py
+++ b/src/cyclamenyoke/core/refusals.py
@@ -24,6 +24,7 @@
     FRAMING_TOO_LARGE = "framing_too_large"
     TOO_MANY_PIPELINED = "too_many_pipelined"
     TOO_SLOW = "too_slow"
+    NO_MEMORY = "no_memory"
     MISSING_HEADER = "missing_header"
     UNSUPPORTED_TARGET = "unsupported_target"
 
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -368,6 +368,16 @@
         ratio = self._gap_ratios.get(service)
         return ratio.value(self._clock.now()) if ratio else 0.0
 
+    def is_allowed(self, request: InboundRequest) -> bool:
+        """Return whether the newest configuration allows a request.
+
+        No denial may be based on it, since that configuration may be outdated.
+        """
+        config = self._config()
+        if config is None:
+            return True
+        return isinstance(_authorize(request, config), Grant)
+
     async def serve(self, request: InboundRequest, writer: ResponseWriter) -> None:
         """Respond to one request."""
         if request.is_from_gateway:
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -26,6 +26,7 @@
 from cyclamenyoke.adapters.logs import Log, install_nonblocking_logs
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
+from cyclamenyoke.core.caller_memory import CallerMemory, caller_memory_limit
 from cyclamenyoke.core.cold_endpoints import ColdEndpoints, ColdObserver
 from cyclamenyoke.core.connection_limit import ConnectionLimit, share_descriptors
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
@@ -54,6 +55,7 @@
     CallerHandler,
     DirectoryHandler,
     ReadinessHandler,
+    decode_request,
 )
 from cyclamenyoke.platform.documents import (
     CONFIG_KEY,
@@ -74,6 +76,9 @@
 """Longest time in seconds for which callers may cache the directory's addresses: about
 the time after which the directory drops a dead node."""
 
+NO_MEMORY_RETRY_AFTER = 500 * MILLISECOND
+"""Retry-After in seconds of a request that finds no memory."""
+
 STOP_POLL_INTERVAL = 50 * MILLISECOND
 """Interval in seconds at which a shutdown checks whether it is complete."""
 
@@ -249,12 +254,14 @@
             self._quarantine, self._clock, self._log
         )
         shares = share_descriptors(settings.file_descriptors)
+        self._caller_memory = CallerMemory(caller_memory_limit(settings.memory_bytes))
         self._caller_server = self._create_server(
             CallerHandler(
                 self._forwarder.serve, self._on_refused, self._on_unreadable_header
             ),
             shares.callers,
             self._are_limits_confirmed,
+            self._is_expected,
         )
         self._servers = [
             (settings.callers, self._caller_server),
@@ -394,6 +401,7 @@
         handler: object,
         max_connections: int,
         are_limits_confirmed: Callable[[float], bool],
+        is_expected: Callable[[HttpRequest], bool] = lambda request: False,
     ) -> IngressServer:
         return IngressServer(
             handler,  # type: ignore[arg-type]
@@ -405,8 +413,16 @@
             [(RETRY_AFTER, b"%.3f" % UNCONFIRMED_RETRY_AFTER)],
             ConnectionLimit(max_connections),
             [(RETRY_AFTER, b"%.3f" % FULL_RETRY_AFTER)],
+            self._caller_memory,
+            [(RETRY_AFTER, b"%.3f" % NO_MEMORY_RETRY_AFTER)],
+            is_expected,
         )
 
+    def _is_expected(self, request: HttpRequest) -> bool:
+        """Return whether the configuration in force allows a caller's request."""
+        inbound = decode_request(request)
+        return not isinstance(inbound, Refusal) and self._forwarder.is_allowed(inbound)
+
     def _are_limits_confirmed(self, arrived_at: float) -> bool:
         """Return whether the limits in force may deny a request; look for newer ones.
 
@@ -482,6 +498,8 @@
         self._metrics.gauge("caller_connections", connection_count)
         held_bytes = sum(server.held_bytes for server in servers)
         self._metrics.gauge("caller_held_bytes", held_bytes)
+        self._metrics.gauge("caller_memory_bytes", self._caller_memory.held)
+        self._metrics.gauge("caller_memory_limit_bytes", self._caller_memory.limit)
         for task, is_failing in self._supervisor.failing.items():
             self._metrics.gauge("task_failing", is_failing, task=task)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
