Free the body of an order whose caller has left

Cause: an order that may not be retried runs to its end at the endpoint when its caller leaves. Its context kept the body until then, and the account of the callers' memory had released it with the connection, so callers that come and go could hold more than the account says.

Change: the digests are computed and the body is dropped when the caller leaves.

Result: test_body_of_an_order_whose_caller_has_left_is_freed failed before (8,192 bytes held) and passes now.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -1029,6 +1029,9 @@
         if context.route.is_stream:
             engine_call.release()
             return
+        # Its digests stay; no account of the callers' memory has the body any more.
+        self._fingerprint(context)
+        context.request.body = b""
         self._start_detached(
             self._drain_response(context, endpoint, engine_call, max_connections)
         )
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -10,8 +10,10 @@
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.http_ingress import IngressConnection, IngressServer
 from cyclamenyoke.core.caller_memory import CONNECTION_BYTES, CallerMemory, MemoryHolder
+from cyclamenyoke.core.inbound_request import InboundRequest
 from cyclamenyoke.core.refusals import RefusalReason
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE
+from site_fixture import caller_headers, running_site
 
 
 async def handle(request, responder):
@@ -286,3 +288,24 @@
             each.close()
         await until(lambda: not server.connection_count)
         assert memory.held == 0
+
+
+async def test_body_of_an_order_whose_caller_has_left_is_freed():
+    async with running_site() as site:
+        gateway, node, _ = site.gateways[0]
+        for engine in site.engines_of("app"):
+            engine.answer_delay = 1.0
+        host, _, port = node.callers.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        fields = [f"{key}: {value}" for key, value in caller_headers().items()]
+        lines = ["POST /order/a HTTP/1.1", *fields, f"Content-Length: {8 * KIBIBYTE}"]
+        writer.write("\r\n".join([*lines, "", ""]).encode() + bytes(8 * KIBIBYTE))
+        await site.wait_until(
+            lambda: sum(len(each.state.received) for each in site.engines_of("app"))
+        )
+        writer.close()
+        await site.wait_until(lambda: gateway._forwarder._detached)
+        bodies = [
+            each.body for each in gc.get_objects() if isinstance(each, InboundRequest)
+        ]
+        assert sum(map(len, bodies)) == 0
