Let pipelined requests and stalled responses make room for connections

Cause: each such connection always has a request that is handled, so that none may be closed for a new one.

Change: if no connection is idle, a new one takes the place of one whose caller has read nothing for 5 s. Without one, the requests that wait on the connection with most of them are refused; they have not been passed on, each gets 503, and the connection closes after the one that is handled.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -404,6 +404,11 @@
             return ConnectionUse.RECEIVING
         return ConnectionUse.KEPT if self._has_handled else ConnectionUse.NEW
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of whole requests that wait behind another one."""
+        return len(self._pending)
+
     @property
     def held_bytes(self) -> int:
         """Bytes of requests that are received or wait, and of unsent responses."""
@@ -869,10 +874,22 @@
             self._counted_unsent = unsent
             self._server.memory.set_unsent(self, unsent, self._server.clock.now())
 
-    # Called by the account of the memory, also by reset().
+    # Called by the server, and by the account of the memory.
+
+    def refuse_pipelined(self) -> None:
+        """Refuse the requests that wait, and close the connection after another's."""
+        self._server.memory.release_unserved(self)
+        reason = RefusalReason.TOO_MANY_PIPELINED
+        size = len(self._pending)
+        self._refuse_unserved(
+            Fault(HTTPStatus.SERVICE_UNAVAILABLE, reason, size=size, limit=0)
+        )
 
     def refuse_unserved(self) -> None:
         """Refuse the requests that are received or wait, and close the connection."""
+        self._refuse_unserved(self._no_memory("request", self._claimed_bytes))
+
+    def _refuse_unserved(self, fault: Fault) -> None:
         waiting = len(self._pending)
         self._pending.clear()
         self._refused_count += waiting
@@ -881,7 +898,7 @@
         if not self._is_receiving:
             # The last of them is the one that closes the connection.
             self._refused_count -= 1
-        self._reject(self._no_memory("request", self._claimed_bytes))
+        self._reject(fault)
         self._update_reading()
 
     def _count_header_bytes(self, size: int) -> None:
@@ -1158,12 +1175,31 @@
         self._connections.add(connection)
         if self.connection_limit.is_reached:
             idle = self.connection_limit.make_room(_has_unsent)
-            if idle is None:
+            if idle is not None:
+                idle.close_for_room()
+            elif not self._reset_stalled():
+                self._refuse_pipelined()
                 connection.close_for_room()
                 return
-            idle.close_for_room()
         self.connection_limit.add(connection)
 
+    def _reset_stalled(self) -> bool:
+        """Reset a connection whose caller reads nothing; return false without one."""
+        now = self.clock.now()
+        for connection in self._connections:
+            if self.memory.is_stalled(connection, now):
+                self.memory.close(connection)
+                self.connection_limit.remove(connection)
+                connection.reset()
+                return True
+        return False
+
+    def _refuse_pipelined(self) -> None:
+        """Refuse what waits behind a request, so that its connection will close."""
+        pipelining = max(self._connections, key=lambda each: each.waiting_count)
+        if pipelining.waiting_count:
+            pipelining.refuse_pipelined()
+
     def on_close(self, connection: IngressConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
--- a/src/cyclamenyoke/core/caller_memory.py
+++ b/src/cyclamenyoke/core/caller_memory.py
@@ -235,6 +235,13 @@
         if growth > 0 and self._held > self._limit:
             self._find_room(0, self._limit, holder, now)
 
+    def is_stalled(self, holder: MemoryHolder, now: float) -> bool:
+        """Return whether a caller has read nothing of its responses for long."""
+        share = self._shares.get(holder)
+        if share is None or not share.unsent:
+            return False
+        return now - share.stalled_since >= STALLED_RESPONSE_TIME
+
     def _find_room(
         self, size: int, limit: int, claimant: MemoryHolder, now: float
     ) -> bool:
@@ -278,9 +285,7 @@
         stalled = [
             (share.stalled_since, share.unsent, holder)
             for holder, share in self._shares.items()
-            if holder is not claimant
-            and share.unsent
-            and now - share.stalled_since >= STALLED_RESPONSE_TIME
+            if holder is not claimant and self.is_stalled(holder, now)
         ]
         stalled.sort(key=lambda entry: entry[0])
         holders = []
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -9,7 +9,9 @@
 
 from cyclamenyoke.adapters.clock import BootClock
 from cyclamenyoke.adapters.http_ingress import IngressConnection, IngressServer
+from cyclamenyoke.core import caller_memory
 from cyclamenyoke.core.caller_memory import CONNECTION_BYTES, CallerMemory, MemoryHolder
+from cyclamenyoke.core.connection_limit import ConnectionLimit
 from cyclamenyoke.core.inbound_request import InboundRequest
 from cyclamenyoke.core.refusals import RefusalReason
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE
@@ -178,7 +180,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_server(memory, handler=handle):
+async def running_server(memory, handler=handle, max_connections=None):
     """Start a server; yield it, its port and the refusals."""
     refusals = []
     headers = [(b"Retry-After", b"0.500")]
@@ -189,6 +191,7 @@
         print,
         memory=memory,
         no_memory_headers=headers,
+        connection_limit=ConnectionLimit(max_connections),
     )
     await server.start("127.0.0.1:0")
     try:
@@ -273,6 +276,51 @@
         writer.close()
 
 
+async def test_pipelined_requests_make_room_for_a_newcomer():
+    has_started, may_end = asyncio.Event(), asyncio.Event()
+
+    async def wait(request, responder):
+        has_started.set()
+        await may_end.wait()
+        responder.respond(200)
+
+    memory = CallerMemory(4 * MEBIBYTE)
+    async with running_server(memory, wait, max_connections=1) as (server, port, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(3 * head(0))
+        await has_started.wait()
+        newcomer, other = await asyncio.open_connection("127.0.0.1", port)
+        refusal = await asyncio.wait_for(newcomer.read(), 5)
+        assert refusal.startswith(b"HTTP/1.1 503 ")
+        may_end.set()
+        response = await asyncio.wait_for(reader.read(), 5)
+        assert re.findall(rb"HTTP/1.1 (\d+)", response) == [b"200", b"503", b"503"]
+        writer.close()
+        other.close()
+        await until(lambda: not server.connection_count)
+        assert memory.held == 0
+
+
+async def test_stalled_response_makes_room_for_a_newcomer(monkeypatch):
+    monkeypatch.setattr(caller_memory, "STALLED_RESPONSE_TIME", 0.2)
+
+    async def respond(request, responder):
+        responder.respond(200, body=bytes(64 * MEBIBYTE if request.body else 0))
+
+    memory = CallerMemory(256 * MEBIBYTE)
+    async with running_server(memory, respond, max_connections=1) as (server, port, _):
+        _, stalled = await asyncio.open_connection("127.0.0.1", port, limit=1)
+        stalled.write(head(1) + b"x")
+        await until(lambda: server.held_bytes > MEBIBYTE)
+        await asyncio.sleep(1.0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head(0))
+        status = await asyncio.wait_for(reader.readline(), 5)
+        assert status.startswith(b"HTTP/1.1 200 ")
+        writer.close()
+        stalled.close()
+
+
 async def test_crowd_of_incomplete_bodies_stays_below_the_limit():
     memory = CallerMemory(8 * MEBIBYTE)
     async with running_server(memory) as (server, port, _):
