Stop gateways together in the soak, again and again

No profile stopped several gateways at once for a second or more beside sound or failing servers. "stalls", "stalls_failing" and "stalls_kills" do. Runs without a stated profile don't draw them, so that the series of earlier seeds stay.

--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -191,6 +191,27 @@
             if gateway.child is child:
                 self._site.send_signal(gateway, signal.SIGCONT)
 
+    async def stall_again(self, random: Random) -> None:
+        """Freeze one, or most, gateways together a few times, for a second or more."""
+        gateways = self._site.gateways
+        for _ in range(random.randint(3, 5)):
+            count = random.choice([1, len(gateways) - 1, len(gateways)])
+            stalled = [
+                (gateway, gateway.child)
+                for gateway in random.sample(gateways, count)
+                if self._site.send_signal(gateway, signal.SIGSTOP)
+            ]
+            await asyncio.sleep(random.uniform(1.2, 3.0))
+            for gateway, child in stalled:
+                if gateway.child is child:
+                    self._site.send_signal(gateway, signal.SIGCONT)
+            await asyncio.sleep(random.uniform(0.3, 1.5))
+
+    async def stall_while_servers_fail(self, random: Random) -> None:
+        failing = asyncio.create_task(self.servers_fail(random))
+        await self.stall_again(random)
+        await failing
+
     async def store_harmed_for_some(self, random: Random) -> None:
         """Let the store be away, slow or behind for a few gateways.
 
@@ -476,7 +497,12 @@
     "servers_frozen_then_failing",
     *LINK_FAULTS,
 )
-OWN_FAULTS = ("engines_endless", "configure_timeouts")
+OWN_FAULTS = (
+    "engines_endless",
+    "configure_timeouts",
+    "stall_again",
+    "stall_while_servers_fail",
+)
 """Faults that only the profiles below draw which name them."""
 
 INJECTORS: dict[str, Callable[[Injector, Random], Awaitable[None]]] = {
@@ -492,6 +518,7 @@
     :param max_gap: longest such time; most faults last longer, so that they overlap.
     :param has_variants: whether callers send requests that only some versions allow.
     :param plain_timeouts: see :class:`process_soak.site.Bounds`.
+    :param is_drawn: whether runs without a stated profile may use it.
     """
 
     names: tuple[str, ...]
@@ -499,6 +526,7 @@
     max_gap: float = 4.0
     has_variants: bool = False
     plain_timeouts: tuple[float, ...] = ()
+    is_drawn: bool = True
 
 
 PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
@@ -536,9 +564,23 @@
         1.4,
         has_variants=True,
     ),
+    "stalls": Profile(("stall_again",), 8.0, 10.0, is_drawn=False),
+    "stalls_failing": Profile(
+        ("stall_while_servers_fail",), 12.0, 16.0, is_drawn=False
+    ),
+    "stalls_kills": Profile(
+        ("stall_again", "server_frozen", "kill_most"), 2.0, 5.0, is_drawn=False
+    ),
 }
 
 
+def draw_profile(random: Random) -> str:
+    """Return the profile of a run that states none."""
+    return random.choice(
+        sorted(name for name, each in PROFILES.items() if each.is_drawn)
+    )
+
+
 def draw_faults(random: Random, profile: str, seconds: float) -> list[Fault]:
     """Return the series of faults of a run."""
     faults = []
--- a/tests/process_soak/run.py
+++ b/tests/process_soak/run.py
@@ -7,7 +7,14 @@
 from pathlib import Path
 from random import Random
 
-from process_soak.faults import NEED_PROXY, PROFILES, Fault, Injector, draw_faults
+from process_soak.faults import (
+    NEED_PROXY,
+    PROFILES,
+    Fault,
+    Injector,
+    draw_faults,
+    draw_profile,
+)
 from process_soak.networks import hold
 from process_soak.observations import Observations
 from process_soak.record import read_events
@@ -70,7 +77,7 @@
 
 def _play_alone(options: Options) -> Report:
     random = Random(options.seed)
-    profile = options.profile or random.choice(sorted(PROFILES))
+    profile = options.profile or draw_profile(random)
     directory = options.directory.absolute() / f"{options.seed}-{profile}"
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
