Keep the shares of peers whose updates wait after a pause

What callers saw: after a pause of over 3 s a gateway divided the limits and the connections of engines by too few gateways, and sent engines more than its part.

Cause: a process that did not run reads the updates of its peers one by one. As soon as half of them are read, it is not "cut off" any more, and takes the others, which have not been heard for the length of the pause, for gone. The silence of a peer was counted although nobody listened.

Change: heartbeats show that the process runs. After a gap of over 0.5 s, silence of peers that were not silent before counts from the end of the pause. A peer that was silent before stays silent, so that callers are not sent to it.

--- a/src/cyclamenyoke/core/peers.py
+++ b/src/cyclamenyoke/core/peers.py
@@ -34,6 +34,10 @@
 """Seconds without an update for which a peer may still be sending requests, although it
 no longer counts as live."""
 
+MAX_HEARTBEAT_GAP = 500 * MILLISECOND
+"""Seconds between two heartbeats from which this process did not run in between, and
+updates of its peers wait to be read."""
+
 PEER_LIFETIME = 30 * SECOND
 """Seconds without an update after which a peer is removed and gets no more updates."""
 
@@ -158,6 +162,11 @@
     # they may not.
     _counted_since: float | None = None
     _counted_checked_at: float = -inf
+    # The last heartbeat or query; ``None`` before the first heartbeat.
+    _ran_at: float | None = None
+    # The last pause of this process.
+    _paused_at: float = -inf
+    _resumed_at: float = -inf
     # When nodes were removed whose registrations had expired, by IP address.
     _removed_at: dict[str, float] = field(default_factory=dict)
 
@@ -191,6 +200,7 @@
 
     def on_update(self, update: PeerUpdate, now: float) -> bool:
         """Apply a node's update; return whether it is newer than its last one."""
+        self._note_running(now)
         if update.ip == self.ip:
             return False
         peer = self._peers.setdefault(update.ip, Peer(update.ip, now))
@@ -233,15 +243,16 @@
         Silent nodes are removed once their registration has expired. The time limit of
         :data:`PEER_LIFETIME` is for those whose registration outlives them.
         """
+        self._note_running(now)
         for ip, peer in list(self._peers.items()):
-            silence = now - peer.heard_at
+            silence = now - self._silent_since(peer, MAX_SILENCE)
             is_gone = ip not in registered and silence > MAX_SILENCE
             if is_gone or silence > PEER_LIFETIME:
                 del self._peers[ip]
                 self._removed_at[ip] = now
         self.add_candidates(registered, now)
         self._has_registrations = True
-        self.update_counted(now)
+        self._check_counted(now)
 
     def last_heard(self, ip: str) -> tuple[PeerUpdate, float] | None:
         """Return a node's last update and when it arrived, if there was one."""
@@ -252,17 +263,24 @@
 
     def silent(self, now: float) -> list[tuple[PeerUpdate, float]]:
         """Return the last update of each silent node, and when it arrived."""
-        heard = (self.last_heard(ip) for ip in self._peers)
-        return [each for each in heard if each and now - each[1] >= PEER_TIMEOUT]
+        self._note_running(now)
+        return [
+            (peer.update, peer.received_at)
+            for peer in self._peers.values()
+            if peer.update is not None
+            and peer.received_at is not None
+            and now - self._silent_since(peer, PEER_TIMEOUT) >= PEER_TIMEOUT
+        ]
 
     def live(self, now: float) -> list[PeerUpdate]:
         """Return the last update of each live node."""
+        self._note_running(now)
         return [
             peer.update
             for peer in self._peers.values()
             if peer.update is not None
             and peer.received_at is not None
-            and now - peer.received_at < PEER_TIMEOUT
+            and now - self._silent_since(peer, PEER_TIMEOUT) < PEER_TIMEOUT
         ]
 
     def are_most_silent(self, now: float) -> bool:
@@ -289,12 +307,13 @@
         That it reaches the store does not help here: the others may do so as well and
         send requests. They count until their registrations have expired.
         """
+        self._note_running(now)
         known = [
-            (peer.ip, peer.heard_at)
+            (peer.ip, self._silent_since(peer, MAX_SILENCE))
             for peer in self._peers.values()
             if peer.update is not None or now - peer.added_at < MAX_SILENCE
         ]
-        recent = [ip for ip, heard_at in known if now - heard_at < MAX_SILENCE]
+        recent = [ip for ip, since in known if now - since < MAX_SILENCE]
         return recent if 2 * len(recent) >= len(known) else [ip for ip, _ in known]
 
     def sharing_count(self, now: float) -> int:
@@ -304,15 +323,47 @@
         """
         return 1 + len(self.possible_senders(now))
 
-    def update_counted(self, now: float) -> None:
-        """Note whether the others count this node; call this at each heartbeat.
+    def on_heartbeat(self, now: float) -> None:
+        """Note that this process runs, and whether the others count this node."""
+        self._note_running(now)
+        self._ran_at = now
+        self._check_counted(now)
+
+    def _note_running(self, now: float) -> None:
+        """Note a pause if this process has not run since the last heartbeat or query.
+
+        Whichever runs first after a pause calls this, before all updates are read that
+        arrived meanwhile.
+        """
+        if self._ran_at is None:
+            return
+        if now - self._ran_at > MAX_HEARTBEAT_GAP:
+            self._paused_at = self._ran_at
+            self._resumed_at = now
+        self._ran_at = max(self._ran_at, now)
+
+    def _silent_since(self, peer: Peer, timeout: float) -> float:
+        """Return from when a peer's silence counts.
+
+        A peer that was not silent when this process paused may have sent updates that
+        are not read yet.
+        """
+        if peer.heard_at <= self._paused_at - timeout:
+            return peer.heard_at
+        return max(peer.heard_at, self._resumed_at)
+
+    def _check_counted(self, now: float) -> None:
+        """Note whether the others count this node.
 
         They remove a node that they do not hear once its registration has expired. What
         a process hears that was frozen may have been sent long before.
         """
         was_running = now < self._counted_checked_at + MAX_SILENCE
         self._counted_checked_at = now
-        hears_all = was_running and len(self.live(now)) == len(self._peers)
+        hears_all = was_running and all(
+            now - peer.heard_at < PEER_TIMEOUT and peer.update is not None
+            for peer in self._peers.values()
+        )
         is_registered = now < self._registered_until
         if not self._has_registrations or not (is_registered or hears_all):
             self._counted_since = None
@@ -329,7 +380,7 @@
 
         :param window: length of the sliding window in seconds.
         """
-        self.update_counted(now)
+        self._check_counted(now)
         for ip, removed_at in list(self._removed_at.items()):
             if removed_at + window <= now:
                 del self._removed_at[ip]
--- a/src/cyclamenyoke/daemon/membership.py
+++ b/src/cyclamenyoke/daemon/membership.py
@@ -373,7 +373,7 @@
             except TimeoutError:
                 pass
             self._update_pending.clear()
-            self._peers.update_counted(self._clock.now())
+            self._peers.on_heartbeat(self._clock.now())
             self._check_silence()
             self._adopt_copies()
             if self._begin_era(self._registry.position.era):
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -289,7 +289,7 @@
     peers = peers_of(*NAMES)
     peers.on_registered(NOW + 15)
     peers.on_registrations(NAMES, NOW)
-    peers.update_counted(NOW + 14)
+    peers.on_heartbeat(NOW + 14)
     hear(peers, NAMES, NOW + 15)
     assert peers.budget_part(NOW + 15.5, WINDOW).is_usable
     hear(peers, NAMES[:4], NOW + 16.5)
@@ -304,7 +304,7 @@
     peers = peers_of(*NAMES)
     peers.on_registered(NOW + 15)
     peers.on_registrations(NAMES, NOW)
-    peers.update_counted(NOW + 11)
+    peers.on_heartbeat(NOW + 11)
     hear(peers, NAMES, NOW + 30)
     assert not peers.budget_part(NOW + 30, WINDOW).is_usable
 
