Test copies of nodes that all end, or whose callers use few nodes

* All nodes end within a second, so that nobody knows of their copies: 201, 230 and 218 arrivals for ends at 20.5, 25.0 and 25.4 s.
* The copies of ended nodes are counted in equal parts, and callers use one node of eight from then on: 179 arrivals.
With two nodes or all it holds.

The second needs each node's share of the first attempts, which updates don't tell. Without it a node would have to count all copies beyond the fixed number alone, which leaves no repeats where callers use all nodes.

--- a/tests/test_orphaned_copies.py
+++ b/tests/test_orphaned_copies.py
@@ -1,5 +1,7 @@
 """Copies that ended nodes left at frozen engines, in the budget of all nodes."""
 
+import pytest
+
 from cyclamenyoke.core.orphaned_copies import (
     COPY_LIFETIME_WINDOWS,
     MAX_NOTICES,
@@ -44,6 +46,10 @@
         self.orphans.on_heard("app", ENGINE, now)
 
 
+def kill_all(nodes, incarnation, now):
+    nodes[:] = [Node(number, incarnation, now) for number in range(NODES)]
+
+
 def kill_all_but_one(nodes, incarnation, now, is_told):
     survivor = nodes[0]
     for number in range(1, NODES):
@@ -57,19 +63,27 @@
         node.orphans.merge(survivor.orphans.notices(now), running, now)
 
 
-def most_arrivals_beyond_the_first(is_told):
+def most_arrivals_beyond_the_first(
+    is_told, killed_at=KILLED_AT, has_survivor=True, used_after_kills=NODES
+):
     """Return the most of them in a window, while each retry that is allowed is sent.
 
     Copies that a frozen engine holds arrive once it runs again.
+
+    :param used_after_kills: number of nodes that callers use after the last kill.
     """
     nodes = [Node(number, 0, 0.0) for number in range(NODES)]
-    kills, arrivals = list(KILLED_AT), []
+    kills, arrivals = list(killed_at), []
     for number in range(int(45 * RATE)):
         now = number / RATE
         if kills and now >= kills[0]:
-            kill_all_but_one(nodes, len(arrivals) + 1, kills.pop(0), is_told)
+            killed, incarnation = kills.pop(0), len(arrivals) + 1
+            if has_survivor:
+                kill_all_but_one(nodes, incarnation, killed, is_told)
+            else:
+                kill_all(nodes, incarnation, killed)
         is_frozen = FROZEN_AT <= now < WOKEN_AT
-        node = nodes[number % NODES]
+        node = nodes[number % (NODES if kills else used_after_kills)]
         node.budget.on_first_attempt(now)
         if not is_frozen:
             node.hear(now)
@@ -90,6 +104,20 @@
     assert most_arrivals_beyond_the_first(is_told=False) > ALLOWED
 
 
+# Guards against copies that nobody counts since all who knew of them have ended.
+@pytest.mark.parametrize("killed_at", [20.5, 25.0, 25.4])
+def test_copies_of_nodes_that_all_end_at_once_keep_the_budget(killed_at):
+    most = most_arrivals_beyond_the_first(False, [killed_at], has_survivor=False)
+    assert most <= ALLOWED
+
+
+# Guards against parts of such copies that are counted by nodes without callers.
+@pytest.mark.parametrize("used", [1, 2, NODES])
+def test_copies_keep_the_budget_whichever_nodes_callers_use(used):
+    most = most_arrivals_beyond_the_first(True, [25.4], used_after_kills=used)
+    assert most <= ALLOWED
+
+
 def test_copies_count_for_a_window_after_their_engine_was_heard_of():
     orphans = OrphanedCopies(lambda: WINDOW)
     orphans.adopt("10.0.0.2", 1, COPIES, heard_at=0.0)
