Count copies at endpoints whose connections timed out

Cause: a connection that the kernel gives up (ETIMEDOUT, or an unreachable host or network) counted as closed by the endpoint.

Change: such an error is not the endpoint's end of the connection. It is no evidence any more that the request ended its engine either.

That it breaks the budget is not shown: packets can't be lost on loopback.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import errno
 import socket
 from array import array
 from collections.abc import Callable, Sequence
@@ -55,6 +56,9 @@
 """Refusals after which a connection is not reused, so that their ids need not be
 remembered."""
 
+TIMED_OUT_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
+"""Errors with which the kernel gives a connection up that the server has not ended."""
+
 USER_TIMEOUT = 2 * SECOND
 """Seconds for which sent data may stay unacknowledged before the connection fails: a
 few retransmissions within a region."""
@@ -328,7 +332,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_closed = True
         reason = f"connection lost: {exc}" if exc else "connection closed"
-        self._fail(reason, is_closed=True)
+        # The server may still have what was sent, and read it later.
+        has_timed_out = isinstance(exc, OSError) and exc.errno in TIMED_OUT_ERRORS
+        self._fail(reason, is_closed=not has_timed_out)
         self._on_closed(self)
 
     # httptools callbacks.
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -70,7 +70,7 @@
 class EngineResponseFailed:
     """The response was truncated or cannot be trusted; the request may have run.
 
-    :param is_closed: whether the connection ended before the response did.
+    :param is_closed: whether the endpoint's end of the connection is the reason.
     :param status: the status of a response that can't be trusted; ``None`` for one that
         was truncated or did not arrive.
     :param is_signed: whether it has an engine's signature.
