--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -193,6 +193,27 @@
             if gateway.child is child:
                 self._site.send_signal(gateway, signal.SIGCONT)
 
+    async def stall_again(self, random: Random) -> None:
+        """Freeze one, or most, gateways together a few times, for a second or more."""
+        gateways = self._site.gateways
+        for _ in range(random.randint(3, 5)):
+            count = random.choice([1, len(gateways) - 1, len(gateways)])
+            stalled = [
+                (gateway, gateway.child)
+                for gateway in random.sample(gateways, count)
+                if self._site.send_signal(gateway, signal.SIGSTOP)
+            ]
+            await asyncio.sleep(random.uniform(1.2, 3.0))
+            for gateway, child in stalled:
+                if gateway.child is child:
+                    self._site.send_signal(gateway, signal.SIGCONT)
+            await asyncio.sleep(random.uniform(0.3, 1.5))
+
+    async def stall_while_servers_fail(self, random: Random) -> None:
+        failing = asyncio.create_task(self.servers_fail(random))
+        await self.stall_again(random)
+        await failing
+
     async def store_harmed_for_some(self, random: Random) -> None:
         """Let the store be away, slow or behind for a few gateways.
 
@@ -478,7 +499,12 @@
     "servers_frozen_then_failing",
     *LINK_FAULTS,
 )
-OWN_FAULTS = ("engines_endless", "configure_timeouts")
+OWN_FAULTS = (
+    "engines_endless",
+    "configure_timeouts",
+    "stall_again",
+    "stall_while_servers_fail",
+)
 """Faults that only the profiles below draw which name them."""
 
 INJECTORS: dict[str, Callable[[Injector, Random], Awaitable[None]]] = {
@@ -576,6 +602,13 @@
         slow_reading=SlowReading(0.2),
         is_drawn=False,
     ),
+    "stalls": Profile(("stall_again",), 8.0, 10.0, is_drawn=False),
+    "stalls_failing": Profile(
+        ("stall_while_servers_fail",), 12.0, 16.0, is_drawn=False
+    ),
+    "stalls_kills": Profile(
+        ("stall_again", "server_frozen", "kill_most"), 2.0, 5.0, is_drawn=False
+    ),
 }
 
 
