Judge each request of a connection anew before its memory is taken

Cause: a connection whose large request named no known route or key stayed marked, so that its next small request gave way at once.

Change: each head sets the mark; small requests count as expected.

Result: test_small_request_after_an_unexpected_one_does_not_give_way_at_once failed before and passes now.

--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -772,9 +772,11 @@
         if self._is_discarding:
             return
         is_large = (self._content_length or 0) > SMALL_REQUEST_BYTES // TEXT_COPIES
-        if is_large or self._has_header(b"transfer-encoding"):
-            is_expected = self._server.is_expected(self._build_request(b""))
-            self._server.memory.expect(self, is_expected)
+        may_be_large = is_large or self._has_header(b"transfer-encoding")
+        is_expected = not may_be_large or self._server.is_expected(
+            self._build_request(b"")
+        )
+        self._server.memory.expect(self, is_expected)
         self._claim_memory()
         if self._must_continue and not self._is_discarding:
             self._start_next()
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -321,6 +321,24 @@
         stalled.close()
 
 
+async def test_small_request_after_an_unexpected_one_does_not_give_way_at_once():
+    memory = CallerMemory(4 * MEBIBYTE)
+    async with running_server(memory) as (server, port, _):
+        server.is_expected = lambda request: False
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head(MEBIBYTE) + bytes(MEBIBYTE))
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        writer.write(head(100) + bytes(50))
+        [connection] = server._connections
+        await until(lambda: connection._body)
+        claimant = Holder()
+        assert memory.open(claimant, BootClock().now())
+        assert memory.receive(claimant, 48 * KIBIBYTE, BootClock().now())
+        memory.set_unsent(claimant, 8 * MEBIBYTE, BootClock().now())
+        assert connection._is_receiving
+        writer.close()
+
+
 async def test_crowd_of_incomplete_bodies_stays_below_the_limit():
     memory = CallerMemory(8 * MEBIBYTE)
     async with running_server(memory) as (server, port, _):
