--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -520,6 +520,11 @@
 )
 """Streams that last from less than a second to longer than the grace."""
 
+STALLING_STREAMS = msgspec.structs.replace(
+    LONG_STREAMS, max_events=60, wait_share=0.7, pause_share=0.9
+)
+"""Streams that last long by their pauses, so that most are moved to other engines."""
+
 STOPS = ("stop_in_turn", "stop_in_turn", "stop_twice", "reload")
 PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
 PROFILES = {
@@ -564,6 +569,14 @@
         slow_reading=SlowReading(0.2),
         is_drawn=False,
     ),
+    "stalling_streams": Profile(
+        STOPS,
+        0.5,
+        2.0,
+        shape=STALLING_STREAMS,
+        slow_reading=SlowReading(0.2),
+        is_drawn=False,
+    ),
     "long_streams_in_trouble": Profile(
         (
             *STOPS,
