--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -43,7 +43,11 @@
 
 @pytest.mark.parametrize(
     ("mutant", "profile", "rule"),
-    [("cuts_on_stop", "planned", "LOST"), ("repeats_orders", "engines", "TWICE")],
+    [
+        ("cuts_on_stop", "planned", "LOST"),
+        ("cuts_on_stop", "long_streams", "LOST"),
+        ("repeats_orders", "engines", "TWICE"),
+    ],
 )
 def test_soak_detects_a_defect_of_real_gateways(tmp_path, mutant, profile, rule):
     gateway = f"process_soak.mutants {mutant}"
