Let callers of long streams leave before the first event too

Clients abandon a stream after a gap of two seconds also before its first event; callers of the soak waited for the head until their deadline.

--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -63,6 +63,7 @@
     :param share: share of the requests.
     :param deadline: its timeout; seconds after which most callers give up.
     :param patience: seconds without an event after which they leave a stream.
+    :param first_patience: the same before its first event, 0 for the deadline.
     """
 
     name: str
@@ -71,6 +72,7 @@
     share: float
     deadline: float
     patience: float = 0.0
+    first_patience: float = 0.0
 
     @property
     def method(self) -> str:
@@ -263,7 +265,8 @@
             async with asyncio.timeout(timeout):
                 self._writer.write(self._encode(route, request_id, left))
                 await self._writer.drain()
-                head = await read_head(self._reader)
+                async with asyncio.timeout(route.first_patience or None):
+                    head = await read_head(self._reader)
                 status, headers = head.status, head.headers
                 signer = headers.get(SIGNATURE.lower(), "").rpartition(".")[0]
                 await self._read_body(route, request_id, head)
