Read what has arrived before a stopping gateway closes

Cause: when the process runs again the time to close is over, and it closed at once. Requests that had come meanwhile lay unread in the sockets, so the kernel reset their connections. Change: before it closes the gateway lets the event loop accept and read what is there, and checks again; such requests are refused with 503 if they can't end.

--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -82,6 +82,10 @@
 STOP_POLL_INTERVAL = 50 * MILLISECOND
 """Interval in seconds at which a shutdown checks whether it is complete."""
 
+READ_PASSES = 8
+"""Passes of the event loop in which a request on a new connection is accepted, read and
+refused."""
+
 FLUSH_POLL_INTERVAL = 10 * MILLISECOND
 """Interval in seconds at which it checks whether the last responses are sent."""
 
@@ -380,8 +384,7 @@
             server.is_draining = True
         self._membership.announce_draining()
         await self._supervisor.run_once("deregister", self._membership.deregister)
-        while not shutdown.can_close(self._clock.now(), self._caller_server.busy_count):
-            await asyncio.sleep(STOP_POLL_INTERVAL)
+        await self._wait_until_closable(shutdown)
         # Nothing is awaited between the check and the closing: a request that is read
         # in between would be sent to an engine and cut off.
         busy_count = self._caller_server.busy_count
@@ -409,6 +412,24 @@
         server.limits = server.limits.for_auxiliary()
         return server
 
+    async def _wait_until_closable(self, shutdown: GracefulShutdown) -> None:
+        """Wait until the connections may close, and nothing that came before is unread.
+
+        After a pause of this process the time may be over while requests wait in the
+        sockets; they are read, and refused if they can't end.
+        """
+        while True:
+            can_close = shutdown.can_close(
+                self._clock.now(), self._caller_server.busy_count
+            )
+            if not can_close:
+                await asyncio.sleep(STOP_POLL_INTERVAL)
+                continue
+            for _ in range(READ_PASSES):
+                await asyncio.sleep(0)
+            if shutdown.can_close(self._clock.now(), self._caller_server.busy_count):
+                return
+
     def _create_server(
         self,
         handler: object,
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -1,11 +1,15 @@
 """Gateways whose process stands still for a while, as on a machine under load."""
 
+import asyncio
 import contextlib
 import socket
 import threading
 import time
+from dataclasses import replace
 
+from cyclamenyoke.core.graceful_shutdown import MIN_DRAIN_DURATION
 from site_fixture import (
+    SITE_BOUNDS,
     address_of,
     caller_headers,
     configuration,
@@ -77,3 +81,29 @@
         writer.close()
     for engine in engines:
         engine.listener.close()
+
+
+def send_lookup(address: str, pause: float) -> bytes:
+    """Send a lookup on a new connection after a pause; return its response."""
+    time.sleep(pause)
+    host, _, port = address.rpartition(":")
+    request = encode_request("GET", "/lookup/a", caller_headers(deadline=8000))
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(request)
+        with contextlib.suppress(ConnectionError):
+            return connection.recv(65536)
+    return b""
+
+
+# Guards against a request that is reset unread as a delayed gateway closes.
+async def test_request_that_comes_while_a_stopping_gateway_stands_still_is_answered():
+    async with running_site(bounds=replace(SITE_BOUNDS, grace=4.0)) as site:
+        gateway, settings, task = site.gateways[0]
+        stream = asyncio.create_task(
+            asyncio.to_thread(send_lookup, settings.callers, 3.2)
+        )
+        gateway.stop()
+        await asyncio.sleep(MIN_DRAIN_DURATION - 0.2)
+        time.sleep(PAUSE)
+        assert (await stream).startswith(b"HTTP/1.1 503 ")
+        await asyncio.wait_for(task, 3)
