Test callers that send chunks of one byte again once they are refused

The crowds so far stay away once they are refused. Where each refused caller comes back, the chunks that arrive after a refusal can keep the process as busy as those before it.

A test sends the crowd of one-byte chunks with each connection opened anew whenever it is closed, and asks for a lookup and a small order meanwhile. The earlier crowds and all bounds are as they were; only the generator of these chunks has got a name.

--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -164,13 +164,32 @@
         await assert_crowd_is_borne(gateway, Shape(pieces))
 
 
+def chunks_of_one_byte(id_: str) -> Iterator[bytes]:
+    return chunks_without_the_last(id_, 1, SMALL_CHUNKS_BYTES)
+
+
 # Guards against a gateway that answers nobody while it reads chunks of one byte.
 async def test_chunks_of_one_byte_do_not_stop_the_gateway(tmp_path):
-    def pieces(id_: str) -> Iterator[bytes]:
-        return chunks_without_the_last(id_, 1, SMALL_CHUNKS_BYTES)
+    async with gateway_process(tmp_path) as gateway:
+        await assert_crowd_is_borne(gateway, Shape(chunks_of_one_byte))
 
+
+# Guards against a gateway that answers nobody while refused callers come back.
+async def test_chunks_of_one_byte_sent_again_do_not_stop_the_gateway(tmp_path):
     async with gateway_process(tmp_path) as gateway:
-        await assert_crowd_is_borne(gateway, Shape(pieces))
+        crowd = Crowd(gateway.front, Shape(chunks_of_one_byte, rounds=1000))
+        sending = asyncio.create_task(crowd.start())
+        try:
+            await asyncio.sleep(STAY_SECONDS)
+            beside = await gateway.serves_ordinary_requests()
+        finally:
+            sending.cancel()
+            await crowd.leave()
+        afterwards = await gateway.serves_ordinary_requests()
+        print(f"ordinary requests served: beside {beside}, afterwards {afterwards}")
+        gateway.assert_within_limits()
+        assert beside
+        assert afterwards
 
 
 # Guards against bodies that wait or run and together exhaust the memory.
