--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -521,9 +521,9 @@
 """Streams that last from less than a second to longer than the grace."""
 
 STALLING_STREAMS = msgspec.structs.replace(
-    LONG_STREAMS, max_events=60, wait_share=0.5, pause_share=0.9
+    LONG_STREAMS, min_events=50, wait_share=0.5, pause_share=0.9
 )
-"""Streams that last long by their pauses, so that most are moved to other engines."""
+"""Streams that last long and of which most pause and are moved to other engines."""
 
 STOPS = ("stop_in_turn", "stop_in_turn", "stop_twice", "reload")
 PLANNED = ("stop_in_turn", "stop_twice", "reload", "configure", "engine_drained")
