Judge a cut by the stop of the start that the request was sent to

Cause: the soak took the last SIGTERM before the caller saw the end. Change: the stop must be of the start that was running when the request was sent. Measured: the new test fails with the check of before, and passes now; all of test_process_soak_rules.py pass.

--- a/tests/process_soak/loss_rules.py
+++ b/tests/process_soak/loss_rules.py
@@ -53,7 +53,7 @@
     """LOST: a planned stop or a reload that cuts a request."""
     for request in _lost_requests(seen):
         ended = request.ended
-        stop = seen.stop_before(request.sent.gateway, ended.at)
+        stop = seen.stop_of(request)
         if _is_stopping(seen, request):
             after = f" {ended.at - stop.at:.2f} s after SIGTERM"
             yield f"LOST: {_describe_cut(request)}{after}"
@@ -62,7 +62,7 @@
 
 
 def _is_stopping(seen: Observations, request: Request) -> bool:
-    stop = seen.stop_before(request.sent.gateway, request.ended.at)
+    stop = seen.stop_of(request)
     ends_at = seen.bounds.grace + AFTER_GRACE
     return stop is not None and request.ended.at <= stop.at + ends_at
 
@@ -162,7 +162,7 @@
 def _may_be_cut(seen: Observations, request: Request) -> bool:
     """Return whether it was cut late in the grace while its engine was at work."""
     sent, ended, grace = request.sent, request.ended, seen.bounds.grace
-    stop: Stop | None = seen.stop_before(sent.gateway, ended.at)
+    stop: Stop | None = seen.stop_of(request)
     if stop is None or sent.at > stop.at + LATE_REQUEST:
         return False
     last_part = stop.at + grace * (1 - LAST_SHARE_OF_GRACE)
--- a/tests/process_soak/observations.py
+++ b/tests/process_soak/observations.py
@@ -352,6 +352,15 @@
         stops = [stop for stop in self.gateways[gateway].stops if stop.at <= at]
         return stops[-1] if stops else None
 
+    def stop_of(self, request: Request) -> Stop | None:
+        """Return the stop in which a request ended, of the start that it was sent to.
+
+        A caller may see the end after the gateway has started again.
+        """
+        gateway, sent_at = request.sent.gateway, request.sent.at
+        restarts = [at for at in self.starts[gateway] if at > sent_at]
+        return self.stop_before(gateway, min([request.ended.at, *restarts]))
+
     def is_undisturbed(self, gateway: str, since: float, until: float) -> bool:
         """Return whether nothing unplanned disturbed a gateway over a time.
 
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -374,9 +374,9 @@
         ]
 
     async def _spawn(
-        self, words: list[str], log: str, **variables: str
+        self, words: list[str], log: str, source: Path = ROOT / "src", **variables: str
     ) -> asyncio.subprocess.Process:
-        path = f"{self._source}:{ROOT / 'tests'}"
+        path = f"{source}:{ROOT / 'tests'}"
         variables = {"PYTHONPATH": path, "PATH": os.environ["PATH"], **variables}
         with (self.directory / f"{log}.log").open("ab") as output:
             return await asyncio.create_subprocess_exec(
@@ -586,6 +586,7 @@
             gateway.child = await self._spawn(
                 ["-m", *words],
                 gateway.name,
+                self._source,
                 CYCLAMENYOKE_NODE_FILE=str(gateway.settings),
             )
             code = await gateway.child.wait()
--- a/tests/test_process_soak_rules.py
+++ b/tests/test_process_soak_rules.py
@@ -433,6 +433,12 @@
     assert moved(15.0, *again, late, harmed(14.0, 16.0)) == []
 
 
+def test_a_cut_that_its_caller_sees_after_the_next_stop_belongs_to_its_own_stop():
+    stops = signal(10.0, "SIGTERM"), exited(17.3), started(17.8)
+    again = signal(18.0, "SIGTERM", incarnation=2)
+    assert findings(*stops, again, cut_late(12.0, 18.4, 17.2)) == []
+
+
 def test_a_cut_by_the_kill_at_the_end_of_the_grace_is_found():
     stop = signal(10.0, "SIGTERM"), signal(18.0, "SIGKILL")
     assert findings(*stop, cut_late(14.0, 18.0, 18.0)) == ["LOST"]
