--- a/tests/test_soak_callers.py
+++ b/tests/test_soak_callers.py
@@ -1,7 +1,6 @@
 """Callers of the soak: when they end, and how they read streams."""
 
 import asyncio
-import contextlib
 import itertools
 import socket
 import time
@@ -12,6 +11,7 @@
 from process_soak.record import Record, read_events
 from process_soak.slow_reading import Reading, SlowReading
 from process_soak.stream_shape import StreamShape
+from soak_engine_server import serving
 
 PATIENCE = 0.5
 ROUTE = Route("draft", "streaming", "llm", 1.0, 8.0, PATIENCE, PATIENCE)
@@ -40,23 +40,6 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def serving(engine):
-    """Serve at an address, until all connections have ended."""
-    connections = set()
-
-    async def serve(reader, writer):
-        connections.add(asyncio.current_task())
-        await engine.serve(reader, writer)
-        with contextlib.suppress(ConnectionError):
-            await writer.wait_closed()
-
-    server = await asyncio.start_server(serve, "127.0.0.1")
-    async with server:
-        yield server.sockets[0].getsockname()
-        await asyncio.gather(*connections)
-
-
 def play_caller(directory, shape, slow_reading, seconds=0.3):
     """Let one caller read streams of an engine; return what it recorded."""
     record = Record(directory / "caller.jsonl")
--- a/tests/test_stream_shape.py
+++ b/tests/test_stream_shape.py
@@ -1,7 +1,6 @@
 """Streams of the soak are drawn from the ids of their requests."""
 
 import asyncio
-import contextlib
 from random import Random
 
 import pytest
@@ -11,6 +10,7 @@
 from process_soak.record import Record, read_events
 from process_soak.site import Bounds
 from process_soak.stream_shape import StreamShape
+from soak_engine_server import serving
 
 IDS = [f"c0-{number}" for number in range(300)]
 INTERVAL = 0.08
@@ -60,23 +60,6 @@
     assert drawn == without_shape - {"stalls", "stalls_failing", "stalls_kills"}
 
 
-@contextlib.asynccontextmanager
-async def serving(engine):
-    """Serve at an address, until all connections have ended."""
-    connections = set()
-
-    async def serve(reader, writer):
-        connections.add(asyncio.current_task())
-        await engine.serve(reader, writer)
-        with contextlib.suppress(ConnectionError):
-            await writer.wait_closed()
-
-    server = await asyncio.start_server(serve, "127.0.0.1")
-    async with server:
-        yield server.sockets[0].getsockname()
-        await asyncio.gather(*connections)
-
-
 def get_stream(engine, last_event_id):
     """Return what an engine writes for a stream."""
 
