Show that a restart of all gateways leaves a group at a standstill

Cause: a process that has just started looks for passes that are still held only once a service counts as loaded, and a group that stands still brings no gaps between events by which it would.

Added: case 9 of the second review, a script.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # run inside the scripts' own processes, so compiling them is all there is to do.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q standins_2 6 7 8
+python3 -m compileall -q standins_2 6 7 8 9
 python3 -m standins_2
