--- a/review/standins_2/drafts.py
+++ b/review/standins_2/drafts.py
@@ -92,7 +92,10 @@
 class Site:
     """What is running."""
 
-    def __init__(self, groups: list[Group], gateways: list[Gateway]) -> None:
+    def __init__(
+        self, store: Store, groups: list[Group], gateways: list[Gateway]
+    ) -> None:
+        self.store = store
         self.groups = groups
         self.gateways = gateways
         self.tasks: list[asyncio.Task[None]] = []
@@ -144,7 +147,7 @@
         Gateway(n, network, address, directory, dict(BOUNDS), seeds)
         for n in range(GATEWAYS)
     ]
-    site = Site(groups, gateways)
+    site = Site(store, groups, gateways)
     try:
         await store.put("op/config", CONFIG)
         for group in groups:
