Log what the closing of an open map switch depends on

Change: for each switch that this node has left open, "switch is open" once a second, with load, queue, gap ratio and lock; "ranks sent no report" while one is open. No decision changes.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -17,7 +17,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -134,6 +134,9 @@
 COMMAND_RETRY_INTERVAL = 20 * MILLISECOND
 """Seconds between two attempts of a command."""
 
+OPEN_SWITCH_LOG_INTERVAL = 1 * SECOND
+"""Seconds between two log lines about a switch that was left open."""
+
 ERROR_PAUSE = 1 * SECOND
 """Seconds for which a service is left alone after an unexpected error."""
 
@@ -270,6 +273,9 @@
         self._reported_maps: dict[str, str] = {}
         self._released_steps: dict[str, int] = {}
         self._released_switches: dict[str, ReleasedSwitch] = {}
+        # By group: the service and the held pass of a switch that was left open.
+        self._open_switches: dict[str, tuple[str, int]] = {}
+        self._log_open_switches_at = 0.0
 
     @property
     def holds_lock(self) -> bool:
@@ -290,6 +296,7 @@
                 for service in config.services.values()
                 if service.layout is not None
             ]
+            self._log_open_switches({each.name: loaded for each, _, loaded in services})
             if not self._may_hold_lock(self.holds_lock):
                 await self._release_lock()
                 await self._restore_maps()
@@ -298,6 +305,27 @@
                 if self._clock.now() >= self._paused_until.get(service.name, 0.0):
                     await self._handle_service(service, layout, is_loaded)
 
+    def _log_open_switches(self, is_loaded: Mapping[str, bool]) -> None:
+        """Log what the closing of the open switches that this node knows depends on."""
+        now = self._clock.now()
+        if not self._open_switches or now < self._log_open_switches_at:
+            return
+        self._log_open_switches_at = now + OPEN_SWITCH_LOG_INTERVAL
+        for group, (service, step) in self._open_switches.items():
+            load, slots = self._balancer.service_load(service)
+            self._log.warning(
+                "switch is open",
+                group=group,
+                step=step,
+                loaded=is_loaded.get(service, False),
+                load=load,
+                slots=slots,
+                queued=self._queued(service),
+                gap_ratio=round(self._gap_ratio(service), 2),
+                holds_lock=self.holds_lock,
+                may_hold_lock=self._may_hold_lock(self.holds_lock),
+            )
+
     async def _handle_service(
         self, service: Service, layout: ExpertLayout, is_loaded: bool
     ) -> None:
@@ -466,6 +494,13 @@
             if each.service == service
         ]
         found = await asyncio.gather(*(self._report(each) for each in endpoints))
+        silent = [
+            each.id
+            for each, report in zip(endpoints, found, strict=True)
+            if report is None
+        ]
+        if silent and self._open_switches:
+            self._log.warning("ranks sent no report", service=service, ranks=silent)
         by_group: dict[tuple[str, int], list[tuple[RankReport, Endpoint]]] = {}
         for endpoint, report in zip(endpoints, found, strict=True):
             if report is not None and report.is_serving:
@@ -557,6 +592,7 @@
         step = await self._hold_pass(group)
         if step is None:
             return
+        self._open_switches[group.name] = group.ranks[0].service, step
         await self._complete(group, version, step)
 
     async def _prepare(
@@ -827,6 +863,7 @@
             result = await self._control.release_hold(holding_rank, group.epoch, step)
             if result is not CommandResult.UNKNOWN:
                 self._released_steps[group.name] = step
+                self._open_switches.pop(group.name, None)
                 return
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
         self._log.warning(
@@ -858,6 +895,8 @@
     async def _finish_switch(self, group: RankGroup) -> None:
         """Complete the switch of a held pass, or release it if no map is prepared."""
         held_pass = group.held_pass
+        if held_pass is not None:
+            self._open_switches[group.name] = group.ranks[0].service, held_pass[1]
         if held_pass is not None and held_pass[1] <= self._released_steps.get(
             group.name, -1
         ):
