Split the rebalancer's lock and the switch of a group from the planning

Change: moves only. daemon/rebalancer_lock.py has the lock and the versions that its holder assigns, daemon/map_switcher.py the commands of one switch, core/rank_group.py the groups as their reports describe them; the rebalancer keeps load, samples, plans and stored maps.

--- /dev/null
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -0,0 +1,331 @@
+"""Switches one engine group to another expert map, with commands to its ranks.
+
+All ranks of a group must switch to a new map at the same decoding pass, in these steps:
+
+* every rank prepares the map and reports that it has;
+* one rank is commanded to hold the pass of the switch, so that no rank starts it;
+* every rank is armed for that pass; the command is repeated until the rank replies;
+* the held pass is released.
+
+Once the pass is held the switch is completed, unless a rank rejects it: then all ranks
+are disarmed before the pass is released. So the next lock holder can complete it from
+the ranks' reports alone, and a command that is executed late finds that its pass has
+already started.
+"""
+
+import asyncio
+from collections.abc import Iterable, Mapping, Sequence
+
+from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.core.endpoint_registry import Endpoint
+from cyclamenyoke.core.expert_map_planner import ExpertMap, MapPlan
+from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.rank_group import RankGroup, RankReport
+from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.rebalancer_lock import RENEW_INTERVAL, RebalancerLock
+from cyclamenyoke.ports.clock import Clock
+from cyclamenyoke.ports.engine_control import (
+    CommandResult,
+    EngineControl,
+    EngineControlError,
+)
+
+PREPARE_TIMEOUT = 3 * SECOND
+"""Seconds within which all ranks must report that they have prepared a map."""
+
+PREPARE_POLL_INTERVAL = 50 * MILLISECOND
+"""Seconds between two reads of the ranks' reports while they prepare a map: about one
+pass."""
+
+MAX_PREPARES_IN_FLIGHT = 16
+"""Largest number of ranks to which a map is sent at the same time, so that callers'
+responses are not delayed behind the maps of all ranks on this node's link."""
+
+PREPARE_RESPONSE_TIME = 400 * MILLISECOND
+"""Seconds within which a rank answers the first command to prepare a map, while other
+maps share this node's link. Each further command gets twice the time of the one before.
+A command that is lost delays the switch of the whole group."""
+
+LEAD_PASSES = range(2, 10)
+"""Passes between the last reported one and the switch, in the order in which they are
+tried. A rank rejects a pass that has already started, as some have when a report
+arrives; each attempt takes a few milliseconds, a pass some tens."""
+
+ARM_RETRY_TIME = 300 * MILLISECOND
+"""Seconds for which a rank that rejects a switch is asked again, since it may still be
+loading the map."""
+
+MAX_COMMAND_ATTEMPTS = 4
+"""Largest number of attempts of a command while no rank is armed yet."""
+
+COMPLETION_TIMEOUT = 2.5 * SECOND
+"""Seconds for which the lock holder tries to complete a switch before it releases
+the lock to another node."""
+
+COMMAND_RETRY_INTERVAL = 20 * MILLISECOND
+"""Seconds between two attempts of a command."""
+
+
+class MapSwitcher:
+    """Sends the commands of map switches while this node holds the lock."""
+
+    def __init__(
+        self,
+        control: EngineControl,
+        lock: RebalancerLock,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self._control = control
+        self._lock = lock
+        self._clock = clock
+        self._log = log
+        self._released_steps: dict[str, int] = {}
+        # By group: the service and the held pass of a switch that was left open.
+        self._open_switches: dict[str, tuple[str, int]] = {}
+
+    @property
+    def open_switches(self) -> Mapping[str, tuple[str, int]]:
+        """By group: the service and the held pass of a switch that was left open."""
+        return self._open_switches
+
+    async def report(self, endpoint: Endpoint) -> RankReport | None:
+        try:
+            return await self._control.report(endpoint)
+        except EngineControlError as error:
+            self._log.debug(
+                "rank sent no report", endpoint=endpoint.id, error=str(error)
+            )
+            return None
+
+    async def prepare(
+        self, group: RankGroup, version: int, plan: MapPlan, layout: ExpertLayout
+    ) -> bool:
+        """Make all ranks load the map; return whether they have, as far as known.
+
+        Reports are late, so they are read only if a rank may not have the map.
+        """
+        results = await self._send_map(group, version, plan.expert_map)
+        if CommandResult.REJECTED in results:
+            return False
+        await asyncio.sleep(plan.max_loads * layout.load_time)
+        if CommandResult.UNKNOWN in results:
+            return await self._await_prepared(group, version)
+        return await self._refresh(group, [0])
+
+    async def _send_map(
+        self, group: RankGroup, version: int, experts: ExpertMap
+    ) -> list[CommandResult]:
+        """Send a map to all ranks, and keep the lock meanwhile.
+
+        :returns: for each rank whether it has accepted the map.
+        """
+        free_link = asyncio.Semaphore(MAX_PREPARES_IN_FLIGHT)
+
+        async def prepare_rank(rank: Endpoint) -> CommandResult:
+            may_be_accepted = False
+            for attempt in range(MAX_COMMAND_ATTEMPTS):
+                timeout = PREPARE_RESPONSE_TIME * 2**attempt
+                async with free_link:
+                    result = await self._prepare_rank(
+                        rank, version, group.epoch, experts, timeout
+                    )
+                if result is CommandResult.REJECTED and may_be_accepted:
+                    # A rank rejects a version that it has already accepted.
+                    return CommandResult.UNKNOWN
+                if result is not CommandResult.UNKNOWN:
+                    return result
+                may_be_accepted = True
+                await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+            return CommandResult.REJECTED
+
+        sending = asyncio.gather(*(prepare_rank(rank) for rank in group.ranks))
+        while not sending.done():
+            await asyncio.wait([sending], timeout=RENEW_INTERVAL)
+            await self._lock.keep()
+        return sending.result()
+
+    async def _prepare_rank(
+        self,
+        rank: Endpoint,
+        version: int,
+        epoch: int,
+        experts: ExpertMap,
+        timeout: float,
+    ) -> CommandResult:
+        """Send a map to a rank; the result is unknown if it does not answer in time."""
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._control.prepare(rank, version, epoch, experts)
+        except TimeoutError:
+            return CommandResult.UNKNOWN
+
+    async def _await_prepared(self, group: RankGroup, version: int) -> bool:
+        """Return whether all ranks report in time that they have prepared a map."""
+        deadline = self._clock.now() + PREPARE_TIMEOUT
+        pending = list(range(len(group.ranks)))
+        while self._clock.now() < deadline:
+            await self._lock.keep()
+            if not await self._refresh(group, pending):
+                return False
+            pending = [
+                number
+                for number in pending
+                if group.reports[number].prepared_version != version
+            ]
+            if not pending:
+                return True
+            await asyncio.sleep(PREPARE_POLL_INTERVAL)
+        return False
+
+    async def _refresh(self, group: RankGroup, numbers: Sequence[int]) -> bool:
+        """Read the reports of some ranks.
+
+        A rank that does not reply keeps its last report.
+
+        :returns: whether the group still serves in its epoch, as far as known.
+        """
+        found = await asyncio.gather(
+            *(self.report(group.ranks[number]) for number in numbers)
+        )
+        for number, report in zip(numbers, found, strict=True):
+            if report is not None:
+                group.reports[number] = report
+        return all(
+            each.epoch == group.epoch and each.is_serving for each in group.reports
+        )
+
+    async def hold_pass(self, group: RankGroup) -> int | None:
+        """Hold a future pass at the first rank; return its number."""
+        holding_rank = group.ranks[0]
+        for lead in LEAD_PASSES:
+            step = group.step + lead
+            result = await self._control.hold(holding_rank, group.epoch, step)
+            if result is CommandResult.DONE:
+                self._open_switches[group.name] = holding_rank.service, step
+                return step
+            if result is CommandResult.UNKNOWN:
+                # The pass may be held. No rank is armed, so releasing it is safe.
+                await self.release_pass(group, holding_rank, step)
+                return None
+        return None
+
+    async def complete(self, group: RankGroup, version: int, step: int) -> bool:
+        """Arm all ranks for a held pass, then release it.
+
+        :returns: whether all ranks switch at that pass.
+        """
+        deadline = self._clock.now() + COMPLETION_TIMEOUT
+        results = await asyncio.gather(
+            *(self._arm(rank, version, group, step, deadline) for rank in group.ranks)
+        )
+        if CommandResult.UNKNOWN in results:
+            # Only a node that reaches all ranks may release the pass.
+            self._log.warning(
+                "switch left to the next lock holder", group=group.name, step=step
+            )
+            await self._lock.revoke()
+            return False
+        if CommandResult.REJECTED in results:
+            await self._abandon(group, version, step, results)
+            return False
+        await self.release_pass(group, group.ranks[0], step)
+        return True
+
+    async def _arm(
+        self,
+        rank: Endpoint,
+        version: int,
+        group: RankGroup,
+        step: int,
+        deadline: float,
+    ) -> CommandResult:
+        rejected_until = self._clock.now() + ARM_RETRY_TIME
+        while self._clock.now() < deadline:
+            await self._lock.keep()
+            if not self._lock.is_held:
+                break
+            result = await self._control.arm(rank, version, group.epoch, step)
+            is_loading = (
+                result is CommandResult.REJECTED and self._clock.now() < rejected_until
+            )
+            if result is not CommandResult.UNKNOWN and not is_loading:
+                return result
+            await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+        return CommandResult.UNKNOWN
+
+    async def _abandon(
+        self,
+        group: RankGroup,
+        version: int,
+        step: int,
+        results: Iterable[CommandResult],
+    ) -> None:
+        """Cancel a switch that a rank rejected, usually because its epoch ended."""
+        rejected = sum(result is CommandResult.REJECTED for result in results)
+        self._log.warning(
+            "expert map refused", group=group.name, version=version, ranks=rejected
+        )
+        deadline = self._clock.now() + COMPLETION_TIMEOUT
+        disarmed = await asyncio.gather(
+            *(self._disarm(rank, version, group, deadline) for rank in group.ranks)
+        )
+        if CommandResult.UNKNOWN in disarmed:
+            # A rank may still be armed, so the pass must not start.
+            self._log.warning(
+                "switch left to the next lock holder", group=group.name, step=step
+            )
+            await self._lock.revoke()
+            return
+        await self.release_pass(group, group.ranks[0], step)
+
+    async def _disarm(
+        self, rank: Endpoint, version: int, group: RankGroup, deadline: float
+    ) -> CommandResult:
+        while self._clock.now() < deadline:
+            await self._lock.keep()
+            if not self._lock.is_held:
+                break
+            result = await self._control.disarm(rank, version, group.epoch)
+            if result is not CommandResult.UNKNOWN:
+                return result
+            await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+        return CommandResult.UNKNOWN
+
+    async def release_pass(
+        self, group: RankGroup, holding_rank: Endpoint, step: int
+    ) -> None:
+        deadline = self._clock.now() + COMPLETION_TIMEOUT
+        while self._clock.now() < deadline:
+            result = await self._control.release_hold(holding_rank, group.epoch, step)
+            if result is not CommandResult.UNKNOWN:
+                self._released_steps[group.name] = step
+                self._open_switches.pop(group.name, None)
+                return
+            await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+        self._log.warning(
+            "held pass not released; releasing lock", group=group.name, step=step
+        )
+        await self._lock.revoke()
+
+    async def finish(self, group: RankGroup) -> None:
+        """Complete the switch of a held pass, or release it if no map is prepared."""
+        held_pass = group.held_pass
+        if held_pass is not None:
+            self._open_switches[group.name] = group.ranks[0].service, held_pass[1]
+        if held_pass is not None and held_pass[1] <= self._released_steps.get(
+            group.name, -1
+        ):
+            # The report is older than the command to release the pass.
+            return
+        version = group.common_value(lambda report: report.prepared_version)
+        if held_pass is None:
+            return
+        holding_rank, step = held_pass
+        self._log.warning(
+            "held pass found; finishing", group=group.name, step=step, prepared=version
+        )
+        if version is not None and version > 0:
+            await self.complete(group, version, step)
+        else:
+            await self.release_pass(group, holding_rank, step)
--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -13,6 +13,7 @@
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
 from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.rank_group import RankReport
 from cyclamenyoke.core.units import MEBIBYTE, MILLISECOND, SECOND
 from cyclamenyoke.exceptions import MalformedValue
 from cyclamenyoke.platform.engine_client import read_notice
@@ -27,7 +28,6 @@
     EngineControl,
     EngineControlError,
     ExpertCounts,
-    RankReport,
 )
 
 RESPONSE_TIMEOUT = 120 * MILLISECOND
--- a/src/cyclamenyoke/ports/engine_control.py
+++ b/src/cyclamenyoke/ports/engine_control.py
@@ -7,6 +7,7 @@
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap
 from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.rank_group import RankReport
 from cyclamenyoke.exceptions import CyclamenyokeError
 
 
@@ -25,33 +26,6 @@
     """No conclusive response; the command may still be executed, even seconds later."""
 
 
-@dataclass(frozen=True, slots=True)
-class RankReport:
-    """The state of a rank; a few hundred milliseconds old when it is received.
-
-    :param epoch: current epoch of the group.
-    :param size: number of ranks in the group.
-    :param step: number of the last pass that was started.
-    :param map_version: version of the expert map in use.
-    :param prepared_version: version of the map that the rank has loaded and could
-        switch to; ``None`` if there is none.
-    :param is_armed: whether a switch to the prepared map is scheduled.
-    :param held_step: the pass that the group is held from starting; ``None`` if it
-        is not held.
-    """
-
-    group: str
-    epoch: int
-    rank: int
-    size: int
-    is_serving: bool
-    step: int
-    map_version: int
-    prepared_version: int | None
-    is_armed: bool
-    held_step: int | None
-
-
 @dataclass(frozen=True, slots=True)
 class ExpertCounts:
     """How often the rank's requests selected each expert since its start, by set."""
