Give the stored maps and the ranks' reports modules of their own

Cause for the change: closing an open switch needs the map in force and the reports, and neither planning nor load.

Change: moves only. daemon/expert_map_store.py reads, writes and restores the stored maps; daemon/rank_reports.py reads reports and groups.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -9,12 +9,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-import msgspec
-
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.balancer import Balancer
-from cyclamenyoke.core.decoding import Count, Integer64, decode_json
 from cyclamenyoke.core.endpoint_registry import EndpointRegistry
 from cyclamenyoke.core.expert_demand import ExpertDemand
 from cyclamenyoke.core.expert_map_planner import (
@@ -22,17 +19,17 @@
     MapPlan,
     SetPlan,
     combine_set_plans,
-    initial_map,
-    is_complete_map,
     plan_sets,
 )
 from cyclamenyoke.core.gateway_config import ExpertLayout, GatewayConfig, Service
-from cyclamenyoke.core.rank_group import RankGroup, complete_groups
+from cyclamenyoke.core.rank_group import RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.expert_map_store import ExpertMapStore
 from cyclamenyoke.daemon.map_switcher import MapSwitcher
+from cyclamenyoke.daemon.rank_reports import RankReports
 from cyclamenyoke.daemon.rebalancer_lock import RebalancerLock
 from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
-from cyclamenyoke.exceptions import MalformedValue, PlatformUnavailable
+from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import EngineControl, EngineControlError
 from cyclamenyoke.ports.key_value_store import (
@@ -41,8 +38,6 @@
     RevisionConflict,
 )
 
-MAP_PREFIX = "cyclamenyoke/expert-maps/"
-
 LOAD_CHECK_INTERVAL = 60 * MILLISECOND
 """Seconds between two checks of the services' load."""
 
@@ -74,17 +69,6 @@
 """Seconds for which a service is left alone after an unexpected error."""
 
 
-@dataclass(slots=True)
-class StoredMaps:
-    """Maps of a group as they are kept in the store.
-
-    :param by_version: the map in force and the one that the group may switch to.
-    """
-
-    epoch: Integer64
-    by_version: dict[Integer64, list[list[list[Count]]]]
-
-
 @dataclass(frozen=True, slots=True)
 class ReleasedSwitch:
     """A switch that every rank of a group makes at the start of a pass."""
@@ -136,7 +120,6 @@
         metrics: Metrics,
         log: Log,
     ) -> None:
-        self._store = store
         self._control = control
         self._registry = registry
         self._balancer = balancer
@@ -148,17 +131,14 @@
         self._supervisor = supervisor
         self._metrics = metrics
         self._log = log
+        self._reports = RankReports(control, registry, log)
+        self._maps = ExpertMapStore(store, registry, metrics, log)
         self._lock = RebalancerLock(store, node, era_age, clock, log)
-        self._switcher = MapSwitcher(control, self._lock, clock, log)
-        # The store's era in which the maps of this node were last written.
-        self._maps_era = 0
+        self._switcher = MapSwitcher(control, self._reports, self._lock, clock, log)
         self._loaded_since: dict[str, float] = {}
         # By service: when it is handled again after an unexpected error.
         self._paused_until: dict[str, float] = {}
         self._samples: dict[str, DemandSample] = {}
-        self._maps: dict[str, StoredMaps] = {}
-        # By group: the last problem of its stored maps that was logged.
-        self._reported_maps: dict[str, str] = {}
         self._released_switches: dict[str, ReleasedSwitch] = {}
         self._log_open_switches_at = 0.0
 
@@ -184,7 +164,7 @@
             self._log_open_switches({each.name: loaded for each, _, loaded in services})
             if not self._may_hold_lock(self.holds_lock):
                 await self._lock.release()
-                await self._restore_maps()
+                await self._maps.restore()
                 continue
             for service, layout, is_loaded in services:
                 if self._clock.now() >= self._paused_until.get(service.name, 0.0):
@@ -240,7 +220,7 @@
     async def _rebalance_service(self, service: Service, layout: ExpertLayout) -> None:
         try:
             if await self._lock.acquire():
-                await self._restore_maps()
+                await self._maps.restore()
                 await self._finish_pending_switches(service.name)
             if not self._lock.is_held:
                 return
@@ -269,7 +249,7 @@
             return
         switches: list[tuple[RankGroup, MapPlan]] = []
         plans: list[tuple[ExpertMap, MapPlan]] = []
-        for group in await self._groups(service):
+        for group in await self._reports.groups(service):
             current = await self._map_to_change(group, layout)
             if current is None:
                 continue
@@ -298,7 +278,7 @@
         released = self._released_switches.get(group.name)
         if released is not None and not released.is_reported(group):
             return None
-        return await self._current_map(group, layout)
+        return await self._maps.current(group, layout)
 
     async def _plan(
         self,
@@ -335,71 +315,6 @@
         counts = await self._control.expert_counts(rank, layout)
         sample.demand.add(rank.id, counts.epoch, counts.counts, self._clock.now())
 
-    async def _groups(self, service: str) -> list[RankGroup]:
-        """Return the groups of which every rank reports and serves."""
-        endpoints = [
-            each
-            for each in self._registry.endpoints.values()
-            if each.service == service
-        ]
-        found = await asyncio.gather(
-            *(self._switcher.report(each) for each in endpoints)
-        )
-        silent = [
-            each.id
-            for each, report in zip(endpoints, found, strict=True)
-            if report is None
-        ]
-        if silent and self._switcher.open_switches:
-            self._log.warning("ranks sent no report", service=service, ranks=silent)
-        return complete_groups(
-            (endpoint, report)
-            for endpoint, report in zip(endpoints, found, strict=True)
-            if report is not None
-        )
-
-    async def _current_map(
-        self, group: RankGroup, layout: ExpertLayout
-    ) -> ExpertMap | None:
-        """Return the map in force, or ``None`` if it is unknown."""
-        version = group.common_value(lambda report: report.map_version)
-        if version is None:
-            return None
-        if version == 0:
-            # The group has not switched its map since it was formed.
-            return initial_map(layout, len(group.ranks))
-        maps = self._maps.get(group.name)
-        if maps is None or version not in maps.by_version:
-            stored = await self._store.get(MAP_PREFIX + group.name)
-            if stored.value is None:
-                return None
-            maps = self._decode_maps(group.name, stored.value)
-            if maps is None:
-                return None
-            self._maps[group.name] = maps
-        current = maps.by_version.get(version) if maps.epoch == group.epoch else None
-        if current is not None and not is_complete_map(
-            current, layout, len(group.ranks)
-        ):
-            self._report_invalid_maps(group.name, "experts are missing or unknown")
-            return None
-        return current
-
-    def _decode_maps(self, group: str, value: bytes) -> StoredMaps | None:
-        """Decode a group's stored maps; ``None`` and a log line if they are invalid."""
-        try:
-            return decode_json(value, StoredMaps)
-        except MalformedValue as error:
-            self._report_invalid_maps(group, str(error))
-            return None
-
-    def _report_invalid_maps(self, group: str, problem: str) -> None:
-        """Count an invalid map; log it unless that is the group's last problem."""
-        self._metrics.count("invalid_expert_maps", group=group)
-        if self._reported_maps.get(group) != problem:
-            self._reported_maps[group] = problem
-            self._log.warning("stored map is invalid", group=group, error=problem)
-
     async def _switch(
         self, group: RankGroup, plan: MapPlan, layout: ExpertLayout
     ) -> None:
@@ -417,7 +332,7 @@
         if not await self._switcher.prepare(group, version, plan, layout):
             self._log.info("expert map not prepared", group=group.name, version=version)
             return
-        await self._store_maps(group, version, plan.expert_map)
+        await self._maps.store(group, version, plan.expert_map)
         if not self._lock.is_held:
             return
         step = await self._switcher.hold_pass(group)
@@ -429,52 +344,8 @@
                 "expert map armed", group=group.name, version=version, step=step
             )
 
-    async def _store_maps(
-        self, group: RankGroup, version: int, experts: ExpertMap
-    ) -> None:
-        """Store a map beside the one in force, for the next lock holder."""
-        key = MAP_PREFIX + group.name
-        stored = await self._store.get(key)
-        in_force = group.common_value(lambda report: report.map_version)
-        before = self._maps.get(group.name)
-        maps = {version: experts}
-        if before is not None and before.epoch == group.epoch and in_force is not None:
-            maps |= {
-                number: each
-                for number, each in before.by_version.items()
-                if number == in_force
-            }
-        updated = StoredMaps(group.epoch, maps)
-        value = msgspec.json.encode(updated)
-        await self._store.compare_and_swap(key, stored.revision, value)
-        self._maps[group.name] = updated
-
-    async def _restore_maps(self) -> None:
-        """Write the maps that this node knows to a store that may have lost them."""
-        era = self._registry.position.era
-        if era == self._maps_era:
-            return
-        try:
-            for name, known in self._maps.items():
-                await self._restore_map(name, known)
-        except (PlatformUnavailable, RevisionConflict) as error:
-            self._log.info("expert maps not restored; retrying", error=str(error))
-            return
-        self._maps_era = era
-
-    async def _restore_map(self, name: str, known: StoredMaps) -> None:
-        key = MAP_PREFIX + name
-        stored = await self._store.get(key)
-        if stored.value is not None:
-            maps = self._decode_maps(name, stored.value)
-            versions = maps.by_version if maps is not None else {}
-            if max(versions, default=0) >= max(known.by_version, default=0):
-                return
-        value = msgspec.json.encode(known)
-        await self._store.compare_and_swap(key, stored.revision, value)
-
     async def _finish_pending_switches(self, service: str) -> None:
         """Complete the switches that an earlier lock holder left unfinished."""
-        for group in await self._groups(service):
+        for group in await self._reports.groups(service):
             if group.held_pass is not None:
                 await self._switcher.finish(group)
--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -20,14 +20,14 @@
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap, MapPlan
 from cyclamenyoke.core.gateway_config import ExpertLayout
-from cyclamenyoke.core.rank_group import RankGroup, RankReport
+from cyclamenyoke.core.rank_group import RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
+from cyclamenyoke.daemon.rank_reports import RankReports
 from cyclamenyoke.daemon.rebalancer_lock import RENEW_INTERVAL, RebalancerLock
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
     EngineControl,
-    EngineControlError,
 )
 
 PREPARE_TIMEOUT = 3 * SECOND
@@ -72,11 +72,13 @@
     def __init__(
         self,
         control: EngineControl,
+        reports: RankReports,
         lock: RebalancerLock,
         clock: Clock,
         log: Log,
     ) -> None:
         self._control = control
+        self._reports = reports
         self._lock = lock
         self._clock = clock
         self._log = log
@@ -89,15 +91,6 @@
         """By group: the service and the held pass of a switch that was left open."""
         return self._open_switches
 
-    async def report(self, endpoint: Endpoint) -> RankReport | None:
-        try:
-            return await self._control.report(endpoint)
-        except EngineControlError as error:
-            self._log.debug(
-                "rank sent no report", endpoint=endpoint.id, error=str(error)
-            )
-            return None
-
     async def prepare(
         self, group: RankGroup, version: int, plan: MapPlan, layout: ExpertLayout
     ) -> bool:
@@ -186,7 +179,7 @@
         :returns: whether the group still serves in its epoch, as far as known.
         """
         found = await asyncio.gather(
-            *(self.report(group.ranks[number]) for number in numbers)
+            *(self._reports.read(group.ranks[number]) for number in numbers)
         )
         for number, report in zip(numbers, found, strict=True):
             if report is not None:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -27,7 +27,7 @@
 from cyclamenyoke.core.peers import PeerUpdate
 from cyclamenyoke.core.request_quarantine import RequestQuarantine
 from cyclamenyoke.core.store_position import StorePosition
-from cyclamenyoke.daemon.expert_rebalancer import StoredMaps
+from cyclamenyoke.daemon.expert_map_store import StoredMaps
 from cyclamenyoke.daemon.quarantine_api import LiftRequest, QuarantineHandler
 from cyclamenyoke.daemon.quarantine_store import QuarantineStore, StoredQuarantine
 from cyclamenyoke.exceptions import (
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -86,7 +86,7 @@
 from cyclamenyoke.core.peers import PeerUpdate
 from cyclamenyoke.core.request_quarantine import TraitEvidence
 from cyclamenyoke.core.store_position import StorePosition
-from cyclamenyoke.daemon.expert_rebalancer import StoredMaps
+from cyclamenyoke.daemon.expert_map_store import StoredMaps
 from cyclamenyoke.daemon.http_responses import Problem
 from cyclamenyoke.daemon.operators import (
     AgentStatus,
