Close open map switches whatever the load of their groups

Cause: held passes were looked for only while the service counted as loaded, and only with fresh counts. A group whose pass is held sends no events, so that its gap ratio is 0 after 4 s, and its callers leave after 2 s, so that its slots don't fill. Ruled out: no lock (nobody tried), ranks without reports (nobody asked), the comparison with released passes (never reached).

Change: the node that may hold the lock asks the first rank of each group once a second, all ranks each 10 s, and the ranks of a service with an open switch four times a second. Only when a pass is held it takes the lock and closes the switch. Reports that a loaded service's planning reads count as a look, so load costs no more of them. core/open_switches.py knows the open switches, daemon/open_switch_closer.py looks. At 600 engines in groups of 8 that is 75 reports a second and 600 each 10 s, from one node, and no call of the store.

--- /dev/null
+++ b/src/cyclamenyoke/core/open_switches.py
@@ -0,0 +1,64 @@
+"""The map switches that are open: a rank of the group holds a pass.
+
+A group begins no pass while a switch is open, so that each must be closed whatever else
+happens: its requests end, and with them all that is seen of its load.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cyclamenyoke.core.rank_group import RankGroup
+from cyclamenyoke.core.units import SECOND
+
+SETTLING_TIME = 0.6 * SECOND
+"""Seconds after which reports show what was commanded: a few times their lag."""
+
+
+@dataclass(slots=True)
+class OpenSwitch:
+    """A pass that is held.
+
+    :param seen_at: when this node first knew of it.
+    """
+
+    group: str
+    service: str
+    epoch: int
+    step: int
+    seen_at: float
+
+
+class OpenSwitches:
+    """The open switches that this node knows, at most one of each group."""
+
+    def __init__(self) -> None:
+        self._by_group: dict[str, OpenSwitch] = {}
+
+    def __iter__(self) -> Iterator[OpenSwitch]:
+        return iter(self._by_group.values())
+
+    def is_any_open(self, service: str) -> bool:
+        """Return whether a switch of a service's groups is open."""
+        return any(each.service == service for each in self)
+
+    def on_held(self, group: RankGroup, step: int, now: float) -> None:
+        """Note that a pass of a group is held."""
+        known = self._by_group.get(group.name)
+        if known is None or (known.epoch, known.step) != (group.epoch, step):
+            self._by_group[group.name] = OpenSwitch(
+                group.name, group.ranks[0].service, group.epoch, step, now
+            )
+
+    def on_released(self, group: RankGroup) -> None:
+        """Note that the held pass of a group was released."""
+        self._by_group.pop(group.name, None)
+
+    def on_reports(self, group: RankGroup, now: float) -> None:
+        """Note what the reports of a whole group say."""
+        if group.held_pass is not None:
+            self.on_held(group, group.held_pass[1], now)
+            return
+        known = self._by_group.get(group.name)
+        # A report may be older than the command to hold the pass.
+        if known is not None and now >= known.seen_at + SETTLING_TIME:
+            del self._by_group[group.name]
--- a/src/cyclamenyoke/core/rank_group.py
+++ b/src/cyclamenyoke/core/rank_group.py
@@ -5,6 +5,9 @@
 
 from cyclamenyoke.core.endpoint_registry import Endpoint
 
+FIRST_RANK = 0
+"""Number of the rank that is commanded to hold passes."""
+
 
 @dataclass(frozen=True, slots=True)
 class RankReport:
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -22,10 +22,12 @@
     plan_sets,
 )
 from cyclamenyoke.core.gateway_config import ExpertLayout, GatewayConfig, Service
+from cyclamenyoke.core.open_switches import OpenSwitches
 from cyclamenyoke.core.rank_group import RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.expert_map_store import ExpertMapStore
 from cyclamenyoke.daemon.map_switcher import MapSwitcher
+from cyclamenyoke.daemon.open_switch_closer import OpenSwitchCloser
 from cyclamenyoke.daemon.rank_reports import RankReports
 from cyclamenyoke.daemon.rebalancer_lock import RebalancerLock
 from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
@@ -134,7 +136,19 @@
         self._reports = RankReports(control, registry, log)
         self._maps = ExpertMapStore(store, registry, metrics, log)
         self._lock = RebalancerLock(store, node, era_age, clock, log)
-        self._switcher = MapSwitcher(control, self._reports, self._lock, clock, log)
+        self._switches = OpenSwitches()
+        self._switcher = MapSwitcher(
+            control, self._reports, self._switches, self._lock, clock, log
+        )
+        self._closer = OpenSwitchCloser(
+            self._reports,
+            self._switcher,
+            self._switches,
+            self._maps,
+            self._lock,
+            clock,
+            log,
+        )
         self._loaded_since: dict[str, float] = {}
         # By service: when it is handled again after an unexpected error.
         self._paused_until: dict[str, float] = {}
@@ -173,20 +187,21 @@
     def _log_open_switches(self, is_loaded: Mapping[str, bool]) -> None:
         """Log what the closing of the open switches that this node knows depends on."""
         now = self._clock.now()
-        if not self._switcher.open_switches or now < self._log_open_switches_at:
+        if now < self._log_open_switches_at:
             return
-        self._log_open_switches_at = now + OPEN_SWITCH_LOG_INTERVAL
-        for group, (service, step) in self._switcher.open_switches.items():
-            load, slots = self._balancer.service_load(service)
+        for each in self._switches:
+            self._log_open_switches_at = now + OPEN_SWITCH_LOG_INTERVAL
+            load, slots = self._balancer.service_load(each.service)
             self._log.warning(
                 "switch is open",
-                group=group,
-                step=step,
-                loaded=is_loaded.get(service, False),
+                group=each.group,
+                step=each.step,
+                open_for=round(now - each.seen_at, 3),
+                loaded=is_loaded.get(each.service, False),
                 load=load,
                 slots=slots,
-                queued=self._queued(service),
-                gap_ratio=round(self._gap_ratio(service), 2),
+                queued=self._queued(each.service),
+                gap_ratio=round(self._gap_ratio(each.service), 2),
                 holds_lock=self.holds_lock,
                 may_hold_lock=self._may_hold_lock(self.holds_lock),
             )
@@ -196,6 +211,7 @@
     ) -> None:
         """Observe and rebalance one service; an error does not affect the others."""
         try:
+            await self._closer.look(service.name)
             await self._observe(service.name, layout, is_loaded)
             if is_loaded:
                 await self._rebalance_service(service, layout)
@@ -221,7 +237,6 @@
         try:
             if await self._lock.acquire():
                 await self._maps.restore()
-                await self._finish_pending_switches(service.name)
             if not self._lock.is_held:
                 return
             await self._rebalance(service.name, layout)
@@ -249,7 +264,9 @@
             return
         switches: list[tuple[RankGroup, MapPlan]] = []
         plans: list[tuple[ExpertMap, MapPlan]] = []
-        for group in await self._reports.groups(service):
+        groups = await self._reports.groups(service)
+        self._closer.on_groups(service, groups)
+        for group in groups:
             current = await self._map_to_change(group, layout)
             if current is None:
                 continue
@@ -271,7 +288,6 @@
     ) -> ExpertMap | None:
         """Return a group's map; ``None`` if it is unknown or about to change."""
         if group.held_pass is not None:
-            await self._switcher.finish(group)
             return None
         if any(report.is_armed for report in group.reports):
             return None
@@ -343,9 +359,3 @@
             self._log.info(
                 "expert map armed", group=group.name, version=version, step=step
             )
-
-    async def _finish_pending_switches(self, service: str) -> None:
-        """Complete the switches that an earlier lock holder left unfinished."""
-        for group in await self._reports.groups(service):
-            if group.held_pass is not None:
-                await self._switcher.finish(group)
--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -14,12 +14,13 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap, MapPlan
 from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.open_switches import OpenSwitches
 from cyclamenyoke.core.rank_group import RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.rank_reports import RankReports
@@ -73,23 +74,18 @@
         self,
         control: EngineControl,
         reports: RankReports,
+        switches: OpenSwitches,
         lock: RebalancerLock,
         clock: Clock,
         log: Log,
     ) -> None:
         self._control = control
         self._reports = reports
+        self._switches = switches
         self._lock = lock
         self._clock = clock
         self._log = log
         self._released_steps: dict[str, int] = {}
-        # By group: the service and the held pass of a switch that was left open.
-        self._open_switches: dict[str, tuple[str, int]] = {}
-
-    @property
-    def open_switches(self) -> Mapping[str, tuple[str, int]]:
-        """By group: the service and the held pass of a switch that was left open."""
-        return self._open_switches
 
     async def prepare(
         self, group: RankGroup, version: int, plan: MapPlan, layout: ExpertLayout
@@ -195,7 +191,7 @@
             step = group.step + lead
             result = await self._control.hold(holding_rank, group.epoch, step)
             if result is CommandResult.DONE:
-                self._open_switches[group.name] = holding_rank.service, step
+                self._switches.on_held(group, step, self._clock.now())
                 return step
             if result is CommandResult.UNKNOWN:
                 # The pass may be held. No rank is armed, so releasing it is safe.
@@ -293,7 +289,7 @@
             result = await self._control.release_hold(holding_rank, group.epoch, step)
             if result is not CommandResult.UNKNOWN:
                 self._released_steps[group.name] = step
-                self._open_switches.pop(group.name, None)
+                self._switches.on_released(group)
                 return
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
         self._log.warning(
@@ -304,8 +300,6 @@
     async def finish(self, group: RankGroup) -> None:
         """Complete the switch of a held pass, or release it if no map is prepared."""
         held_pass = group.held_pass
-        if held_pass is not None:
-            self._open_switches[group.name] = group.ranks[0].service, held_pass[1]
         if held_pass is not None and held_pass[1] <= self._released_steps.get(
             group.name, -1
         ):
--- a/src/cyclamenyoke/daemon/rank_reports.py
+++ b/src/cyclamenyoke/daemon/rank_reports.py
@@ -1,6 +1,7 @@
 """Reads the reports of engine ranks."""
 
 import asyncio
+from collections.abc import Sequence
 
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.core.endpoint_registry import Endpoint, EndpointRegistry
@@ -28,16 +29,29 @@
             )
             return None
 
+    async def read_ranks(
+        self, endpoints: Sequence[Endpoint]
+    ) -> list[tuple[Endpoint, RankReport | None]]:
+        """Return ranks with their reports; ``None`` for those that sent none."""
+        found = await asyncio.gather(*(self.read(each) for each in endpoints))
+        return list(zip(endpoints, found, strict=True))
+
+    async def read_service(
+        self, service: str
+    ) -> list[tuple[Endpoint, RankReport | None]]:
+        """Return all ranks of a service with their reports."""
+        return await self.read_ranks(
+            [
+                each
+                for each in self._registry.endpoints.values()
+                if each.service == service
+            ]
+        )
+
     async def groups(self, service: str) -> list[RankGroup]:
         """Return the groups of which every rank reports and serves."""
-        endpoints = [
-            each
-            for each in self._registry.endpoints.values()
-            if each.service == service
-        ]
-        found = await asyncio.gather(*(self.read(each) for each in endpoints))
         return complete_groups(
             (endpoint, report)
-            for endpoint, report in zip(endpoints, found, strict=True)
+            for endpoint, report in await self.read_service(service)
             if report is not None
         )
--- a/tests/simulated_ranks.py
+++ b/tests/simulated_ranks.py
@@ -23,6 +23,7 @@
 from cyclamenyoke.ports.engine_control import (
     CommandResult,
     EngineControl,
+    EngineControlError,
     ExpertCounts,
 )
 from cyclamenyoke.ports.key_value_store import (
@@ -42,6 +43,12 @@
 REPORT_LAG = 0.2
 """Seconds by which the reports of the ranks lag behind the passes."""
 
+GAP_LIFETIME = 4.0
+"""Seconds after which gateways forget the gaps between events that they saw."""
+
+CUT_TIMEOUT = 0.12
+"""Seconds after which a call to a rank that is cut off is given up."""
+
 
 class LoopClock(Clock):
     """Virtual time of the event loop, which tests run faster than real time."""
@@ -153,6 +160,9 @@
         self.unanswered_ratio = unanswered_ratio
         self.step = 0
         self.ranks = [Rank() for _ in range(RANKS)]
+        # Numbers of the ranks that gateways can't reach.
+        self.cut: set[int] = set()
+        self.commands: list[tuple[float, str, int, CommandResult]] = []
         self.switches = 0
         self.pass_intervals: list[float] = []
         self._last_pass_at = 0.0
@@ -179,8 +189,21 @@
     def _rank_number(self, endpoint: Endpoint) -> int:
         return int(endpoint.id[1:])
 
+    @property
+    def rested_for(self) -> float:
+        """Seconds since the last pass began."""
+        return asyncio.get_running_loop().time() - self._last_pass_at
+
+    @property
+    def held_passes(self) -> list[int]:
+        """The passes that are held now."""
+        return [rank.held for rank in self.ranks if rank.held is not None]
+
     async def report(self, endpoint):
         number = self._rank_number(endpoint)
+        if number in self.cut:
+            await asyncio.sleep(CUT_TIMEOUT)
+            raise EngineControlError(f"{endpoint.id} is cut off")
         rank = self.ranks[number]
         rank_report = RankReport(
             "g",
@@ -205,7 +228,18 @@
         rows = [list(row) for _ in range(layout.sets)]
         return ExpertCounts(1, rows)
 
-    async def _run_command(self, execute) -> CommandResult:
+    async def _run_command(self, name, endpoint, execute) -> CommandResult:
+        number = self._rank_number(endpoint)
+        if number in self.cut:
+            await asyncio.sleep(CUT_TIMEOUT)
+            result = CommandResult.UNKNOWN
+        else:
+            result = await self._run_at_rank(execute)
+        now = asyncio.get_running_loop().time()
+        self.commands.append((now, name, number, result))
+        return result
+
+    async def _run_at_rank(self, execute) -> CommandResult:
         await asyncio.sleep(0.002)
         if self.random.random() < self.unanswered_ratio:
             delay = self.random.choice([0.0, 0.0, self.random.uniform(2, 12)])
@@ -227,7 +261,7 @@
             rank.prepared = version
             return True
 
-        return await self._run_command(execute)
+        return await self._run_command("prepare", endpoint, execute)
 
     async def arm(self, endpoint, version, epoch, step):
         rank = self.ranks[self._rank_number(endpoint)]
@@ -240,7 +274,7 @@
             rank.armed = version, step
             return True
 
-        return await self._run_command(execute)
+        return await self._run_command("arm", endpoint, execute)
 
     async def disarm(self, endpoint, version, epoch):
         rank = self.ranks[self._rank_number(endpoint)]
@@ -252,7 +286,7 @@
                 rank.armed = None
             return True
 
-        return await self._run_command(execute)
+        return await self._run_command("disarm", endpoint, execute)
 
     async def hold(self, endpoint, epoch, step):
         rank = self.ranks[self._rank_number(endpoint)]
@@ -265,7 +299,7 @@
             rank.held = step
             return True
 
-        return await self._run_command(execute)
+        return await self._run_command("hold", endpoint, execute)
 
     async def release_hold(self, endpoint, epoch, step):
         rank = self.ranks[self._rank_number(endpoint)]
@@ -275,7 +309,7 @@
                 rank.held = None
             return True
 
-        return await self._run_command(execute)
+        return await self._run_command("go", endpoint, execute)
 
 
 class StrictSupervisor(TaskSupervisor):
@@ -295,6 +329,8 @@
         # Names of the nodes that may hold the lock, of one letter each.
         self.preferred_nodes = ""
         self.gap_ratio = 0.7
+        # Whether the gap ratio is 0 while the group begins no passes.
+        self.is_load_lost_in_standstill = False
         self.registry = EndpointRegistry()
         self.endpoints = [
             Endpoint(f"r{n}", "llm", "127.0.0.1:1", "dc", 6, False, 1)
@@ -304,6 +340,11 @@
         service = Service("llm", "/", 10, None, LAYOUT)
         self.config = GatewayConfig(1, (), {"llm": service}, CallerLimits(), {}, False)
 
+    def _current_gap_ratio(self) -> float:
+        if self.is_load_lost_in_standstill and self.ranks.rested_for >= GAP_LIFETIME:
+            return 0.0
+        return self.gap_ratio
+
     def rebalancer(self, name: str, requests: int = 5) -> ExpertRebalancer:
         limits = EngineLimits("10.0.0.1", lambda now: (), self.registry.usable)
         balancer = Balancer(self.registry, "dc", self.random, limits)
@@ -319,7 +360,7 @@
             self.store.era_age,
             lambda holds_lock: name in self.preferred_nodes,
             lambda service: 0,
-            lambda service: self.gap_ratio,
+            lambda service: self._current_gap_ratio(),
             name,
             LoopClock(),
             StrictSupervisor(LoopClock(), Metrics(), Log("test")),
--- /dev/null
+++ b/tests/test_open_switches.py
@@ -0,0 +1,143 @@
+"""Groups begin passes again whenever a switch was left open, whatever their load."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cyclamenyoke.daemon.open_switch_closer import LOOK_AT_ALL_INTERVAL, LOOK_INTERVAL
+from cyclamenyoke.daemon.rebalancer_lock import LOCK_LIFETIME
+from simulated_ranks import CUT_TIMEOUT, RANKS, Cluster
+
+RELEASE_TIME = 0.5
+"""Seconds within which an open switch is closed once its ranks have reported it."""
+
+
+@asynccontextmanager
+async def running(cluster: Cluster, *names: str, requests: int = 5):
+    """Run a group's passes and rebalancers; yield the tasks of these by name."""
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    tasks = {
+        name: asyncio.create_task(cluster.rebalancer(name, requests).run())
+        for name in names
+    }
+    yield tasks
+    assert not passes.done(), passes.exception()
+    for task in [passes, *tasks.values()]:
+        task.cancel()
+    await asyncio.gather(passes, *tasks.values(), return_exceptions=True)
+
+
+async def wait_until(condition, seconds: float) -> None:
+    """Wait until a condition holds; fail after some seconds."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+def cut_when_held(cluster: Cluster, rank: int):
+    """Cut a rank off as soon as a pass is held, before any rank is armed."""
+    hold = cluster.ranks.hold
+
+    async def hold_and_cut(endpoint, epoch, step):
+        result = await hold(endpoint, epoch, step)
+        if cluster.ranks.held_passes and not cluster.ranks.switches:
+            cluster.ranks.cut.add(rank)
+        return result
+
+    cluster.ranks.hold = hold_and_cut
+
+
+# Guards against a group that stands still for good after one rank was cut off from the
+# gateways for seconds, because the standstill takes away the load (review/6).
+@pytest.mark.looptime
+@pytest.mark.parametrize("rank", range(RANKS))
+@pytest.mark.parametrize("cut_time", [1.0, 5.5, 60.0])
+async def test_pass_that_waits_for_a_rank_cut_off_is_released_after_the_cut(
+    rank, cut_time
+):
+    cluster = Cluster(1, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.is_load_lost_in_standstill = True
+    cut_when_held(cluster, rank)
+    async with running(cluster, "a"):
+        await wait_until(lambda: cluster.ranks.cut, 10)
+        cluster.gap_ratio = 0.0
+        await asyncio.sleep(cut_time)
+        assert cluster.ranks.held_passes
+        cluster.ranks.cut.clear()
+        step = cluster.ranks.step
+        await wait_until(
+            lambda: cluster.ranks.step > step, LOOK_INTERVAL + CUT_TIMEOUT + 2
+        )
+
+
+# Guards against a restart of all gateways that leaves a group at a standstill, because
+# new processes have seen no load (review/9).
+@pytest.mark.looptime
+async def test_pass_that_ended_gateways_held_is_released_by_new_ones_without_load():
+    cluster = Cluster(2, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "ab"
+    cluster.is_load_lost_in_standstill = True
+    async with running(cluster, "a") as tasks:
+        await wait_until(lambda: cluster.ranks.held_passes, 10)
+        tasks["a"].cancel()
+        await asyncio.sleep(30)
+        cluster.gap_ratio = 0.0
+        step = cluster.ranks.step
+        again = asyncio.create_task(cluster.rebalancer("b", requests=0).run())
+        await wait_until(lambda: cluster.ranks.step > step, LOOK_INTERVAL + 1)
+        again.cancel()
+
+
+# Guards against a release that needs load: callers have all gone, or a few come back.
+@pytest.mark.looptime
+@pytest.mark.parametrize("requests", [0, 1, 5])
+async def test_pass_held_by_a_killed_rebalancer_is_released_with_any_load(requests):
+    cluster = Cluster(3, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    async with running(cluster, "a") as tasks:
+        await wait_until(lambda: cluster.ranks.held_passes, 10)
+        tasks["a"].cancel()
+        cluster.gap_ratio = 0.0
+        cluster.preferred_nodes = "b"
+        step = cluster.ranks.step
+        other = asyncio.create_task(cluster.rebalancer("b", requests).run())
+        bound = LOCK_LIFETIME + LOOK_INTERVAL + RELEASE_TIME
+        await wait_until(lambda: cluster.ranks.step > step, bound)
+        other.cancel()
+
+
+# Guards against a late "hold" that stops a group which nobody uses.
+@pytest.mark.looptime
+async def test_pass_of_an_unused_group_held_by_a_late_command_is_released():
+    cluster = Cluster(4, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.gap_ratio = 0.0
+    async with running(cluster, "a", requests=0):
+        await asyncio.sleep(5)
+        cluster.ranks.ranks[0].held = cluster.ranks.step + 1
+        step = cluster.ranks.step
+        await wait_until(lambda: cluster.ranks.step > step, LOOK_INTERVAL + 1.5)
+
+
+# Guards against reports of all ranks each second, which cost calls at every engine.
+@pytest.mark.looptime
+async def test_looks_at_an_unused_service_ask_the_first_ranks_only():
+    cluster = Cluster(5, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.gap_ratio = 0.0
+    asked = []
+    report = cluster.ranks.report
+
+    async def note_report(endpoint):
+        asked.append(endpoint.id)
+        return await report(endpoint)
+
+    cluster.ranks.report = note_report
+    async with running(cluster, "a", requests=0):
+        await asyncio.sleep(60)
+    looks_at_all = 60 / LOOK_AT_ALL_INTERVAL + 1
+    assert asked.count("r1") <= looks_at_all
+    assert len(asked) <= 60 / LOOK_INTERVAL + RANKS * looks_at_all
+    assert cluster.ranks.commands == []
