Release a held pass whatever passes were released before

Cause: a reported held pass was dropped when its number wasn't above the last one that this node had released, by group name, whatever the epoch, and for good. The comparison is there because reports are late.

--- a/src/cyclamenyoke/core/open_switches.py
+++ b/src/cyclamenyoke/core/open_switches.py
@@ -28,11 +28,24 @@
     seen_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasedPass:
+    """A pass that this node released.
+
+    :param shown_until: until when reports may show it as held, because they are late.
+    """
+
+    epoch: int
+    step: int
+    shown_until: float
+
+
 class OpenSwitches:
     """The open switches that this node knows, at most one of each group."""
 
     def __init__(self) -> None:
         self._by_group: dict[str, OpenSwitch] = {}
+        self._released: dict[str, ReleasedPass] = {}
 
     def __iter__(self) -> Iterator[OpenSwitch]:
         return iter(self._by_group.values())
@@ -49,14 +62,31 @@
                 group.name, group.ranks[0].service, group.epoch, step, now
             )
 
-    def on_released(self, group: RankGroup) -> None:
+    def on_released(self, group: RankGroup, step: int, now: float) -> None:
         """Note that the held pass of a group was released."""
         self._by_group.pop(group.name, None)
+        self._released[group.name] = ReleasedPass(
+            group.epoch, step, now + SETTLING_TIME
+        )
+
+    def open_pass(self, group: RankGroup, now: float) -> int | None:
+        """Return the pass that a group's reports show as held and this node has not
+        just released; ``None`` if there is none.
+        """
+        if group.held_pass is None:
+            return None
+        step = group.held_pass[1]
+        released = self._released.get(group.name)
+        if released is None or now >= released.shown_until:
+            return step
+        is_that_pass = (released.epoch, released.step) == (group.epoch, step)
+        return None if is_that_pass else step
 
     def on_reports(self, group: RankGroup, now: float) -> None:
         """Note what the reports of a whole group say."""
-        if group.held_pass is not None:
-            self.on_held(group, group.held_pass[1], now)
+        step = self.open_pass(group, now)
+        if step is not None:
+            self.on_held(group, step, now)
             return
         known = self._by_group.get(group.name)
         # A report may be older than the command to hold the pass.
--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -85,7 +85,6 @@
         self._lock = lock
         self._clock = clock
         self._log = log
-        self._released_steps: dict[str, int] = {}
 
     async def prepare(
         self, group: RankGroup, version: int, plan: MapPlan, layout: ExpertLayout
@@ -288,8 +287,7 @@
         while self._clock.now() < deadline:
             result = await self._control.release_hold(holding_rank, group.epoch, step)
             if result is not CommandResult.UNKNOWN:
-                self._released_steps[group.name] = step
-                self._switches.on_released(group)
+                self._switches.on_released(group, step, self._clock.now())
                 return
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
         self._log.warning(
@@ -299,16 +297,11 @@
 
     async def finish(self, group: RankGroup) -> None:
         """Complete the switch of a held pass, or release it if no map is prepared."""
-        held_pass = group.held_pass
-        if held_pass is not None and held_pass[1] <= self._released_steps.get(
-            group.name, -1
-        ):
-            # The report is older than the command to release the pass.
+        step = self._switches.open_pass(group, self._clock.now())
+        if group.held_pass is None or step is None:
             return
         version = group.common_value(lambda report: report.prepared_version)
-        if held_pass is None:
-            return
-        holding_rank, step = held_pass
+        holding_rank = group.held_pass[0]
         self._log.warning(
             "held pass found; finishing", group=group.name, step=step, prepared=version
         )
--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -101,7 +101,8 @@
         """Close the open switches of the groups of which every rank reports."""
         groups = await self._reports.groups(service)
         self.on_groups(service, groups)
-        if not any(group.held_pass for group in groups):
+        now = self._clock.now()
+        if all(self._switches.open_pass(group, now) is None for group in groups):
             return
         if await self._lock.acquire():
             await self._maps.restore()
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -7,6 +7,7 @@
 
 from cyclamenyoke.daemon.open_switch_closer import LOOK_AT_ALL_INTERVAL, LOOK_INTERVAL
 from cyclamenyoke.daemon.rebalancer_lock import LOCK_LIFETIME
+from cyclamenyoke.ports.engine_control import CommandResult
 from simulated_ranks import CUT_TIMEOUT, RANKS, Cluster
 
 RELEASE_TIME = 0.5
@@ -141,3 +142,29 @@
     assert asked.count("r1") <= looks_at_all
     assert len(asked) <= 60 / LOOK_INTERVAL + RANKS * looks_at_all
     assert cluster.ranks.commands == []
+
+
+# Guards against a held pass that is taken for one released before, because its number
+# is lower: the group then stands still for good (review/8).
+@pytest.mark.looptime
+@pytest.mark.parametrize("lead", [1, 2])
+async def test_pass_held_below_one_that_was_released_before_is_released(lead):
+    cluster = Cluster(6, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    release_hold = cluster.ranks.release_hold
+
+    async def release_another(endpoint, epoch, step):
+        if cluster.ranks.switches:
+            return await release_hold(endpoint, epoch, step)
+        # As if a copy of an earlier answer had been taken for that of "hold".
+        cluster.ranks.ranks[0].held = step - lead
+        cluster.ranks.step = min(cluster.ranks.step, step - lead - 1)
+        cluster.ranks.switches = 1
+        return CommandResult.DONE
+
+    cluster.ranks.release_hold = release_another
+    async with running(cluster, "a"):
+        await wait_until(lambda: cluster.ranks.switches, 10)
+        cluster.gap_ratio = 0.0
+        step = cluster.ranks.step
+        await wait_until(lambda: cluster.ranks.step > step, LOOK_INTERVAL + 1)
