Cancel a switch so that no rank can be armed for it any more

Cause: a held pass was released without a look at armed ranks when the ranks reported different prepared maps. And a switch that a rank rejected was cancelled by disarming the ranks, so that a command to arm one that was executed late, while another rank was still to be disarmed, armed it again.

Change: an open switch is completed only if all ranks have prepared one map and some are armed; otherwise, once the reports are settled, it is cancelled. To cancel, every rank prepares the map in force once more, each as a version of its own: a rank that accepts it is not armed, and rejects whatever comes late for the former version. Only ranks that reject it are disarmed, and only once another has accepted, so that a late command to disarm meets no switch that a later holder completes. A pass is released only while this node holds the lock. If the map in force is unknown, ranks are disarmed as before.

--- a/src/cyclamenyoke/core/open_switches.py
+++ b/src/cyclamenyoke/core/open_switches.py
@@ -4,6 +4,7 @@
 happens: its requests end, and with them all that is seen of its load.
 """
 
+import enum
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -14,11 +15,23 @@
 """Seconds after which reports show what was commanded: a few times their lag."""
 
 
+class Closing(enum.Enum):
+    """What is done about a group's switch."""
+
+    WAIT = "wait"
+    """Nothing is held, or the reports may be older than the last commands."""
+    COMPLETE = "complete"
+    """All ranks can switch at the held pass, and some are armed for it."""
+    CANCEL = "cancel"
+    """The pass must start with the map in force, at all ranks."""
+
+
 @dataclass(slots=True)
 class OpenSwitch:
     """A pass that is held.
 
     :param seen_at: when this node first knew of it.
+    :param is_rejected: whether a rank rejected to switch at that pass.
     """
 
     group: str
@@ -26,6 +39,7 @@
     epoch: int
     step: int
     seen_at: float
+    is_rejected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +83,25 @@
             group.epoch, step, now + SETTLING_TIME
         )
 
+    def on_completion(self, group: RankGroup, is_rejected: bool) -> None:
+        """Note whether a rank rejected to switch at the held pass."""
+        if group.name in self._by_group:
+            self._by_group[group.name].is_rejected = is_rejected
+
+    def decide(self, group: RankGroup, now: float) -> Closing:
+        """Return how a group's switch is closed, given its reports."""
+        step = self.open_pass(group, now)
+        if step is None:
+            return Closing.WAIT
+        self.on_held(group, step, now)
+        known = self._by_group[group.name]
+        version = group.common_value(lambda report: report.prepared_version)
+        is_armed = any(report.is_armed for report in group.reports)
+        if version and is_armed and not known.is_rejected:
+            return Closing.COMPLETE
+        is_settled = now >= known.seen_at + SETTLING_TIME
+        return Closing.CANCEL if is_settled else Closing.WAIT
+
     def open_pass(self, group: RankGroup, now: float) -> int | None:
         """Return the pass that a group's reports show as held and this node has not
         just released; ``None`` if there is none.
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -33,7 +33,11 @@
 from cyclamenyoke.daemon.task_supervisor import TaskSupervisor
 from cyclamenyoke.exceptions import PlatformUnavailable
 from cyclamenyoke.ports.clock import Clock
-from cyclamenyoke.ports.engine_control import EngineControl, EngineControlError
+from cyclamenyoke.ports.engine_control import (
+    CommandResult,
+    EngineControl,
+    EngineControlError,
+)
 from cyclamenyoke.ports.key_value_store import (
     KeyValueStore,
     LeaseExpired,
@@ -147,6 +151,7 @@
             self._maps,
             self._lock,
             clock,
+            metrics,
             log,
         )
         self._loaded_since: dict[str, float] = {}
@@ -211,7 +216,7 @@
     ) -> None:
         """Observe and rebalance one service; an error does not affect the others."""
         try:
-            await self._closer.look(service.name)
+            await self._closer.look(service.name, layout)
             await self._observe(service.name, layout, is_loaded)
             if is_loaded:
                 await self._rebalance_service(service, layout)
@@ -262,7 +267,7 @@
         selections = sample.demand.take_fresh() if sample is not None else []
         if [len(row) for row in selections] != [layout.experts] * layout.sets:
             return
-        switches: list[tuple[RankGroup, MapPlan]] = []
+        switches: list[tuple[RankGroup, ExpertMap, MapPlan]] = []
         plans: list[tuple[ExpertMap, MapPlan]] = []
         groups = await self._reports.groups(service)
         self._closer.on_groups(service, groups)
@@ -277,8 +282,8 @@
                 plans.append((current, plan))
             self._metrics.gauge("expert_skew", plan.skew_before, group=group.name)
             if plan.is_worthwhile and self._lock.is_held:
-                switches.append((group, plan))
-        switching = (self._switch(group, plan, layout) for group, plan in switches)
+                switches.append((group, current, plan))
+        switching = (self._switch(*switch, layout) for switch in switches)
         for failure in await asyncio.gather(*switching, return_exceptions=True):
             if failure is not None:
                 raise failure
@@ -332,9 +337,13 @@
         sample.demand.add(rank.id, counts.epoch, counts.counts, self._clock.now())
 
     async def _switch(
-        self, group: RankGroup, plan: MapPlan, layout: ExpertLayout
+        self,
+        group: RankGroup,
+        current: ExpertMap,
+        plan: MapPlan,
+        layout: ExpertLayout,
     ) -> None:
-        """Switch a group to a new map."""
+        """Switch a group from its current map to a new one."""
         version = self._lock.assign_version()
         self._log.info(
             "expert map planned",
@@ -352,10 +361,13 @@
         if not self._lock.is_held:
             return
         step = await self._switcher.hold_pass(group)
-        if step is not None and await self._switcher.complete(group, version, step):
-            switch = ReleasedSwitch(group.epoch, version)
-            self._released_switches[group.name] = switch
-            self._metrics.count("expert_switches")
-            self._log.info(
-                "expert map armed", group=group.name, version=version, step=step
-            )
+        if step is None:
+            return
+        result = await self._switcher.complete(group, version, step)
+        if result is CommandResult.REJECTED:
+            await self._switcher.cancel(group, step, version, current)
+        if result is not CommandResult.DONE:
+            return
+        self._released_switches[group.name] = ReleasedSwitch(group.epoch, version)
+        self._metrics.count("expert_switches")
+        self._log.info("expert map armed", group=group.name, version=version, step=step)
--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -7,21 +7,21 @@
 * every rank is armed for that pass; the command is repeated until the rank replies;
 * the held pass is released.
 
-Once the pass is held the switch is completed, unless a rank rejects it: then all ranks
-are disarmed before the pass is released. So the next lock holder can complete it from
-the ranks' reports alone, and a command that is executed late finds that its pass has
-already started.
+Once the pass is held the switch is completed, unless a rank rejects it. Then it is
+cancelled: every rank prepares the map in force once more, as a version of its own,
+before the pass is released. A rank that accepts a version is not armed, and rejects a
+command of the switch that is executed late.
 """
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.core.endpoint_registry import Endpoint
 from cyclamenyoke.core.expert_map_planner import ExpertMap, MapPlan
 from cyclamenyoke.core.gateway_config import ExpertLayout
 from cyclamenyoke.core.open_switches import OpenSwitches
-from cyclamenyoke.core.rank_group import RankGroup
+from cyclamenyoke.core.rank_group import FIRST_RANK, RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.rank_reports import RankReports
 from cyclamenyoke.daemon.rebalancer_lock import RENEW_INTERVAL, RebalancerLock
@@ -185,7 +185,7 @@
 
     async def hold_pass(self, group: RankGroup) -> int | None:
         """Hold a future pass at the first rank; return its number."""
-        holding_rank = group.ranks[0]
+        holding_rank = group.ranks[FIRST_RANK]
         for lead in LEAD_PASSES:
             step = group.step + lead
             result = await self._control.hold(holding_rank, group.epoch, step)
@@ -194,14 +194,18 @@
                 return step
             if result is CommandResult.UNKNOWN:
                 # The pass may be held. No rank is armed, so releasing it is safe.
-                await self.release_pass(group, holding_rank, step)
+                self._switches.on_held(group, step, self._clock.now())
+                await self.release_pass(group, step)
                 return None
         return None
 
-    async def complete(self, group: RankGroup, version: int, step: int) -> bool:
+    async def complete(
+        self, group: RankGroup, version: int, step: int
+    ) -> CommandResult:
         """Arm all ranks for a held pass, then release it.
 
-        :returns: whether all ranks switch at that pass.
+        :returns: whether all ranks switch at that pass. Unless they do, the pass is
+            still held.
         """
         deadline = self._clock.now() + COMPLETION_TIMEOUT
         results = await asyncio.gather(
@@ -209,16 +213,24 @@
         )
         if CommandResult.UNKNOWN in results:
             # Only a node that reaches all ranks may release the pass.
+            await self._leave(group, step)
+            return CommandResult.UNKNOWN
+        rejected = results.count(CommandResult.REJECTED)
+        self._switches.on_completion(group, is_rejected=rejected > 0)
+        if rejected:
             self._log.warning(
-                "switch left to the next lock holder", group=group.name, step=step
+                "expert map refused", group=group.name, version=version, ranks=rejected
             )
-            await self._lock.revoke()
-            return False
-        if CommandResult.REJECTED in results:
-            await self._abandon(group, version, step, results)
-            return False
-        await self.release_pass(group, group.ranks[0], step)
-        return True
+            return CommandResult.REJECTED
+        await self.release_pass(group, step)
+        return CommandResult.DONE
+
+    async def _leave(self, group: RankGroup, step: int) -> None:
+        """Leave a switch open, and the lock to a node that reaches all ranks."""
+        self._log.warning(
+            "switch left to the next lock holder", group=group.name, step=step
+        )
+        await self._lock.revoke()
 
     async def _arm(
         self,
@@ -242,70 +254,137 @@
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
         return CommandResult.UNKNOWN
 
-    async def _abandon(
+    async def cancel(
         self,
         group: RankGroup,
-        version: int,
         step: int,
-        results: Iterable[CommandResult],
+        version: int | None,
+        experts: ExpertMap | None,
     ) -> None:
-        """Cancel a switch that a rank rejected, usually because its epoch ended."""
-        rejected = sum(result is CommandResult.REJECTED for result in results)
+        """Make sure that no rank switches at a held pass, then release it.
+
+        :param version: the version that ranks may be armed for, if it is known beside
+            those that they report as prepared.
+        :param experts: the map in force. If it is ``None``, the map is unknown, and a
+            command to arm a rank could still be executed late.
+        """
         self._log.warning(
-            "expert map refused", group=group.name, version=version, ranks=rejected
+            "switch is cancelled",
+            group=group.name,
+            step=step,
+            armed=sum(report.is_armed for report in group.reports),
+            map_known=experts is not None,
         )
         deadline = self._clock.now() + COMPLETION_TIMEOUT
-        disarmed = await asyncio.gather(
-            *(self._disarm(rank, version, group, deadline) for rank in group.ranks)
-        )
-        if CommandResult.UNKNOWN in disarmed:
-            # A rank may still be armed, so the pass must not start.
-            self._log.warning(
-                "switch left to the next lock holder", group=group.name, step=step
-            )
-            await self._lock.revoke()
-            return
-        await self.release_pass(group, group.ranks[0], step)
+        if experts is None:
+            everyone = range(len(group.ranks))
+            is_cancelled = await self._disarm(group, everyone, version, deadline)
+        else:
+            is_cancelled = await self._supersede(group, version, experts, deadline)
+        if is_cancelled:
+            await self.release_pass(group, step)
 
-    async def _disarm(
-        self, rank: Endpoint, version: int, group: RankGroup, deadline: float
-    ) -> CommandResult:
-        while self._clock.now() < deadline:
-            await self._lock.keep()
-            if not self._lock.is_held:
-                break
-            result = await self._control.disarm(rank, version, group.epoch)
-            if result is not CommandResult.UNKNOWN:
-                return result
+    async def _supersede(
+        self,
+        group: RankGroup,
+        version: int | None,
+        experts: ExpertMap,
+        deadline: float,
+    ) -> bool:
+        """Make each rank prepare a map that no rank is armed for.
+
+        :returns: whether no rank is armed, nor can be by commands sent before.
+        """
+        numbers: Sequence[int] = range(len(group.ranks))
+        armed = await self._prepare_unarmed(group, numbers, experts, deadline)
+        if len(armed) == len(numbers):
+            # They can complete the switch. A command to disarm one could be executed
+            # late, after another node has armed it for the same pass again.
+            self._switches.on_completion(group, is_rejected=False)
+            return False
+        while armed and self._clock.now() < deadline and self._lock.is_held:
+            await self._disarm(group, armed, version, deadline)
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
-        return CommandResult.UNKNOWN
+            if not await self._refresh(group, armed):
+                # The group has formed anew, and holds no pass.
+                return False
+            armed = await self._prepare_unarmed(group, armed, experts, deadline)
+        return not armed
 
-    async def release_pass(
-        self, group: RankGroup, holding_rank: Endpoint, step: int
-    ) -> None:
+    async def _prepare_unarmed(
+        self,
+        group: RankGroup,
+        numbers: Sequence[int],
+        experts: ExpertMap,
+        deadline: float,
+    ) -> list[int]:
+        """Make ranks prepare a map, each as another version, so that none is common.
+
+        :returns: numbers of the ranks that have not accepted it, as armed ones do not.
+        """
+
+        async def prepare(number: int) -> bool:
+            while self._clock.now() < deadline and self._lock.is_held:
+                result = await self._prepare_rank(
+                    group.ranks[number],
+                    self._lock.assign_version(),
+                    group.epoch,
+                    experts,
+                    PREPARE_RESPONSE_TIME,
+                )
+                if result is not CommandResult.UNKNOWN:
+                    return result is CommandResult.DONE
+                await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+                await self._lock.keep()
+            return False
+
+        accepted = await asyncio.gather(*(prepare(number) for number in numbers))
+        return [
+            number
+            for number, is_accepted in zip(numbers, accepted, strict=True)
+            if not is_accepted
+        ]
+
+    async def _disarm(
+        self,
+        group: RankGroup,
+        numbers: Sequence[int],
+        version: int | None,
+        deadline: float,
+    ) -> bool:
+        """Disarm ranks for all maps that are prepared; return whether all answered."""
+        versions = {report.prepared_version for report in group.reports} | {version}
+
+        async def disarm(rank: Endpoint, armed_for: int) -> bool:
+            while self._clock.now() < deadline and self._lock.is_held:
+                result = await self._control.disarm(rank, armed_for, group.epoch)
+                if result is not CommandResult.UNKNOWN:
+                    return True
+                await asyncio.sleep(COMMAND_RETRY_INTERVAL)
+                await self._lock.keep()
+            return False
+
+        answered = await asyncio.gather(
+            *(
+                disarm(group.ranks[number], armed_for)
+                for number in numbers
+                for armed_for in versions
+                if armed_for is not None
+            )
+        )
+        return all(answered)
+
+    async def release_pass(self, group: RankGroup, step: int) -> None:
+        """Let the group start a held pass; on failure it is left to the next holder."""
         deadline = self._clock.now() + COMPLETION_TIMEOUT
-        while self._clock.now() < deadline:
-            result = await self._control.release_hold(holding_rank, group.epoch, step)
+        # A former holder's command could come while the next one arms ranks.
+        while self._clock.now() < deadline and self._lock.is_held:
+            result = await self._control.release_hold(
+                group.ranks[FIRST_RANK], group.epoch, step
+            )
             if result is not CommandResult.UNKNOWN:
                 self._switches.on_released(group, step, self._clock.now())
                 return
             await asyncio.sleep(COMMAND_RETRY_INTERVAL)
-        self._log.warning(
-            "held pass not released; releasing lock", group=group.name, step=step
-        )
-        await self._lock.revoke()
-
-    async def finish(self, group: RankGroup) -> None:
-        """Complete the switch of a held pass, or release it if no map is prepared."""
-        step = self._switches.open_pass(group, self._clock.now())
-        if group.held_pass is None or step is None:
-            return
-        version = group.common_value(lambda report: report.prepared_version)
-        holding_rank = group.held_pass[0]
-        self._log.warning(
-            "held pass found; finishing", group=group.name, step=step, prepared=version
-        )
-        if version is not None and version > 0:
-            await self.complete(group, version, step)
-        else:
-            await self.release_pass(group, holding_rank, step)
+            await self._lock.keep()
+        await self._leave(group, step)
--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -7,8 +7,10 @@
 from collections.abc import Sequence
 
 from cyclamenyoke.adapters.logs import Log
+from cyclamenyoke.adapters.metrics import Metrics
 from cyclamenyoke.core.endpoint_registry import Endpoint
-from cyclamenyoke.core.open_switches import OpenSwitches
+from cyclamenyoke.core.gateway_config import ExpertLayout
+from cyclamenyoke.core.open_switches import Closing, OpenSwitches
 from cyclamenyoke.core.rank_group import FIRST_RANK, RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.expert_map_store import ExpertMapStore
@@ -42,6 +44,7 @@
         maps: ExpertMapStore,
         lock: RebalancerLock,
         clock: Clock,
+        metrics: Metrics,
         log: Log,
     ) -> None:
         self._reports = reports
@@ -50,13 +53,14 @@
         self._maps = maps
         self._lock = lock
         self._clock = clock
+        self._metrics = metrics
         self._log = log
         # By service: when the last look began, and when all ranks are looked at next.
         self._looked_at: dict[str, float] = {}
         self._look_at_all_at: dict[str, float] = {}
         self._first_ranks: dict[str, list[Endpoint]] = {}
 
-    async def look(self, service: str) -> None:
+    async def look(self, service: str, layout: ExpertLayout) -> None:
         """Close the open switches of a service, if a look is due."""
         now = self._clock.now()
         is_open = self._switches.is_any_open(service)
@@ -66,7 +70,7 @@
         self._looked_at[service] = now
         try:
             if is_open or await self._is_pass_held(service):
-                await self._close_all(service)
+                await self._close_all(service, layout)
         except (PlatformUnavailable, RevisionConflict, LeaseExpired) as error:
             self._log.info("open switches are not closed", error=str(error))
 
@@ -97,12 +101,12 @@
             ]
         return any(report and report.held_step is not None for _, report in found)
 
-    async def _close_all(self, service: str) -> None:
+    async def _close_all(self, service: str, layout: ExpertLayout) -> None:
         """Close the open switches of the groups of which every rank reports."""
         groups = await self._reports.groups(service)
         self.on_groups(service, groups)
         now = self._clock.now()
-        if all(self._switches.open_pass(group, now) is None for group in groups):
+        if all(self._switches.decide(each, now) is Closing.WAIT for each in groups):
             return
         if await self._lock.acquire():
             await self._maps.restore()
@@ -110,4 +114,26 @@
             groups = await self._reports.groups(service)
         for group in groups:
             if self._lock.is_held:
-                await self._switcher.finish(group)
+                await self._close(group, layout)
+
+    async def _close(self, group: RankGroup, layout: ExpertLayout) -> None:
+        """Complete or cancel the switch of a group, unless it has to wait."""
+        closing = self._switches.decide(group, self._clock.now())
+        if closing is Closing.WAIT or group.held_pass is None:
+            return
+        step = group.held_pass[1]
+        self._metrics.count("open_expert_switches", closing=closing.value)
+        self._log.warning(
+            "held pass found",
+            group=group.name,
+            step=step,
+            closing=closing.value,
+            prepared=[report.prepared_version for report in group.reports],
+        )
+        if closing is Closing.CANCEL:
+            experts = await self._maps.current(group, layout)
+            await self._switcher.cancel(group, step, None, experts)
+            return
+        version = group.reports[FIRST_RANK].prepared_version
+        if version is not None:
+            await self._switcher.complete(group, version, step)
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -168,3 +168,57 @@
         cluster.gap_ratio = 0.0
         step = cluster.ranks.step
         await wait_until(lambda: cluster.ranks.step > step, LOOK_INTERVAL + 1)
+
+
+# Guards against a pass with two maps: ranks had prepared different maps, and the pass
+# was released although one of them was armed.
+@pytest.mark.looptime
+@pytest.mark.parametrize("armed", [[1], [0, 2], [1, 2, 3]])
+async def test_pass_for_which_some_ranks_are_armed_is_released_with_one_map(armed):
+    cluster = Cluster(7, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.gap_ratio = 0.0
+    async with running(cluster, "a", requests=0):
+        await asyncio.sleep(2)
+        ranks, step = cluster.ranks, cluster.ranks.step + 2
+        ranks.ranks[0].held = step
+        for number in armed:
+            rank = ranks.ranks[number]
+            rank.maps[1] = [list(reversed(row)) for row in rank.maps[0]]
+            rank.prepared = rank.highest_version = 1
+            rank.armed = 1, step
+        await wait_until(lambda: ranks.step > step, LOOK_INTERVAL + 3)
+    assert {rank.map_version for rank in ranks.ranks} == {0}
+
+
+# Guards against a pass with two maps: a command to arm a rank was executed late, after
+# the rank had been disarmed and while another one was still to be.
+@pytest.mark.looptime
+async def test_rank_that_is_armed_late_while_a_switch_is_cancelled_does_not_switch():
+    cluster = Cluster(8, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    ranks = cluster.ranks
+    arm, refused = ranks.arm, ranks.ranks[3]
+
+    async def arm_late(endpoint, version, epoch, step):
+        if endpoint.id == "r3":
+            return CommandResult.REJECTED
+        if endpoint.id == "r2" and 2 not in ranks.cut:
+            result = await arm(endpoint, version, epoch, step)
+            asyncio.get_running_loop().call_later(0.29, ranks.cut.add, 2)
+            asyncio.get_running_loop().call_later(2.0, ranks.cut.discard, 2)
+            return result
+        if endpoint.id == "r1":
+            late = arm(endpoint, version, epoch, step)
+            asyncio.get_running_loop().call_later(1.5, asyncio.create_task, late)
+        return await arm(endpoint, version, epoch, step)
+
+    ranks.arm = arm_late
+    async with running(cluster, "a"):
+        await wait_until(lambda: ranks.held_passes, 10)
+        step = ranks.step
+        await wait_until(lambda: ranks.step > step, 6)
+        ranks.arm = arm
+        await asyncio.sleep(10)
+    assert refused.map_version == ranks.ranks[1].map_version
+    assert ranks.switches
