Hold the passes of a service's groups one after the other

Cause: all groups that gain from a new map were switched at the same time.

Change: their maps are prepared at the same time as before; the passes are held, armed and released one group after the other, and none is held while a switch of the service is open.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -23,7 +23,7 @@
 )
 from cyclamenyoke.core.gateway_config import ExpertLayout, GatewayConfig, Service
 from cyclamenyoke.core.open_switches import OpenSwitches
-from cyclamenyoke.core.rank_group import RankGroup
+from cyclamenyoke.core.rank_group import FIRST_RANK, RankGroup
 from cyclamenyoke.core.units import MILLISECOND, SECOND
 from cyclamenyoke.daemon.expert_map_store import ExpertMapStore
 from cyclamenyoke.daemon.map_switcher import MapSwitcher
@@ -159,6 +159,7 @@
         self._paused_until: dict[str, float] = {}
         self._samples: dict[str, DemandSample] = {}
         self._released_switches: dict[str, ReleasedSwitch] = {}
+        self._holding = asyncio.Lock()
         self._log_open_switches_at = 0.0
 
     @property
@@ -358,6 +359,15 @@
             self._log.info("expert map not prepared", group=group.name, version=version)
             return
         await self._maps.store(group, version, plan.expert_map)
+        # One group at a time, so that a fault that keeps a pass held leaves the others.
+        async with self._holding:
+            if not self._switches.is_any_open(group.ranks[FIRST_RANK].service):
+                await self._switch_prepared(group, current, version)
+
+    async def _switch_prepared(
+        self, group: RankGroup, current: ExpertMap, version: int
+    ) -> None:
+        """Switch a group to a map that all its ranks have prepared."""
         if not await self._switcher.is_reachable(group) or not self._lock.is_held:
             return
         step = await self._switcher.hold_pass(group)
--- a/tests/simulated_ranks.py
+++ b/tests/simulated_ranks.py
@@ -157,7 +157,10 @@
     :param unanswered_ratio: share of the commands that get no reply.
     """
 
-    def __init__(self, random: Random, unanswered_ratio: float) -> None:
+    def __init__(
+        self, random: Random, unanswered_ratio: float, name: str = "g"
+    ) -> None:
+        self.name = name
         self.random = random
         self.unanswered_ratio = unanswered_ratio
         self.step = 0
@@ -226,7 +229,7 @@
     def _current_report(self, number: int) -> RankReport:
         rank = self.ranks[number]
         return RankReport(
-            "g",
+            self.name,
             1,
             number,
             RANKS,
@@ -340,6 +343,34 @@
         return await self._run_command("go", endpoint, execute)
 
 
+class SimulatedGroups(EngineControl):
+    """Groups of a service; the first letter of a rank's id names its group."""
+
+    def __init__(self, groups: dict[str, SimulatedRanks]) -> None:
+        self._groups = groups
+
+    async def report(self, endpoint):
+        return await self._groups[endpoint.id[0]].report(endpoint)
+
+    async def expert_counts(self, endpoint, layout):
+        return await self._groups[endpoint.id[0]].expert_counts(endpoint, layout)
+
+    async def prepare(self, endpoint, *args):
+        return await self._groups[endpoint.id[0]].prepare(endpoint, *args)
+
+    async def arm(self, endpoint, *args):
+        return await self._groups[endpoint.id[0]].arm(endpoint, *args)
+
+    async def disarm(self, endpoint, *args):
+        return await self._groups[endpoint.id[0]].disarm(endpoint, *args)
+
+    async def hold(self, endpoint, *args):
+        return await self._groups[endpoint.id[0]].hold(endpoint, *args)
+
+    async def release_hold(self, endpoint, *args):
+        return await self._groups[endpoint.id[0]].release_hold(endpoint, *args)
+
+
 class StrictSupervisor(TaskSupervisor):
     """Raises the errors that a gateway only reports."""
 
@@ -348,11 +379,17 @@
 
 
 class Cluster:
-    """A loaded group, and the store that its rebalancers share."""
+    """Loaded groups, and the store that their rebalancers share.
+
+    :param names: names of the groups, of one letter each.
+    """
 
-    def __init__(self, seed: int, unanswered_ratio: float) -> None:
+    def __init__(self, seed: int, unanswered_ratio: float, names: str = "r") -> None:
         self.random = Random(seed)
-        self.ranks = SimulatedRanks(self.random, unanswered_ratio)
+        self.groups = {
+            name: SimulatedRanks(self.random, unanswered_ratio, name) for name in names
+        }
+        self.ranks = self.groups[names[0]]
         self.store = MemoryStore()
         # Names of the nodes that may hold the lock, of one letter each.
         self.preferred_nodes = ""
@@ -361,7 +398,8 @@
         self.is_load_lost_in_standstill = False
         self.registry = EndpointRegistry()
         self.endpoints = [
-            Endpoint(f"r{n}", "llm", "127.0.0.1:1", "dc", 6, False, 1)
+            Endpoint(f"{name}{n}", "llm", "127.0.0.1:1", "dc", 6, False, 1)
+            for name in names
             for n in range(RANKS)
         ]
         self.registry.apply_list(self.endpoints, StorePosition(1, 1), 1.0, 1.0)
@@ -381,7 +419,7 @@
                 balancer.on_sent(endpoint.id)
         return ExpertRebalancer(
             self.store,
-            self.ranks,
+            self.ranks if len(self.groups) == 1 else SimulatedGroups(self.groups),
             self.registry,
             balancer,
             lambda: self.config,
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -246,8 +246,8 @@
             cluster.ranks.unanswered_ratio = random.choice([0.0, 0.1, 0.35])
 
 
-# Guards against a pass held although a rank was cut off while it loaded the map, so that
-# the group stands still until the cut ends.
+# Guards against a pass held although a rank was cut off while it loaded the map: the
+# group then stands still until the cut ends.
 @pytest.mark.looptime
 @pytest.mark.parametrize("rank", range(RANKS))
 async def test_pass_is_not_held_while_a_rank_is_cut_off(rank):
@@ -274,6 +274,30 @@
         assert cluster.ranks.switches >= RANKS
 
 
+# Guards against a service all of whose groups stand still, because one cut meets the
+# switches of all of them (the day of review/6).
+@pytest.mark.looptime
+async def test_groups_of_a_service_are_not_held_at_the_same_time():
+    cluster = Cluster(10, unanswered_ratio=0.0, names="rstu")
+    cluster.preferred_nodes = "a"
+    groups = list(cluster.groups.values())
+    for group in groups[1:]:
+        group.run_task = asyncio.create_task(group.run_passes())
+    cut_when_held(cluster, rank=2)
+    async with running(cluster, "a"):
+        await wait_until(lambda: cluster.ranks.cut, 10)
+        for _ in range(5000):
+            await asyncio.sleep(0.001)
+            assert sum(bool(group.held_passes) for group in groups) <= 1
+        cluster.ranks.cut.clear()
+        for _ in range(10_000):
+            await asyncio.sleep(0.001)
+            assert sum(bool(group.held_passes) for group in groups) <= 1
+        assert all(group.switches >= RANKS for group in groups)
+    for group in groups[1:]:
+        group.run_task.cancel()
+
+
 # Guards against any order of crashes, cuts, late and lost commands and load after which
 # a group begins no pass, or begins one with two maps.
 @pytest.mark.looptime
