Match the answers of ranks to the commands that they answer

Change: each report and command has an X-Request-Id of its own. An answer with another id is skipped, and its connection not used again.

--- a/src/cyclamenyoke/platform/engine_control.py
+++ b/src/cyclamenyoke/platform/engine_control.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from itertools import count
+from secrets import token_hex
 from typing import Any
 
 import msgspec
@@ -44,7 +46,10 @@
 thousand numbers fit in it."""
 
 MAX_CONNECTIONS = 4
-"""Largest number of connections to one rank, for queries and commands."""
+"""Largest number of connections to one rank, for queries and for commands each."""
+
+ID_PREFIX_BYTES = 8
+"""Random bytes that the ids of this node's queries and commands have in common."""
 
 RESULT_BY_STATUS: Mapping[int, CommandResult] = {
     HTTPStatus.OK: CommandResult.DONE,
@@ -90,6 +95,10 @@
 class HttpEngineControl(EngineControl):
     """HTTP implementation of :class:`EngineControl`.
 
+    Requests carry ids of their own. A rank that repeats them lets its responses be told
+    from late copies of earlier ones. With one that does not, each command has a
+    connection of its own; a report or counts that come late are as old as any may be.
+
     :param pool: connections to ranks.
     :param on_leaving: called when a rank's response states that the rank is leaving.
     """
@@ -101,6 +110,8 @@
     ) -> None:
         self._pool = pool
         self._on_leaving = on_leaving
+        self._id_prefix = token_hex(ID_PREFIX_BYTES).encode()
+        self._id_numbers = count()
 
     async def report(self, endpoint: Endpoint) -> RankReport:
         body = await self._query(endpoint, "/v1/report")
@@ -209,17 +220,22 @@
         timeout: float = RESPONSE_TIMEOUT,
     ) -> JsonResponse:
         headers = [(TARGET_ENGINE, endpoint.id.encode())]
+        is_command = content is not None
+        # A copy of a report must not pass for the response to a command.
+        connections = f"{endpoint.id} commands" if is_command else endpoint.id
         async with asyncio.timeout(timeout):
             response = await request_json(
                 self._pool,
                 endpoint.address,
-                endpoint.id,
+                connections,
                 MAX_CONNECTIONS,
                 method,
                 path.encode(),
                 headers,
                 MAX_RESPONSE_BYTES,
                 content,
+                request_id=b"%b-%x" % (self._id_prefix, next(self._id_numbers)),
+                must_identify=is_command,
             )
         if read_notice(response.head, endpoint.id).is_leaving:
             self._on_leaving(endpoint)
