Refuse answers whose heads are not HTTP, wherever answers are read

What callers saw: an engine in trouble answered with status 000, and the client got it as an answer, with the engine's signature (MIXED). Reproduced on: status 000, 001, 099, 600 and 999, the versions 0.9 and 2.0, and other transfer codings than "chunked" reached callers.

Cause: what the parser lets through was an answer. It is strict with fields, and lenient with status, version and coding.

A malformed answer is treated like one that the parser refuses: 502, never a promise; another engine only where the request may run twice; the connection is closed and the circuit counts it; "request done" names what was wrong, escaped and bounded. A gateway writes no such head itself.

--- a/src/cyclamenyoke/adapters/http_connection.py
+++ b/src/cyclamenyoke/adapters/http_connection.py
@@ -18,6 +18,13 @@
 
 import httptools
 
+from cyclamenyoke.adapters.head_check import (
+    INTERIM_STATUSES,
+    MalformedHead,
+    check_field,
+    check_framing,
+    check_status,
+)
 from cyclamenyoke.adapters.read_pacer import PacedReads, ReadPacer
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE, SECOND
 from cyclamenyoke.exceptions import CyclamenyokeError
@@ -67,9 +74,6 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 """Statuses whose responses have no body."""
 
-INFORMATIONAL_STATUSES = range(100, 200)
-"""Statuses of interim responses, which precede the final one."""
-
 
 class ConnectionFailed(CyclamenyokeError):
     """A connection could not be established; nothing was sent."""
@@ -297,9 +301,12 @@
         try:
             self._parser.feed_data(self._reads.begin(nbytes))
         except httptools.HttpParserError as error:
-            limit = error.__context__
-            is_limit = isinstance(limit, LimitExceeded)
-            reason = str(limit) if is_limit else f"malformed response: {error}"
+            cause = error.__context__
+            reason = f"malformed response: {error}"
+            if isinstance(cause, LimitExceeded):
+                reason = str(cause)
+            elif isinstance(cause, MalformedHead):
+                reason = f"malformed response: {cause}"
             self._fail_and_close(reason)
             return
         self._overhead_bytes = max(0, self._overhead_bytes)
@@ -336,6 +343,7 @@
         self._reads.parts += 1
         if self._head is None:
             return
+        check_field(name, value)
         self._head.headers.append((name, value))
         if len(self._head.headers) > MAX_HEADER_FIELDS:
             raise LimitExceeded(f"response has over {MAX_HEADER_FIELDS} header fields")
@@ -345,7 +353,10 @@
         if head is None or self._matches_request is None:
             return
         head.status = self._parser.get_status_code()
-        if head.status in INFORMATIONAL_STATUSES:
+        version = self._parser.get_http_version()
+        check_status(head.status, version)
+        check_framing(head.headers, version)
+        if head.status in INTERIM_STATUSES:
             return
         self._is_skipping = not self._matches_request(head)
         self._ends_at_close = self._is_unframed(head)
@@ -380,7 +391,7 @@
         head = self._head
         if head is None or self._matches_request is None:
             return
-        if head.status in INFORMATIONAL_STATUSES:
+        if head.status in INTERIM_STATUSES:
             self._head = None
             return
         if not self._parser.should_keep_alive():
--- a/src/cyclamenyoke/adapters/http_endpoint_client.py
+++ b/src/cyclamenyoke/adapters/http_endpoint_client.py
@@ -6,6 +6,7 @@
 import httpx
 
 from cyclamenyoke.adapters.event_stream import EVENT_END, MAX_EVENT_BYTES, EventSplitter
+from cyclamenyoke.adapters.head_check import MalformedHead, check_head
 from cyclamenyoke.core.messages import Call
 from cyclamenyoke.core.units import KIBIBYTE, SECOND
 from cyclamenyoke.ports.clock import Clock
@@ -65,6 +66,9 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
+                check_head(
+                    response.status_code, response.http_version, response.headers.raw
+                )
                 content_type = response.headers.get("Content-Type", "")
                 yield EndpointResponseHead(response.status_code, content_type)
                 if content_type.startswith(EVENT_STREAM):
@@ -73,7 +77,7 @@
                     parts = response.aiter_bytes(CHUNK_BYTES)
                 async for data in parts:
                     yield EndpointResponseData(data)
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, MalformedHead) as error:
             may_have_started = not isinstance(error, _ERRORS_BEFORE_SENDING)
             raise EndpointError(
                 f"{type(error).__name__}: {error}", may_have_started
--- a/src/cyclamenyoke/adapters/http_ingress.py
+++ b/src/cyclamenyoke/adapters/http_ingress.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from cyclamenyoke.adapters.head_check import check_field, check_status
 from cyclamenyoke.adapters.http_connection import Header, probe_idle_peer
 from cyclamenyoke.adapters.read_pacer import PacedReads, ReadPacer
 from cyclamenyoke.adapters.request_form import (
@@ -225,7 +226,13 @@
 
 
 def encode_head(status: int, headers: Sequence[Header]) -> bytes:
-    """Encode the status line and headers of a response."""
+    """Encode the status line and headers of a response.
+
+    :raises MalformedHead: when there is no such status, or a header is malformed.
+    """
+    check_status(status, "1.1")
+    for name, value in headers:
+        check_field(name, value)
     reason = REASON_PHRASES.get(status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (status, reason)]
     lines += [name + b": " + value for name, value in headers]
@@ -322,13 +329,14 @@
         self.respond(HTTPStatus.INTERNAL_SERVER_ERROR.value)
 
     def _write_head(self, status: int, fields: list[Header], body: bytes) -> None:
-        self._is_started = True
         if not self._request.keep_alive or self._connection.closes_after_response:
             self._request.keep_alive = False
             fields.append((b"Connection", b"close"))
         elif self._request.is_http_1_0:
             fields.append((b"Connection", b"keep-alive"))
-        self._connection.write(encode_head(status, fields) + body)
+        head = encode_head(status, fields)
+        self._is_started = True
+        self._connection.write(head + body)
 
     def _end(self) -> None:
         self._is_complete = True
--- a/src/cyclamenyoke/cli/client.py
+++ b/src/cyclamenyoke/cli/client.py
@@ -6,6 +6,7 @@
 import httpx
 import msgspec
 
+from cyclamenyoke.adapters.head_check import MalformedHead, check_head
 from cyclamenyoke.core.burn_rate import BurnRateRow
 from cyclamenyoke.core.config import ConfigIndex
 from cyclamenyoke.core.units import MEBIBYTE, SECOND
@@ -105,6 +106,9 @@
             except httpx.HTTPError as error:
                 failure = f"{entry}: {type(error).__name__}"
                 continue
+            except MalformedHead as error:
+                failure = f"{entry}: malformed response: {error}"
+                continue
             if response is None:
                 failure = f"{entry}: response exceeds {MAX_RESPONSE_BYTES} bytes"
                 continue
@@ -117,6 +121,9 @@
         """Return the response; ``None`` if it is too long."""
         content = bytearray()
         with self._client.stream(method, url, content=body) as response:
+            check_head(
+                response.status_code, response.http_version, response.headers.raw
+            )
             for part in response.iter_bytes():
                 content += part
                 if len(content) > MAX_RESPONSE_BYTES:
--- a/src/cyclamenyoke/cli/quarantine.py
+++ b/src/cyclamenyoke/cli/quarantine.py
@@ -3,6 +3,7 @@
 import httpx
 import msgspec
 
+from cyclamenyoke.adapters.head_check import MalformedHead, check_head
 from cyclamenyoke.core.units import SECOND
 from cyclamenyoke.daemon.quarantine_api import (
     QUARANTINE_PATH,
@@ -47,6 +48,10 @@
 def _request(method: str, node: str, body: bytes = b"") -> httpx.Response:
     url = f"http://{node}{QUARANTINE_PATH}"
     try:
-        return httpx.request(method, url, content=body, timeout=RESPONSE_TIMEOUT)
+        response = httpx.request(method, url, content=body, timeout=RESPONSE_TIMEOUT)
+        check_head(response.status_code, response.http_version, response.headers.raw)
+        return response
+    except MalformedHead as error:
+        raise PlatformUnavailable(f"{node}: malformed response: {error}") from error
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         raise PlatformUnavailable(f"{node}: {type(error).__name__}") from error
