Look at all ranks of a service each 30 s

Change: 30 s in place of 10 s. First ranks that don't answer, or aren't first any more, have all ranks looked at 1 s later, as before.

--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -25,7 +25,7 @@
 """Seconds between two looks at the first rank of each group: callers give a stream up
 that is silent for two seconds."""
 
-LOOK_AT_ALL_INTERVAL = 10 * SECOND
+LOOK_AT_ALL_INTERVAL = 30 * SECOND
 """Seconds between two looks at all ranks of a service, which tell which ranks are the
 first ones of their groups."""
 
