--- a/tests/process_soak/engine.py
+++ b/tests/process_soak/engine.py
@@ -3,8 +3,9 @@
 It records each request that arrives (``arrived``, with ``result`` ``run`` or
 ``refused``), when it begins to work on it (``began``), when it writes the first event
 of a stream (``wrote``), and how that ends (``left``):
-``answered``; ``failed``, an answer with status 500; ``reset``, the engine itself broke
-off; ``dropped``, the gateway closed the connection; ``expired`` at the deadline.
+``answered``; ``failed``, an answer with status 500; ``malformed``, an answer whose head
+is not HTTP; ``reset``, the engine itself broke off; ``dropped``, the gateway closed the
+connection; ``expired`` at the deadline.
 
 Run with ``python -m process_soak.engine``. ``POST /faults`` sets :class:`EngineFaults`.
 """
@@ -40,6 +41,7 @@
     :param close_idle: share of answers after which the connection is closed.
     :param fail: share of requests that are run and answered with status 500.
     :param refuse: share of requests that are refused as not run.
+    :param malform: share of requests that are run and answered with a malformed head.
     :param slowness: factor on the time of each request.
     :param endless: shape of the responses if they never end; see
         :mod:`process_soak.endless`.
@@ -50,10 +52,24 @@
     close_idle: float = 0.0
     fail: float = 0.0
     refuse: float = 0.0
+    malform: float = 0.0
     slowness: float = 1.0
     endless: str = ""
 
 
+MALFORMED_HEADS = (
+    (b"HTTP/1.1 200 ", b"HTTP/1.1 000 "),
+    (b"HTTP/1.1 200 ", b"HTTP/1.1 099 "),
+    (b"HTTP/1.1 200 ", b"HTTP/1.1 600 "),
+    (b"HTTP/1.1 200 ", b"HTTP/2.0 200 "),
+    (b"\r\n", b"\r\nX Field: v\r\n"),
+    (b"\r\n", b"\r\nX\x01Field: v\r\n"),
+    (b"\r\n", b"\r\nX-Field: a\x00b\r\n"),
+    (b"\r\n", b"\r\nTransfer-Encoding: gzip\r\n"),
+)
+"""What is replaced in a proper head, by what."""
+
+
 class Broken(Exception):
     """The engine breaks the connection off."""
 
@@ -242,13 +258,16 @@
         if self._random.random() < faults.fail:
             self._write(writer, request, 500, [f"{SIGNATURE}: {self._id}.0"], b"")
             return "failed"
+        is_malformed = faults.malform > 0 and self._random.random() < faults.malform
         if not self._events:
             body = plain_body(request.id)
             fields = [f"{SIGNATURE}: {self._id}.{zlib.crc32(body)}"]
-            self._write(writer, request, 200, fields, body)
-            return "answered"
+            self._write(writer, request, 200, fields, body, is_malformed)
+            return "malformed" if is_malformed else "answered"
         fields = [f"{SIGNATURE}: {self._id}.0", "Content-Type: text/event-stream"]
-        self._write(writer, request, 200, fields, None)
+        self._write(writer, request, 200, fields, None, is_malformed)
+        if is_malformed:
+            return "malformed"
         padding = self._shape.padding if self._shape else 0
         for number in range(first, course.events + 1):
             event = stream_event(request.id, number, course.events, padding)
@@ -275,13 +294,17 @@
         status: int,
         fields: list[str],
         body: bytes | None,
+        is_malformed: bool = False,
     ) -> None:
         """Write a response; without a body the caller writes chunks."""
         length = "Transfer-Encoding: chunked"
         if body is not None:
             length = f"Content-Length: {len(body)}"
         lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {request.id}", length]
-        writer.write("\r\n".join([*lines, *fields, "", ""]).encode() + (body or b""))
+        head = "\r\n".join([*lines, *fields, "", ""]).encode()
+        if is_malformed:
+            head = head.replace(*self._random.choice(MALFORMED_HEADS), 1)
+        writer.write(head + (body or b""))
 
     def _add(
         self,
--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -278,6 +278,11 @@
         faults = EngineFaults(fail=0.1, refuse=0.2, close_idle=0.2)
         await self._harm(random, faults, random.uniform(4, 10))
 
+    async def engines_malformed(self, random: Random) -> None:
+        """Most engines of a service write heads that are not HTTP."""
+        faults = EngineFaults(malform=random.uniform(0.2, 0.9))
+        await self._harm(random, faults, random.uniform(3, 8))
+
     async def _harm(
         self,
         random: Random,
@@ -501,6 +506,7 @@
 )
 OWN_FAULTS = (
     "engines_endless",
+    "engines_malformed",
     "configure_timeouts",
     "stall_again",
     "stall_while_servers_fail",
@@ -574,6 +580,9 @@
     ),
     "links": Profile(LINK_FAULTS),
     "endless": Profile(("engines_endless",), 1.0, 5.0),
+    "malformed": Profile(
+        ("engines_malformed", "engines_malformed", "stop_in_turn", "kill_one", "reload")
+    ),
     "timeouts": Profile(
         (
             *("configure_timeouts", "engines_slow", "engines_reset", "server_frozen"),
--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Callable
 
+from cyclamenyoke.adapters import http_connection, http_ingress
 from cyclamenyoke.adapters.http_ingress import IngressConnection
 from cyclamenyoke.core.gateway_config import GatewayConfig, RetryMode, Route
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
@@ -120,6 +121,12 @@
     HttpEngineClient._headers = build_later
 
 
+def pass_any_head() -> None:
+    """Pass on whatever heads the parser lets through."""
+    http_connection.check_status = lambda status, version: None
+    http_ingress.check_status = lambda status, version: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "forgets_budget": forget_budget,
     "cuts_on_stop": cut_on_stop,
@@ -130,6 +137,7 @@
     "hands_more_time": hand_more_time,
     "forgets_key": forget_key,
     "keeps_first_limits": keep_first_limits,
+    "passes_any_head": pass_any_head,
 }
 
 if __name__ == "__main__":
