Write maps that the store lost again also without load

After a restore of the store from an older copy the node that may hold the lock wrote the maps that it knew only once it acquired the lock, under load. If it ended before, no later node knew the map in force, and the group kept it until its next epoch; a switch could be cancelled only without the safe way.

Change: every node restores what it knows when the era changes, whatever the load and the lock, as nodes without the lock did.

--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -182,9 +182,9 @@
                 if service.layout is not None
             ]
             self._log_open_switches({each.name: loaded for each, _, loaded in services})
+            await self._maps.restore()
             if not self._may_hold_lock(self.holds_lock):
                 await self._lock.release()
-                await self._maps.restore()
                 continue
             for service, layout, is_loaded in services:
                 if self._clock.now() >= self._paused_until.get(service.name, 0.0):
@@ -241,8 +241,7 @@
 
     async def _rebalance_service(self, service: Service, layout: ExpertLayout) -> None:
         try:
-            if await self._lock.acquire():
-                await self._maps.restore()
+            await self._lock.acquire()
             if not self._lock.is_held:
                 return
             await self._rebalance(service.name, layout)
--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -109,7 +109,6 @@
         if all(self._switches.decide(each, now) is Closing.WAIT for each in groups):
             return
         if await self._lock.acquire():
-            await self._maps.restore()
             # The reports are older than the last commands of the holder before.
             groups = await self._reports.groups(service)
         for group in groups:
--- a/tests/test_expert_rebalancer.py
+++ b/tests/test_expert_rebalancer.py
@@ -236,6 +236,32 @@
     await asyncio.gather(passes, *running, return_exceptions=True)
 
 
+# Guards against maps that only a node under load writes to a store that lost them: if
+# that node ends first, no later one knows the map in force.
+@pytest.mark.looptime
+async def test_maps_that_a_restored_store_lost_are_written_again_without_load():
+    cluster = Cluster(7, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    passes = asyncio.create_task(cluster.ranks.run_passes())
+    first = asyncio.create_task(cluster.rebalancer("a", requests=0).run())
+    async with asyncio.timeout(30):
+        while cluster.ranks.switches < RANKS:
+            await asyncio.sleep(0.01)
+    cluster.gap_ratio = 0.0
+    await asyncio.sleep(5)
+    restore_store(cluster)
+    await asyncio.sleep(10)
+    first.cancel()
+    cluster.gap_ratio, cluster.preferred_nodes = 0.7, "b"
+    before = cluster.ranks.switches
+    second = asyncio.create_task(cluster.rebalancer("b").run())
+    await asyncio.sleep(20)
+    assert cluster.ranks.switches >= before + RANKS
+    for task in (passes, second):
+        task.cancel()
+    await asyncio.gather(passes, first, second, return_exceptions=True)
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("seed", range(6))
 async def test_no_pass_mixes_maps_while_the_store_is_restored_again_and_again(seed):
