Ask a silent rank again before a switch is given up

Cause for the change: since a pass is held only once every rank has answered, one lost report gave a whole switch up, the more often the larger the group.

Change: silent ranks are asked up to three times, without a pass being held.

Measured: test_lost_report_does_not_keep_a_map_from_being_switched failed before and passes.

--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -59,6 +59,10 @@
 MAX_COMMAND_ATTEMPTS = 4
 """Largest number of attempts of a command while no rank is armed yet."""
 
+MAX_REPORT_ATTEMPTS = 3
+"""Largest number of times that a rank is asked for the report without which no pass is
+held; an answer may be lost."""
+
 COMPLETION_TIMEOUT = 2.5 * SECOND
 """Seconds for which the lock holder tries to complete a switch before it releases
 the lock to another node."""
@@ -186,13 +190,18 @@
 
         A pass that is held waits for each rank, so it must not be held before.
         """
-        found = await self._reports.read_ranks(group.ranks)
-        silent = [rank.id for rank, report in found if report is None]
-        if silent:
-            self._log.info("ranks sent no report", group=group.name, ranks=silent)
-            return False
-        group.reports = [report for _, report in found if report is not None]
-        return group.is_serving
+        silent = dict(enumerate(group.ranks))
+        for _ in range(MAX_REPORT_ATTEMPTS):
+            found = await self._reports.read_ranks(list(silent.values()))
+            for number, (_, report) in zip(list(silent), found, strict=True):
+                if report is not None:
+                    group.reports[number] = report
+                    del silent[number]
+            if not silent:
+                return group.is_serving
+        ranks = [rank.id for rank in silent.values()]
+        self._log.info("ranks sent no report", group=group.name, ranks=ranks)
+        return False
 
     async def hold_pass(self, group: RankGroup) -> int | None:
         """Hold a future pass at the first rank; return its number."""
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -8,7 +8,7 @@
 from cyclamenyoke.daemon.map_switcher import COMPLETION_TIMEOUT
 from cyclamenyoke.daemon.open_switch_closer import LOOK_AT_ALL_INTERVAL, LOOK_INTERVAL
 from cyclamenyoke.daemon.rebalancer_lock import LOCK_LIFETIME
-from cyclamenyoke.ports.engine_control import CommandResult
+from cyclamenyoke.ports.engine_control import CommandResult, EngineControlError
 from simulated_ranks import CUT_TIMEOUT, PASS_TIME, RANKS, Cluster
 
 RELEASE_TIME = 0.5
@@ -274,6 +274,30 @@
         assert cluster.ranks.switches >= RANKS
 
 
+# Guards against switches that are given up for one lost report, the more the larger the
+# group is.
+@pytest.mark.looptime
+async def test_lost_report_does_not_keep_a_map_from_being_switched():
+    cluster = Cluster(11, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    report, prepare, next_lost = cluster.ranks.report, cluster.ranks.prepare, []
+
+    async def prepare_and_lose(*args):
+        next_lost[:] = ["r2"]
+        return await prepare(*args)
+
+    async def lose_next(endpoint):
+        if endpoint.id in next_lost:
+            next_lost.clear()
+            await asyncio.sleep(CUT_TIMEOUT)
+            raise EngineControlError("lost")
+        return await report(endpoint)
+
+    cluster.ranks.report, cluster.ranks.prepare = lose_next, prepare_and_lose
+    async with running(cluster, "a"):
+        await wait_until(lambda: cluster.ranks.switches >= RANKS, 10)
+
+
 # Guards against a service all of whose groups stand still, because one cut meets the
 # switches of all of them (the day of review/6).
 @pytest.mark.looptime
