Release a held pass also if ranks take no other map

What callers saw: nothing; found in a reading of the change. The new way to cancel a switch waits until every rank has accepted the map in force. Ranks that reject it for another reason than that they are armed would have kept the pass held for good, and so would a pass held at another rank than the first.

Change: after three attempts at the same pass the ranks are disarmed instead, as before this issue; a pass is released at the rank that reports it.

Measured: test_pass_is_released_though_ranks_take_no_other_map (3 cases) and test_pass_that_another_rank_than_the_first_holds_is_released failed before and pass.

--- a/src/cyclamenyoke/core/open_switches.py
+++ b/src/cyclamenyoke/core/open_switches.py
@@ -14,6 +14,10 @@
 SETTLING_TIME = 0.6 * SECOND
 """Seconds after which reports show what was commanded: a few times their lag."""
 
+MAX_SUPERSEDING_CANCELS = 3
+"""Attempts to cancel a switch with another version of the map in force. Ranks that
+still reject it do so for another reason than that they are armed."""
+
 
 class Closing(enum.Enum):
     """What is done about a group's switch."""
@@ -32,6 +36,7 @@
 
     :param seen_at: when this node first knew of it.
     :param is_rejected: whether a rank rejected to switch at that pass.
+    :param cancels: attempts to cancel the switch.
     """
 
     group: str
@@ -40,6 +45,7 @@
     step: int
     seen_at: float
     is_rejected: bool = False
+    cancels: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +94,15 @@
         if group.name in self._by_group:
             self._by_group[group.name].is_rejected = is_rejected
 
+    def on_cancel(self, group: RankGroup) -> bool:
+        """Note an attempt to cancel a switch.
+
+        :returns: whether ranks are to prepare the map in force for that.
+        """
+        known = self._by_group[group.name]
+        known.cancels += 1
+        return known.cancels <= MAX_SUPERSEDING_CANCELS
+
     def decide(self, group: RankGroup, now: float) -> Closing:
         """Return how a group's switch is closed, given its reports."""
         step = self.open_pass(group, now)
--- a/src/cyclamenyoke/daemon/map_switcher.py
+++ b/src/cyclamenyoke/daemon/map_switcher.py
@@ -26,10 +26,7 @@
 from cyclamenyoke.daemon.rank_reports import RankReports
 from cyclamenyoke.daemon.rebalancer_lock import RENEW_INTERVAL, RebalancerLock
 from cyclamenyoke.ports.clock import Clock
-from cyclamenyoke.ports.engine_control import (
-    CommandResult,
-    EngineControl,
-)
+from cyclamenyoke.ports.engine_control import CommandResult, EngineControl
 
 PREPARE_TIMEOUT = 3 * SECOND
 """Seconds within which all ranks must report that they have prepared a map."""
@@ -285,15 +282,15 @@
 
         :param version: the version that ranks may be armed for, if it is known beside
             those that they report as prepared.
-        :param experts: the map in force. If it is ``None``, the map is unknown, and a
-            command to arm a rank could still be executed late.
+        :param experts: the map in force; ``None`` if it is unknown, or ranks don't take
+            it. Then a command to arm a rank could still be executed late.
         """
         self._log.warning(
             "switch is cancelled",
             group=group.name,
             step=step,
             armed=sum(report.is_armed for report in group.reports),
-            map_known=experts is not None,
+            supersedes=experts is not None,
         )
         deadline = self._clock.now() + COMPLETION_TIMEOUT
         if experts is None:
@@ -397,11 +394,12 @@
     async def release_pass(self, group: RankGroup, step: int) -> None:
         """Let the group start a held pass; on failure it is left to the next holder."""
         deadline = self._clock.now() + COMPLETION_TIMEOUT
+        holding_rank = group.ranks[FIRST_RANK]
+        if group.held_pass is not None and group.held_pass[1] == step:
+            holding_rank = group.held_pass[0]
         # A former holder's command could come while the next one arms ranks.
         while self._clock.now() < deadline and self._lock.is_held:
-            result = await self._control.release_hold(
-                group.ranks[FIRST_RANK], group.epoch, step
-            )
+            result = await self._control.release_hold(holding_rank, group.epoch, step)
             if result is not CommandResult.UNKNOWN:
                 self._switches.on_released(group, step, self._clock.now())
                 return
--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -130,7 +130,9 @@
             prepared=[report.prepared_version for report in group.reports],
         )
         if closing is Closing.CANCEL:
-            experts = await self._maps.current(group, layout)
+            experts = None
+            if self._switches.on_cancel(group):
+                experts = await self._maps.current(group, layout)
             await self._switcher.cancel(group, step, None, experts)
             return
         version = group.reports[FIRST_RANK].prepared_version
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -246,6 +246,44 @@
             cluster.ranks.unanswered_ratio = random.choice([0.0, 0.1, 0.35])
 
 
+# Guards against a group that stands still since its ranks reject, for whatever reason,
+# the map by which a switch is cancelled.
+@pytest.mark.looptime
+@pytest.mark.parametrize("armed", [[], [1], [0, 1, 2, 3]])
+async def test_pass_is_released_though_ranks_take_no_other_map(armed):
+    cluster = Cluster(12, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    cluster.gap_ratio = 0.0
+
+    async def reject(*args):
+        return CommandResult.REJECTED
+
+    cluster.ranks.prepare = cluster.ranks.arm = reject
+    async with running(cluster, "a", requests=0):
+        await asyncio.sleep(2)
+        ranks, step = cluster.ranks, cluster.ranks.step + 2
+        ranks.ranks[0].held = step
+        for number in armed:
+            rank = ranks.ranks[number]
+            rank.maps[1] = [list(reversed(row)) for row in rank.maps[0]]
+            rank.prepared = rank.highest_version = 1
+            rank.armed = 1, step
+        await wait_until(lambda: ranks.step > step, 30)
+    assert {rank.map_version for rank in ranks.ranks} == {0}
+
+
+# Guards against a pass that is held at another rank than the first one.
+@pytest.mark.looptime
+async def test_pass_that_another_rank_than_the_first_holds_is_released():
+    cluster = Cluster(13, unanswered_ratio=0.0)
+    cluster.preferred_nodes = "a"
+    async with running(cluster, "a"):
+        await asyncio.sleep(2)
+        step = cluster.ranks.step
+        cluster.ranks.ranks[2].held = step + 2
+        await wait_until(lambda: cluster.ranks.step > step + 2, 10)
+
+
 # Guards against a pass held although a rank was cut off while it loaded the map: the
 # group then stands still until the cut ends.
 @pytest.mark.looptime
