Close a dead holder's switch as soon as the lock is free

Suspected: a pass for which no rank was armed yet stayed held for 0.6 s longer than the lock's lifetime, and callers leave after 2 s.

Change: a switch is cancelled as soon as this node has the lock and has read the reports anew, and a node that acquires the lock for planning closes open switches first, as before this issue. Reports that are older than a release by another node can't do harm: ranks reject what comes for a pass that has begun.

Measured: test_pass_without_armed_ranks_is_released_as_soon_as_the_lock_is_free failed in all of 8 cases before and passes.

--- a/src/cyclamenyoke/core/open_switches.py
+++ b/src/cyclamenyoke/core/open_switches.py
@@ -23,7 +23,7 @@
     """What is done about a group's switch."""
 
     WAIT = "wait"
-    """Nothing is held, or the reports may be older than the last commands."""
+    """Nothing is held, or the reports may be older than its release."""
     COMPLETE = "complete"
     """All ranks can switch at the held pass, and some are armed for it."""
     CANCEL = "cancel"
@@ -114,8 +114,7 @@
         is_armed = any(report.is_armed for report in group.reports)
         if version and is_armed and not known.is_rejected:
             return Closing.COMPLETE
-        is_settled = now >= known.seen_at + SETTLING_TIME
-        return Closing.CANCEL if is_settled else Closing.WAIT
+        return Closing.CANCEL
 
     def open_pass(self, group: RankGroup, now: float) -> int | None:
         """Return the pass that a group's reports show as held and this node has not
--- a/src/cyclamenyoke/daemon/expert_rebalancer.py
+++ b/src/cyclamenyoke/daemon/expert_rebalancer.py
@@ -241,7 +241,9 @@
 
     async def _rebalance_service(self, service: Service, layout: ExpertLayout) -> None:
         try:
-            await self._lock.acquire()
+            if await self._lock.acquire():
+                # The holder before may have left a pass held.
+                await self._closer.close_all(service.name, layout)
             if not self._lock.is_held:
                 return
             await self._rebalance(service.name, layout)
--- a/src/cyclamenyoke/daemon/open_switch_closer.py
+++ b/src/cyclamenyoke/daemon/open_switch_closer.py
@@ -70,7 +70,7 @@
         self._looked_at[service] = now
         try:
             if is_open or await self._is_pass_held(service):
-                await self._close_all(service, layout)
+                await self.close_all(service, layout)
         except (PlatformUnavailable, RevisionConflict, LeaseExpired) as error:
             self._log.info("open switches are not closed", error=str(error))
 
@@ -101,8 +101,11 @@
             ]
         return any(report and report.held_step is not None for _, report in found)
 
-    async def _close_all(self, service: str, layout: ExpertLayout) -> None:
-        """Close the open switches of the groups of which every rank reports."""
+    async def close_all(self, service: str, layout: ExpertLayout) -> None:
+        """Close the open switches of the groups of which every rank reports.
+
+        :raises PlatformUnavailable: when the lock can't be acquired, or a map not read.
+        """
         groups = await self._reports.groups(service)
         self.on_groups(service, groups)
         now = self._clock.now()
--- a/tests/test_open_switches.py
+++ b/tests/test_open_switches.py
@@ -7,7 +7,7 @@
 
 from cyclamenyoke.daemon.map_switcher import COMPLETION_TIMEOUT
 from cyclamenyoke.daemon.open_switch_closer import LOOK_AT_ALL_INTERVAL, LOOK_INTERVAL
-from cyclamenyoke.daemon.rebalancer_lock import LOCK_LIFETIME
+from cyclamenyoke.daemon.rebalancer_lock import LOCK_LIFETIME, LOCK_POLL_INTERVAL
 from cyclamenyoke.ports.engine_control import CommandResult, EngineControlError
 from simulated_ranks import CUT_TIMEOUT, PASS_TIME, RANKS, Cluster
 
@@ -110,6 +110,27 @@
         other.cancel()
 
 
+# Guards against callers that leave, since the next lock holder waits before it releases
+# a pass for which no rank is armed yet.
+@pytest.mark.looptime
+@pytest.mark.parametrize("gap_ratio", [0.0, 0.7])
+@pytest.mark.parametrize("seed", range(4))
+async def test_pass_without_armed_ranks_is_released_as_soon_as_the_lock_is_free(
+    seed, gap_ratio
+):
+    cluster = Cluster(seed, unanswered_ratio=0.0)
+    cluster.ranks.lags_whole_reports = True
+    cluster.preferred_nodes = "a"
+    async with running(cluster, "a", "b") as tasks:
+        await wait_until(lambda: cluster.ranks.held_passes, 10)
+        tasks["a"].cancel()
+        cluster.gap_ratio = gap_ratio
+        await asyncio.sleep(LOCK_LIFETIME)
+        step = cluster.ranks.step
+        cluster.preferred_nodes = "b"
+        await wait_until(lambda: cluster.ranks.step > step, LOCK_POLL_INTERVAL + 0.1)
+
+
 # Guards against a late "hold" that stops a group which nobody uses.
 @pytest.mark.looptime
 async def test_pass_of_an_unused_group_held_by_a_late_command_is_released():
