Share the fixture of log lines between two test files

Cause: test_malformed_answers had a copy of the fixture of test_unsigned_answers. Change: tests/conftest.py has it; no assertion changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,14 @@
-"""Marks the tests that KNOWN-RED.txt names as expected failures and prints them."""
+"""Marks the tests that KNOWN-RED.txt names as expected failures and prints them.
+
+Also has the fixtures that several files use.
+"""
 
 from pathlib import Path
 
 import pytest
 
+from cyclamenyoke.adapters.logs import Log
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -24,3 +29,15 @@
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for name in known_failures():
         terminalreporter.write_line(f"known red: {name}")
+
+
+@pytest.fixture
+def lines(monkeypatch) -> list[dict]:
+    """Return the list to which the log lines are added."""
+    collected: list[dict] = []
+
+    def collect(self, message, **fields):
+        collected.append({"message": message, **fields})
+
+    monkeypatch.setattr(Log, "info", collect)
+    return collected
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -12,7 +12,6 @@
 from cyclamenyoke.adapters.head_check import MalformedHead
 from cyclamenyoke.adapters.http_endpoint_client import HttpEndpointClient
 from cyclamenyoke.adapters.http_ingress import encode_head
-from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.cli.client import OperatorsClient
 from cyclamenyoke.cli.quarantine import fetch_quarantine
 from cyclamenyoke.core.endpoint_registry import Endpoint
@@ -83,18 +82,6 @@
     return answer(headers)
 
 
-@pytest.fixture
-def lines(monkeypatch) -> list[dict]:
-    """Return the list to which the log lines are added."""
-    collected: list[dict] = []
-
-    def collect(self, message, **fields):
-        collected.append({"message": message, **fields})
-
-    monkeypatch.setattr(Log, "info", collect)
-    return collected
-
-
 # Guards against an answer with status 000, or with a malformed field, that reaches a
 # caller (MIXED).
 @pytest.mark.parametrize("kind", MALFORMED)
--- a/tests/test_unsigned_answers.py
+++ b/tests/test_unsigned_answers.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from cyclamenyoke.adapters.logs import Log
 from site_fixture import Response, caller_headers, send_request
 from test_faulty_engines import (
     SIGNED,
@@ -30,18 +29,6 @@
 """Requests within which an engine of two that are chosen at random is asked."""
 
 
-@pytest.fixture
-def lines(monkeypatch) -> list[dict]:
-    """Return the list to which the log lines are added."""
-    collected: list[dict] = []
-
-    def collect(self, message, **fields):
-        collected.append({"message": message, **fields})
-
-    monkeypatch.setattr(Log, "info", collect)
-    return collected
-
-
 def reply_of(status: int, *fields: str, body: bytes = b"no"):
     """Return the script of an engine that answers all requests with a status."""
 
