--- a/review/harness_3/site.py
+++ b/review/harness_3/site.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 from urllib.parse import quote
 
 from harness_3.http_io import call
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 REVIEW = ROOT / "review"
 METRICS_PORT = 9464
+PORTS = 10_000, 30_000
 START_TIMEOUT = 20.0
 HOST = "site.example"
 KEY = "key-of-the-first-customer"
@@ -56,10 +57,12 @@
 
 
 def free_port(host: str) -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing uses, below those of outgoing connections."""
+    for _ in range(1000):
+        port = SystemRandom().randrange(*PORTS)
+        if is_free(host, port):
+            return port
+    raise CannotRun("no free port")
 
 
 def is_free(host: str, port: int) -> bool:
@@ -138,6 +141,10 @@
         answer = await call(self.store, "POST", f"/put?key={quote(key)}", body=body)
         return answer.status == 200
 
+    async def remove(self, key: str) -> None:
+        """Remove a key, as the platform does when an engine is silent."""
+        await call(self.store, "DELETE", f"/put?key={quote(key)}")
+
     async def configure(self, routes: list[dict], services: list[dict]) -> None:
         """Write the next version of the configuration."""
         self.version += 1
