Answer an order that ran with 502, not as if it had not

Callers saw: an order whose engine runs it and fails it with a signed 503 (or 408, 429) without X-Not-Executed was answered with that status.

Cause: the status of an engine's response was passed on without a look at what the attempts prove; only the gateway's own rejections were compared with them. The hypothesis that the gateway itself answers 503 is ruled out by the engine's body and signature in the answers, and a second send by the arrivals (one for each id).

Change: CallerResponse is the only way for a status to a caller. One that implies "not run" passes for a request that must not run twice only if all attempts are proved not to have run; otherwise the attempt has failed (the engine's circuit counts it) and the caller gets an unsigned 502 without Retry-After. Requests that may run again keep their engine's status. "request done" gains caller_status and the status of each attempt, which explain shows.

--- a/src/cyclamenyoke/cli/explain.py
+++ b/src/cyclamenyoke/cli/explain.py
@@ -135,7 +135,8 @@
     events = []
     # Times of an attempt in seconds: "sent" from the request's arrival, "first" from
     # sending to the first byte of the response, or to the end if there was none, and
-    # "ended" from sending to the end. Logs of earlier versions lack the last three.
+    # "ended" from sending to the end. Logs of earlier versions lack the last four, or
+    # the status of the endpoint's response.
     duration = final_line.fields.get("seconds", 0.0)
     for endpoint, outcome, load, sent, first, *end in _attempts(final_line):
         state = "not changed in these logs"
@@ -146,8 +147,9 @@
         description = f"sent to {endpoint} ({state}, {load} requests there): {outcome}"
         description += f" after {first} s"
         if end:
-            ended, event_count, detail = end
+            ended, event_count, detail, *status = end
             description += f", ended after {ended} s and {event_count} events"
+            description += f", status {status[0]}" if any(status) else ""
             description += f" ({detail})" if detail else ""
         if outcome != SUCCESS_OUTCOME:
             other_failures = _count_other_failures(endpoint, final_line, lines)
@@ -176,7 +178,8 @@
 
 def _summary(fields: dict[str, Any]) -> str:
     """Return the fields that explain the outcome, in the order of use to operators."""
-    names = ["outcome", "detail", "route", "path", "customer", "shared_parts"]
+    names = ["outcome", "caller_status", "detail", "route", "path", "customer"]
+    names += ["shared_parts"]
     names += ["waited", "elapsed"]
     names += ["retry_after", "seconds", "config_version", "list_age"]
     known = ((name, fields.get(name)) for name in names)
--- a/src/cyclamenyoke/core/request_delivery.py
+++ b/src/cyclamenyoke/core/request_delivery.py
@@ -70,6 +70,7 @@
     :param ended_at: when it ended; ``None`` before.
     :param detail: why it did not succeed.
     :param is_closed_by_endpoint: whether the endpoint's end of the connection ended it.
+    :param status: the status of the endpoint's response; ``None`` without one.
     """
 
     endpoint: str
@@ -83,6 +84,7 @@
     ended_at: float | None = None
     detail: str = ""
     is_closed_by_endpoint: bool = False
+    status: int | None = None
 
     @property
     def is_unanswered(self) -> bool:
@@ -160,6 +162,18 @@
             return False
         return self.is_confirmed_not_run or self.retry_mode is not RetryMode.NEVER
 
+    def may_forward(self, implies_not_run: bool) -> bool:
+        """Return whether the caller may get an endpoint's status.
+
+        A caller sends a request that must not run twice again after a status which
+        implies that it has not run, so the attempts must prove that it has not.
+
+        :param implies_not_run: whether callers conclude so from the status.
+        """
+        if not implies_not_run or self.retry_mode is not RetryMode.NEVER:
+            return True
+        return self.is_confirmed_not_run
+
     def start_attempt(self, endpoint: str, load: int, now: float) -> Attempt:
         """Add an attempt; call this just before the request is sent."""
         self.monitor.check(
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -42,7 +42,6 @@
 from cyclamenyoke.core.request_delivery import (
     Attempt,
     AttemptOutcome,
-    FinalStatus,
     RequestDelivery,
 )
 from cyclamenyoke.core.request_fingerprint import RequestFingerprint, fingerprint
@@ -56,6 +55,7 @@
 from cyclamenyoke.core.retry_budget import RetryBudgetState, WindowedRetryBudget
 from cyclamenyoke.core.silence_timeout import SilenceTimeout
 from cyclamenyoke.core.units import KIBIBYTE, MEBIBYTE, MILLISECOND, SECOND
+from cyclamenyoke.daemon.caller_response import CallerResponse
 from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.daemon.partial_response import PartialResponse
 from cyclamenyoke.daemon.silent_call import SilentCall, wait_for_event
@@ -154,10 +154,10 @@
 moved to another one."""
 
 MAX_DISCARDED_BYTES = 64 * KIBIBYTE
-"""Largest body of a rejection that is read, so that its connection can be reused."""
+"""Largest body that is read only so that its connection can be reused."""
 
 DISCARD_TIMEOUT = 100 * MILLISECOND
-"""Seconds for which the body of a rejection is read."""
+"""Seconds for which such a body is read."""
 
 REFUSAL_LOG_INTERVAL = 1 * SECOND
 """Seconds between two log lines about retries that a service's budget refused."""
@@ -168,12 +168,6 @@
 SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 
-REJECTION_REASONS = {
-    FinalStatus.NOT_RUN: RejectionReason.NOT_RUN,
-    FinalStatus.UNKNOWN: RejectionReason.UNKNOWN,
-    FinalStatus.TIMED_OUT: RejectionReason.TIMED_OUT,
-}
-
 
 @dataclass(slots=True)
 class RequestContext:
@@ -185,8 +179,6 @@
     :param failure: an endpoint's own error response, which is forwarded if no later
         attempt succeeds.
     :param has_event: whether any attempt has yielded an event.
-    :param status: the status of an endpoint's response that the caller was sent;
-        ``None`` before.
     :param detail: reason for the latest failure, for the log.
     :param waited: seconds spent in the admission queue.
     :param last_event_at: when the current attempt last yielded events; ``None``
@@ -200,7 +192,7 @@
     """
 
     request: InboundRequest
-    writer: ResponseWriter
+    response: CallerResponse
     route: Route
     service: str
     customer: str | None
@@ -208,10 +200,8 @@
     prompt: Prompt
     last_event_id: int | None
     failure: tuple[EngineResponseHead, bytes] | None = None
-    is_head_sent: bool = False
     has_event: bool = False
     priority: int = 0
-    status: int | None = None
     detail: str = ""
     retry_after: float | None = None
     waited: float = 0.0
@@ -453,8 +443,9 @@
             request.prompt_tokens, request.output_limit, self._balancer.prompt_tokens
         )
         last_event_id = request.last_event_id
+        response = CallerResponse(writer, delivery, self._monitor)
         context = RequestContext(
-            request, writer, route, service, name, delivery, prompt, last_event_id
+            request, response, route, service, name, delivery, prompt, last_event_id
         )
         context.priority = route.priority
         if customer is not None and customer.priority is not None:
@@ -1185,10 +1176,11 @@
             except TimeoutError:
                 context.detail = "caller does not read its response"
                 return AttemptOutcome.INCOMPLETE
-            if isinstance(event, NotExecuted):
+            if outcome is None:
+                continue
+            if isinstance(event, EngineResponseHead | NotExecuted):
                 await self._discard_body(engine_call)
-            if outcome is not None:
-                return outcome
+            return outcome
 
     def _must_leave(self, context: RequestContext) -> bool:
         """Return whether a request no longer waits for its silent endpoint alone."""
@@ -1205,7 +1197,7 @@
     ) -> None:
         """Keep a response that has begun, in case its silent endpoint goes on."""
         is_late = self._clock.now() >= context.delivery.deadline
-        if context.is_head_sent and response.is_stream and not is_late:
+        if context.response.is_started and response.is_stream and not is_late:
             attempt = context.delivery.attempts[-1]
             context.silent = SilentCall(
                 attempt, reservation.hand_over(), engine_call, response
@@ -1236,6 +1228,7 @@
         attempt = context.delivery.attempts[-1]
         if event.status is not None:
             attempt.first_byte_at = now
+            attempt.status = event.status
             self._count_status(event.status, event.is_signed)
             # A failed connection doesn't show that the endpoint has read anything.
             budget = self._retry_budget(context.service)
@@ -1263,6 +1256,12 @@
     ) -> AttemptOutcome | None:
         """Process one event of a response; return the outcome if the attempt ended."""
         match event:
+            case EngineResponseHead() if not context.response.can_forward(event):
+                context.detail = (
+                    f"endpoint answered {event.status} without confirming that it "
+                    "has not run the request"
+                )
+                return AttemptOutcome.FAILED
             case EngineResponseHead():
                 response.head = event
                 response.progress += 1
@@ -1326,7 +1325,7 @@
         return None
 
     async def _discard_body(self, engine_call: EngineCall) -> None:
-        """Read the body of a rejection, so that the connection can be reused.
+        """Read a body that is not forwarded, so that the connection can be reused.
 
         A body that is long or slow is left, and the connection is closed.
         """
@@ -1416,13 +1415,10 @@
         self, context: RequestContext, head: EngineResponseHead, data: bytes
     ) -> None:
         """Send events to the caller, after the head of the response."""
-        if not context.is_head_sent:
-            context.is_head_sent = True
-            context.delivery.is_response_started = True
+        if not context.response.is_started:
             self._observe_first_byte(context)
-            context.status = head.status
-            context.writer.start(head.status, head.headers)
-        await context.writer.write(data)
+            context.response.start(head)
+        await context.response.write(data)
 
     def _note_events(self, context: RequestContext, events: list[StreamEvent]) -> bool:
         """Note that the prompt was read; return whether there are events.
@@ -1477,13 +1473,11 @@
             if is_at_close and context.last_event_id is None:
                 context.detail = "stream ended without an event"
                 return AttemptOutcome.INCOMPLETE
-            if not context.is_head_sent:
-                context.is_head_sent = True
-                context.status = head.status
-                context.writer.start(head.status, head.headers)
-            context.writer.finish()
+            if not context.response.is_started:
+                context.response.start(head)
+            context.response.finish()
             return AttemptOutcome.ANSWERED
-        if context.is_head_sent:
+        if context.response.is_started:
             context.detail = f"endpoint answered {head.status} to a resumed stream"
             return AttemptOutcome.FAILED
         if head.status in SERVER_ERRORS:
@@ -1491,30 +1485,26 @@
             context.detail = f"endpoint answered {head.status}"
             return AttemptOutcome.FAILED
         self._observe_first_byte(context)
-        context.status = head.status
-        context.writer.send(head.status, head.headers, body)
+        context.response.send(head, body)
         return AttemptOutcome.ANSWERED
 
     def _send_final_response(self, context: RequestContext) -> str:
         """Send the caller its final response; return the outcome for the log."""
-        delivery, writer = context.delivery, context.writer
-        if context.is_head_sent:
+        response = context.response
+        if response.is_started:
             self._log_cut(context)
-            writer.abort()
+            response.abort()
             return "cut"
         if context.failure is not None:
-            head, body = context.failure
-            context.status = head.status
-            writer.send(head.status, head.headers, body)
+            response.send(*context.failure)
             return "failed_by_endpoint"
-        now = self._clock.now()
-        reason = REJECTION_REASONS[delivery.final_status(now)]
+        reason = response.final_reason(self._clock.now())
         retry_after = context.retry_after
         if reason is RejectionReason.NOT_RUN and retry_after is None:
-            outcomes = {attempt.outcome for attempt in delivery.attempts}
+            outcomes = {attempt.outcome for attempt in context.delivery.attempts}
             is_full = outcomes == {AttemptOutcome.REJECTED}
             retry_after = FULL_RETRY_AFTER if is_full else UNAVAILABLE_RETRY_AFTER
-        writer.reject(reason, retry_after)
+        response.reject(reason, retry_after)
         return reason.value
 
     def _log_cut(self, context: RequestContext) -> None:
@@ -1537,7 +1527,7 @@
             cut=after(now),
             deadline=after(context.delivery.deadline),
             last_event=context.last_event_id,
-            unsent_bytes=context.writer.unsent_bytes,
+            unsent_bytes=context.response.unsent_bytes,
             attempts=[
                 {
                     "endpoint": attempt.endpoint,
@@ -1649,7 +1639,8 @@
             shared_parts=context.request.shared_parts[:MAX_LOGGED_PARTS],
             prompt_tokens=context.request.prompt_tokens,
             outcome=outcome,
-            status=context.status,
+            status=context.response.endpoint_status,
+            caller_status=context.response.status,
             detail=context.detail,
             waited=round(context.waited, 4),
             retry_after=context.retry_after,
@@ -1668,6 +1659,7 @@
                     round((attempt.ended_at or now) - attempt.sent_at, 3),
                     attempt.events,
                     attempt.detail,
+                    attempt.status,
                 ]
                 for attempt in context.delivery.attempts
             ],
--- a/src/cyclamenyoke/platform/caller_handlers.py
+++ b/src/cyclamenyoke/platform/caller_handlers.py
@@ -92,6 +92,11 @@
     def __init__(self, responder: Responder, request_id: str | None) -> None:
         self._responder = responder
         self._request_id = request_id
+        self._status: int | None = None
+
+    @property
+    def status(self) -> int | None:
+        return self._status
 
     @property
     def unsent_bytes(self) -> int:
@@ -103,12 +108,15 @@
             headers.append((b"X-Request-Id", self._request_id.encode("latin-1")))
         if retry_after is not None:
             headers.append((RETRY_AFTER, b"%.3f" % retry_after))
-        self._responder.respond(STATUS_BY_REASON[reason].value, headers)
+        self._status = STATUS_BY_REASON[reason].value
+        self._responder.respond(self._status, headers)
 
     def send(self, status: int, headers: list[Header], body: bytes) -> None:
+        self._status = status
         self._responder.respond(status, headers, body)
 
     def start(self, status: int, headers: list[Header]) -> None:
+        self._status = status
         self._responder.start(status, headers)
 
     async def write(self, data: bytes) -> None:
--- a/src/cyclamenyoke/platform/engine_client.py
+++ b/src/cyclamenyoke/platform/engine_client.py
@@ -36,6 +36,7 @@
     VIA,
     select_end_to_end,
 )
+from cyclamenyoke.platform.statuses import NOT_RUN_STATUSES
 from cyclamenyoke.ports.clock import Clock
 from cyclamenyoke.ports.engine import (
     NO_NOTICE,
@@ -213,6 +214,7 @@
             content_type.startswith(EVENT_STREAM_TYPE),
             notice,
             is_signed,
+            head.status in NOT_RUN_STATUSES,
         )
 
     def _distrust(
--- a/src/cyclamenyoke/ports/engine.py
+++ b/src/cyclamenyoke/ports/engine.py
@@ -39,6 +39,8 @@
     :param headers: the end-to-end headers, which are forwarded to the caller.
     :param is_success: whether the status is a success; such a response is signed.
     :param is_signed: whether it has an engine's signature.
+    :param implies_not_run: whether callers take the status as a confirmation that the
+        request has not run, which the endpoint has not given.
     """
 
     status: int
@@ -47,6 +49,7 @@
     is_event_stream: bool
     notice: EngineNotice = NO_NOTICE
     is_signed: bool = False
+    implies_not_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cyclamenyoke/ports/response_writer.py
+++ b/src/cyclamenyoke/ports/response_writer.py
@@ -8,6 +8,11 @@
 class ResponseWriter(ABC):
     """Writes the response to one request."""
 
+    @property
+    @abstractmethod
+    def status(self) -> int | None:
+        """The status that the caller was sent; ``None`` before."""
+
     @property
     @abstractmethod
     def unsent_bytes(self) -> int:
--- a/tests/process_soak/mutants.py
+++ b/tests/process_soak/mutants.py
@@ -12,6 +12,7 @@
 from cyclamenyoke.core.graceful_shutdown import GracefulShutdown
 from cyclamenyoke.core.inbound_request import Header
 from cyclamenyoke.core.peers import BudgetPart, Peers
+from cyclamenyoke.core.request_delivery import RequestDelivery
 from cyclamenyoke.daemon import cluster_state
 from cyclamenyoke.daemon.cluster_state import ClusterState
 from cyclamenyoke.daemon.gateway import Gateway
@@ -127,6 +128,11 @@
     http_ingress.check_status = lambda status, version: None
 
 
+def pass_any_status() -> None:
+    """Pass on whatever status an engine fails a request with."""
+    RequestDelivery.may_forward = lambda self, implies_not_run: True
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "forgets_budget": forget_budget,
     "cuts_on_stop": cut_on_stop,
@@ -138,6 +144,7 @@
     "forgets_key": forget_key,
     "keeps_first_limits": keep_first_limits,
     "passes_any_head": pass_any_head,
+    "passes_any_status": pass_any_status,
 }
 
 if __name__ == "__main__":
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -64,6 +64,13 @@
             "ran",
         ),
     ),
+    "passes on any status": (
+        *(
+            RequestDelivery,
+            {"may_forward": lambda self, implies_not_run: True},
+            "status for not run",
+        ),
+    ),
     "shuts down at once": (
         *(
             GracefulShutdown,
