End a response at its deadline though its engine never pauses

Callers saw: a stream whose engine has bytes ready at every look goes on after the request's deadline, until the caller leaves (5 s with a deadline of 1 s).

Cause: the deadline was looked at only while nothing had arrived, so that bytes which came while the process stood still count. A slow caller is ruled out: its writes have a limit of their own, and it read all the time. The test that guards against this passed in vain: it waited 0.3 s for a list that is read every 0.5 s, and a gateway without engines answers at once. It now waits until the engine is listed, and asserts that the engine has run the request.

Change: after the deadline a response is read for 0.1 s more, for what had arrived.

--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -143,6 +143,10 @@
 MAX_EVENTS_PER_SLICE = 128
 """Events of a slice above which the stream awaits its turn for the next one."""
 
+LATE_READ_TIME = 100 * MILLISECOND
+"""Seconds after a request's deadline for which parts of its response are read that may
+have arrived before, while this process stood still."""
+
 MAX_DRAINED_BYTES = 16 * MEBIBYTE
 """Largest response to a caller that has left that is read to its end."""
 
@@ -1167,20 +1171,50 @@
                 remaining = context.delivery.deadline - self._clock.now()
                 idle_until = loop.time() + min(remaining, MOVE_CHECK_INTERVAL)
                 continue
+            if self._must_stop_reading(context, response):
+                context.detail = "endpoint goes on writing after the deadline"
+                return AttemptOutcome.INCOMPLETE
             event = await engine_call.receive()
             self._on_notice(context, reservation.endpoint, event)
-            try:
-                remaining = max(0.0, context.delivery.deadline - self._clock.now())
-                async with asyncio.timeout(remaining):
-                    outcome = await self._on_event(context, response, event)
-            except TimeoutError:
-                context.detail = "caller does not read its response"
-                return AttemptOutcome.INCOMPLETE
-            if outcome is None:
-                continue
-            if isinstance(event, EngineResponseHead | NotExecuted):
-                await self._discard_body(engine_call)
-            return outcome
+            outcome = await self._process(context, response, engine_call, event)
+            if outcome is not None:
+                return outcome
+
+    async def _process(
+        self,
+        context: RequestContext,
+        response: PartialResponse,
+        engine_call: EngineCall,
+        event: EngineEvent,
+    ) -> AttemptOutcome | None:
+        """Process one event of a response while its caller waits.
+
+        Returns the outcome if the attempt ended.
+        """
+        remaining = max(0.0, context.delivery.deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(remaining):
+                outcome = await self._on_event(context, response, event)
+        except TimeoutError:
+            context.detail = "caller does not read its response"
+            return AttemptOutcome.INCOMPLETE
+        if outcome is not None and isinstance(event, EngineResponseHead | NotExecuted):
+            await self._discard_body(engine_call)
+        return outcome
+
+    def _must_stop_reading(
+        self, context: RequestContext, response: PartialResponse
+    ) -> bool:
+        """Return whether what has arrived can't have been written in time.
+
+        An endpoint that writes all the time is never seen to be silent.
+        """
+        now = self._clock.now()
+        if now < context.delivery.deadline:
+            return False
+        if response.late_until is None:
+            response.late_until = now + LATE_READ_TIME
+        return now >= response.late_until
 
     def _must_leave(self, context: RequestContext) -> bool:
         """Return whether a request no longer waits for its silent endpoint alone."""
--- a/src/cyclamenyoke/daemon/partial_response.py
+++ b/src/cyclamenyoke/daemon/partial_response.py
@@ -12,12 +12,15 @@
 
     :param progress: increases with each part that brings the response forward. Bytes
         that do not complete an event of a stream, and comments, are no progress.
+    :param late_until: until when, by the node's clock, it is read after the request's
+        deadline; ``None`` before the deadline.
     """
 
     progress: int = 0
     head: EngineResponseHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     body: bytearray = field(default_factory=bytearray)
+    late_until: float | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/tests/site_fixture.py
+++ b/tests/site_fixture.py
@@ -166,6 +166,17 @@
         }
         self.platform.put(f"servers/{id_}", json.dumps(entry).encode())
 
+    async def wait_until_listed(self, id_: str, address: str) -> None:
+        """Wait until all gateways have read that an engine is at an address."""
+
+        def is_listed() -> bool:
+            listed = (
+                gateway._registry.endpoints.get(id_) for gateway, _, _ in self.gateways
+            )
+            return all(each is not None and each.address == address for each in listed)
+
+        await self.wait_until(is_listed)
+
     def settings(self, number: int) -> NodeSettings:
         """Return the settings of one gateway, which gets its own loopback address."""
         ip = f"127.0.1.{number}"
--- a/tests/test_first_events_of_repeats.py
+++ b/tests/test_first_events_of_repeats.py
@@ -63,7 +63,7 @@
         site.platform.put(f"servers/{engine.id}", engine.entry("llm"))
         site.publish(configuration(2))
         await site.notify_watches()
-        await asyncio.sleep(0.3)
+        await site.wait_until_listed(engine.id, engine.address)
 
         async def respond(request, behaviour, reader, writer):
             fields = ["Content-Type: text/event-stream"]
@@ -80,6 +80,7 @@
         async with asyncio.timeout(5):
             await send_request(settings.callers, "POST", "/stream/a", headers, b"{}")
         assert asyncio.get_running_loop().time() - begin < 3
+        assert len(engine.state.executed) == 1
 
 
 # Guards against a lookup that fails since its repeat is refused, though its first
