Wait in tests until an engine is listed, not for half a second

test_malformed_head_that_comes_byte_by_byte_is_refused registers its engine just after the gateway has read the list of servers, and waited 0.5 s; the list is read every 0.50 s, and a gateway that knows no server answers 503.

The wait is now a condition (Site.wait_until_listed: all gateways have read the engine's address), as strict as before: the same one request, the same 502. The other waits of tests after a change of the list are conditions, or longer than two reads.

--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -424,7 +424,7 @@
         site.platform.put(f"servers/i-{service}-raw", entry)
         limits = configuration(2)["limits"] | {"max_body_bytes": 20_000_000}
         await publish(site, limits=limits)
-        await asyncio.sleep(0.5)
+        await site.wait_until_listed(f"i-{service}-raw", address)
         try:
             yield
         finally:
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -165,7 +165,7 @@
     host, port = server.sockets[0].getsockname()
     async with site_with("llm") as (site, _):
         site.register("i-0", "app", f"{host}:{port}")
-        await asyncio.sleep(0.5)
+        await site.wait_until_listed("i-0", f"{host}:{port}")
         address = site.gateways[0][1].callers
         response = await send_request(
             address, "POST", "/order/a", caller_headers(), b"{}"
