Count engines that end together once against what their requests share

Cause: ends within 50 ms counted once against a single request and one each against a part of prompts, so one crash was the five ends that withhold a part which was answered before. The lines "quarantine begun" name the engines of one zone in the first crash, which rules out that later crashes are needed. That nothing clears the part while the group is broken keeps the wrong verdict, but does not make it.

Change: ends are events. Those within 50 ms are one, and those within 1 s in one data centre. An end whose request was sent after the one before stays an event of its own, so a part that ends engines in turn is withheld after as many as before. The data centre goes with the evidence as a last field, which earlier gateways skip; of the ends that are kept, those of one event go first. "engine ended under a request" states the data centre.

In the tests of the quarantine two constants are imported from their new module, and stored evidence is unpacked with its later field; what they ask stays.

--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -24,32 +24,31 @@
 from msgspec import Struct
 
 from cyclamenyoke.core.decoding import Number
+from cyclamenyoke.core.engine_ends import (
+    EngineEnd,
+    count_events,
+    latest_end,
+    least_telling,
+    place_end,
+)
 from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.core.request_fingerprint import RequestFingerprint
 from cyclamenyoke.core.units import HOUR, MILLISECOND, MINUTE, SECOND
 
 MIN_ENDS = 3
-"""Engines that must have ended under a trait that none is known to have answered. Two
-may be a coincidence."""
+"""Events that must have ended engines under a trait that none is known to have
+answered. Two may be a coincidence."""
 
 MIN_ENDS_AFTER_USE = 5
 """The same for a trait that engines have answered before, or that different requests
 may have."""
 
-SIMULTANEOUS_ENDS = 50 * MILLISECOND
-"""Seconds within which ends count as one against a single request: engines that fail
-together may each have had a copy of a request that is asked for all the time."""
-
-SEPARATION = 2 * SIMULTANEOUS_ENDS
-"""Seconds by which ends that followed from each other are kept apart. The difference
-allows for updates between nodes that take different times."""
-
 HOLD_TIME = 5 * SECOND
 """Seconds for which a request is held back when one more end would quarantine it: about
 the time in which engines that ended are replaced."""
 
 MIN_ENDS_STORED = 2
-"""Ends under a trait from which the evidence is kept in the store. A single end tells
+"""Separate ends under a trait from which the evidence is kept in the store. One tells
 little, and most requests have one beside an engine that ends."""
 
 MIN_EVENTS_WRITTEN = 2
@@ -82,7 +81,7 @@
 """Traits for which evidence is kept; those with the least evidence are dropped."""
 
 MAX_ENDS_KEPT = 8
-"""Ends kept for each trait, the latest ones."""
+"""Ends kept for each trait, the latest ones of separate events."""
 
 MAX_ANNOUNCED = 32
 """Traits in one update to peers, those with the most evidence first."""
@@ -126,20 +125,23 @@
 
     :param end_ages: seconds since the end of each engine, by its incarnation.
     :param cleared_age: seconds since the trait was last cleared; negative for never.
+    :param data_centres: the data centre with which an engine may have failed, by its
+        incarnation; without those that ended after another one.
     """
 
     service: str
     trait: str
     end_ages: dict[str, Number]
     cleared_age: Number
+    data_centres: dict[str, str] = {}
 
 
 @dataclass(slots=True)
 class Suspect:
     """A trait under which engines have ended.
 
-    :param trait: the trait itself, which decides how ends are counted.
-    :param ends: when each engine ended, by its incarnation.
+    :param trait: the trait itself, which decides how many ends it takes.
+    :param ends: the end of each engine, by its incarnation.
     :param cleared_at: when an engine last answered a request with the trait, or an
         operator lifted its quarantine; earlier ends do not count.
     :param announce_until: until when it is part of updates to peers.
@@ -147,49 +149,38 @@
     """
 
     trait: str
-    ends: dict[str, float] = field(default_factory=dict)
+    ends: dict[str, EngineEnd] = field(default_factory=dict)
     cleared_at: float | None = None
     announce_until: float = 0.0
     last_end_known_at: float = -inf
 
-    def count(self, times: Iterable[float]) -> int:
-        """Return how many of the trait's ends, by their times, are separate events."""
-        if not _is_one_request(self.trait):
-            return len(list(times))
-        count, last = 0, -inf
-        for at in sorted(times):
-            if at > last + SIMULTANEOUS_ENDS:
-                count, last = count + 1, at
-        return count
-
-    def separate_time(self, sent_at: float, now: float) -> float:
-        """Return the time under which an end at ``now`` is kept.
-
-        The request of an end that followed another one was not in flight when that
-        happened, so the two are not simultaneous however close they are.
-        """
-        if sent_at < self.last_end_known_at:
-            return now
-        return max(now, max(self.ends.values(), default=-inf) + SEPARATION)
+    @property
+    def _counts_unplaced(self) -> bool:
+        # Copies of one request may be at many engines, so their ends are never apart.
+        return not _is_one_request(self.trait)
+
+    def count(self, ends: Iterable[EngineEnd]) -> int:
+        """Return how many separate events the trait's ends are."""
+        return count_events(ends, self._counts_unplaced)
 
     @property
-    def uncleared_ends(self) -> dict[str, float]:
+    def uncleared_ends(self) -> dict[str, EngineEnd]:
         """The ends since the trait was last cleared, by incarnation of the engine."""
         after = -inf if self.cleared_at is None else self.cleared_at
-        return {id_: at for id_, at in self.ends.items() if at > after}
+        return {id_: end for id_, end in self.ends.items() if end.at > after}
 
-    def counted_ends(self, now: float) -> dict[str, float]:
+    def counted_ends(self, now: float) -> dict[str, EngineEnd]:
         """Return the ends that count, by incarnation of the engine."""
         ends = self.uncleared_ends
         return ends if now < self.counts_until(ends) else {}
 
-    def counts_until(self, ends: Mapping[str, float]) -> float:
+    def counts_until(self, ends: Mapping[str, EngineEnd]) -> float:
         """Return until when uncleared ends count."""
         if not ends:
             return -inf
         further = max(0, self.count(ends.values()) - self.ends_needed)
         lifetime = EVIDENCE_LIFETIME * LIFETIME_GROWTH**further
-        return max(ends.values()) + min(MAX_EVIDENCE_LIFETIME, lifetime)
+        return latest_end(ends.values()) + min(MAX_EVIDENCE_LIFETIME, lifetime)
 
     def is_forgotten(self, now: float) -> bool:
         """Return whether the trait may be dropped.
@@ -199,27 +190,27 @@
         ends = self.uncleared_ends
         was_quarantined = self.count(ends.values()) >= self.ends_needed
         kept_for = MAX_EVIDENCE_LIFETIME if was_quarantined else 0.0
-        latest = max(self.ends.values(), default=-inf)
+        latest = latest_end(self.ends.values())
         until = max(latest + EVIDENCE_LIFETIME, self.counts_until(ends) + kept_for)
         return now >= max(until, self.announce_until)
 
     @property
     def ends_needed(self) -> int:
-        """The number of ends for which the trait is quarantined."""
+        """The number of separate ends for which the trait is quarantined."""
         if self.trait.startswith(CONTENT_TRAIT) or self.cleared_at is not None:
             return MIN_ENDS_AFTER_USE
         return MIN_ENDS
 
-    def add_end(self, engine: str, at: float, now: float) -> bool:
+    def add_end(self, engine: str, end: EngineEnd, now: float) -> bool:
         """Add an engine's end; return whether it was not known before."""
         if engine in self.ends:
             return False
-        self.ends[engine] = at
+        self.ends[engine] = end
         self.last_end_known_at = now
         if len(self.ends) > MAX_ENDS_KEPT:
-            oldest = min(self.ends, key=self.ends.__getitem__)
-            del self.ends[oldest]
-            return oldest != engine
+            dropped = least_telling(self.ends, self._counts_unplaced)
+            del self.ends[dropped]
+            return dropped != engine
         return True
 
     def clear(self, at: float) -> bool:
@@ -229,7 +220,7 @@
             return False
         self.cleared_at = at
         is_later = before is None or at > before + MIN_CLEARING_ADVANCE
-        return is_later and any(each > (before or 0.0) for each in self.ends.values())
+        return is_later and latest_end(self.ends.values()) > (before or 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,16 +329,21 @@
         engine: str,
         sent_at: float,
         now: float,
+        data_centre: str = "",
     ) -> None:
         """Record that an engine ended under a request.
 
         :param traits: those of the request that the end is evidence against.
         :param engine: the incarnation of the engine.
         :param sent_at: when the request was sent there.
+        :param data_centre: the engine's; empty if it is unknown.
         """
         for trait in traits:
             suspect = self._suspect((service, trait))
-            if suspect.add_end(engine, suspect.separate_time(sent_at, now), now):
+            known_at = suspect.last_end_known_at
+            earlier = suspect.ends.values()
+            end = place_end(earlier, known_at, sent_at, now, data_centre)
+            if suspect.add_end(engine, end, now):
                 suspect.announce_until = now + ANNOUNCE_TIME
         self._update(now)
 
@@ -453,7 +449,11 @@
             suspect = self._suspect((each.service, each.trait))
             cleared_at = now - each.cleared_age if each.cleared_age >= 0 else None
             changes = [
-                suspect.add_end(engine, now - age, now)
+                suspect.add_end(
+                    engine,
+                    EngineEnd(now - age, each.data_centres.get(engine, "")),
+                    now,
+                )
                 for engine, age in each.end_ages.items()
                 if age < 2 * MAX_EVIDENCE_LIFETIME
             ]
@@ -484,8 +484,13 @@
         return tuple(
             TraitEvidence(
                 *key,
-                {engine: now - at for engine, at in suspect.ends.items()},
+                {engine: now - end.at for engine, end in suspect.ends.items()},
                 -1.0 if suspect.cleared_at is None else now - suspect.cleared_at,
+                {
+                    engine: end.data_centre
+                    for engine, end in suspect.ends.items()
+                    if end.data_centre
+                },
             )
             for key, suspect in selected[:MAX_ANNOUNCED]
         )
@@ -519,7 +524,7 @@
         self.on_change()
 
     def _decide(
-        self, counted: Mapping[TraitKey, Mapping[str, float]], now: float
+        self, counted: Mapping[TraitKey, Mapping[str, EngineEnd]], now: float
     ) -> list[Quarantine]:
         """Return what is withheld, by the ends that count for each trait."""
         quarantines = self._explain(counted)
@@ -531,7 +536,7 @@
             if key in quarantined or not trait.startswith(REQUEST_TRAIT):
                 continue
             suspect = self._suspects[key]
-            until = max(ends.values(), default=-inf) + HOLD_TIME
+            until = latest_end(ends.values()) + HOLD_TIME
             is_close = suspect.count(ends.values()) >= suspect.ends_needed - 1
             if is_close and until > now:
                 quarantines.append(
@@ -540,7 +545,7 @@
         return quarantines
 
     def _explain(
-        self, counted: Mapping[TraitKey, Mapping[str, float]]
+        self, counted: Mapping[TraitKey, Mapping[str, EngineEnd]]
     ) -> list[Quarantine]:
         """Return the fewest traits that explain the ends of engines.
 
@@ -582,7 +587,7 @@
         self,
         key: TraitKey,
         suspected: Iterable[TraitKey],
-        counted: Mapping[TraitKey, Mapping[str, float]],
+        counted: Mapping[TraitKey, Mapping[str, EngineEnd]],
     ) -> list[str]:
         """Return the parts of prompts that the evidence does not tell from one of them.
 
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -747,13 +747,15 @@
             "engine ended under a request",
             endpoint=endpoint.id,
             born=endpoint.born,
+            data_centre=endpoint.data_centre,
             request=context.request.request_id,
             service=service,
             traits=traits[-MAX_LOGGED_PARTS:],
         )
         engine = f"{endpoint.id}@{endpoint.born}"
+        now, data_centre = self._clock.now(), endpoint.data_centre
         self._quarantine.on_engine_ended(
-            service, traits, engine, attempt.sent_at, self._clock.now()
+            service, traits, engine, attempt.sent_at, now, data_centre
         )
 
     def _start_detached(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/src/cyclamenyoke/daemon/quarantine_store.py
+++ b/src/cyclamenyoke/daemon/quarantine_store.py
@@ -136,6 +136,7 @@
                 each.trait,
                 {engine: age + elapsed for engine, age in each.end_ages.items()},
                 each.cleared_age + elapsed if each.cleared_age >= 0 else -1.0,
+                each.data_centres,
             )
             for each in stored.evidence
         ]
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -53,7 +53,7 @@
     if stored is None:
         return 0
     evidence = json.loads(stored.value)["evidence"]
-    return max(len(ends) for _, _, ends, _ in evidence)
+    return max(len(ends) for _, _, ends, *_ in evidence)
 
 
 def count_ended(site) -> int:
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -127,6 +127,12 @@
     *(30.0, 10.0, 2.0, 5.0, "key", 9.0, b"print"),
 )
 
+UNPLACED_EVIDENCE = TraitEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0)
+PLACED_EVIDENCE = msgspec.structs.replace(
+    UNPLACED_EVIDENCE, data_centres={"i-6@17": "dc-1"}
+)
+"""The same end, by earlier versions and by this one."""
+
 MESSAGES = {
     "to agent": [
         Execute(ATTEMPT, 6, "a@1", CALL, False),
@@ -176,7 +182,7 @@
         StorePosition(1, 11),
         *(True, b"digest", (Change("i-1", ENDPOINT, 3.0), Change("i-2", None, 4.0))),
         *({"i-1": 2}, {"llm": {"siam": 2}}, {"llm": {"siam": 1}}, ("i-3",), ("i-4",)),
-        *((("i-5", 17),), (TraitEvidence("llm", "5c", {"i-6@17": 1.5}, -1.0),)),
+        *((("i-5", 17),), (PLACED_EVIDENCE,)),
         (LimitNotice("i-7", 17, 2.5, 0.5),),
         *(("dc-2",), StorePosition(1, 12), {"i-1": 640}),
         {"dc-3": 41.5},
@@ -200,7 +206,8 @@
     ),
 }
 
-NO_COPIES = {"copies": {}, "orphans": ()}
+NO_PLACES = {"evidence": (UNPLACED_EVIDENCE,)}
+NO_COPIES = {"copies": {}, "orphans": ()} | NO_PLACES
 NO_CONFIRMATION = {"config_evidence": NO_EVIDENCE, "config_age": -1.0}
 FORMER_MESSAGES = {
     name: msgspec.structs.replace(MESSAGES[name.partition(" of ")[0]], **missing)
@@ -208,6 +215,7 @@
         "peer update of b56c5ba": NO_CONFIRMATION | NO_COPIES,
         "snapshot of b56c5ba": NO_CONFIRMATION,
         "peer update of 0692730": NO_COPIES,
+        "peer update of 0b0360e": NO_PLACES,
     }.items()
 }
 """Messages of earlier commits, which lack fields that were added at the end."""
@@ -226,7 +234,7 @@
     "config view": ConfigView(INDEX, [SERVICE]),
     "conflict": ConflictBody("reports", "diff"),
     "stored quarantine": StoredQuarantine(
-        1700000000.5, [TraitEvidence("llm", "5c", {"i-6@17": 1.5}, 2.0)]
+        1700000000.5, [msgspec.structs.replace(PLACED_EVIDENCE, cleared_age=2.0)]
     ),
     "quarantined prompt": QuarantinedPrompt("llm", ["5c"], ["i-6@17"], 599.5),
     "burn rates": BurnRateRow("reports", "siam", 0.9, {"5m": 1.5}, {"5m": 10}),
@@ -234,6 +242,23 @@
 }
 
 
+FORMER_DOCUMENTS = {
+    "stored quarantine of 0b0360e": StoredQuarantine(
+        1700000000.5, [msgspec.structs.replace(UNPLACED_EVIDENCE, cleared_age=2.0)]
+    ),
+}
+"""The same of stored documents."""
+
+
+class EvidenceOf0b0360e(msgspec.Struct, array_like=True):
+    """What earlier gateways read of the evidence against a trait."""
+
+    service: str
+    trait: str
+    end_ages: dict[str, float]
+    cleared_age: float
+
+
 def encode_values() -> dict[str, str]:
     """Return the encodings of this build, as text, by name."""
     texts = {name: msgspec.msgpack.encode(m).hex() for name, m in MESSAGES.items()}
@@ -256,7 +281,8 @@
 def test_values_are_written_as_before():
     recorded = load_recorded()
     assert encode_values() == {name: recorded[name] for name in encode_values()}
-    assert recorded.keys() == encode_values().keys() | FORMER_MESSAGES.keys()
+    former = FORMER_MESSAGES.keys() | FORMER_DOCUMENTS.keys()
+    assert recorded.keys() == encode_values().keys() | former
 
 
 @pytest.mark.parametrize("name", FORMER_MESSAGES)
@@ -280,6 +306,19 @@
     assert msgspec.msgpack.decode(data, type=list[union]) == value
 
 
+def test_earlier_gateways_read_evidence_that_has_a_later_field():
+    data = msgspec.msgpack.encode(PLACED_EVIDENCE)
+    read = msgspec.msgpack.decode(data, type=EvidenceOf0b0360e)
+    assert (read.trait, read.end_ages) == ("5c", {"i-6@17": 1.5})
+
+
+@pytest.mark.parametrize("name", FORMER_DOCUMENTS)
+def test_documents_that_lack_later_fields_are_read(name):
+    value = FORMER_DOCUMENTS[name]
+    data = load_recorded()[name].encode()
+    assert msgspec.json.decode(data, type=type(value)) == value
+
+
 @pytest.mark.parametrize("name", DOCUMENTS)
 def test_recorded_documents_are_read(name):
     value = DOCUMENTS[name]
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -6,6 +6,7 @@
 
 from cyclamenyoke.adapters.http_ingress import HttpRequest
 from cyclamenyoke.cli.quarantine import fetch_quarantine, lift_quarantine
+from cyclamenyoke.core.engine_ends import SEPARATION, SIMULTANEOUS_ENDS
 from cyclamenyoke.core.request_fingerprint import fingerprint
 from cyclamenyoke.core.request_quarantine import (
     EVIDENCE_LIFETIME,
@@ -13,8 +14,6 @@
     MIN_ENDS,
     MIN_ENDS_AFTER_USE,
     MIN_ENDS_STORED,
-    SEPARATION,
-    SIMULTANEOUS_ENDS,
     RequestQuarantine,
     request_traits,
 )
