Try a quarantine that takes most of a service again by single requests

Cause: only an answer on the part clears it, and nothing on a part that is withheld is sent.

Change: from 5 s after the last end on, the node that reads the list for all sends one request at a time of a quarantine that withholds two thirds of a service's arrivals. An answer clears the part at all nodes; an engine's end puts off the next trial to 30 s, 3 and 18 minutes. Callers learn that time as Retry-After. Parts of few requests and single requests are not tried, so that they cost no engine.

--- a/src/cyclamenyoke/core/request_quarantine.py
+++ b/src/cyclamenyoke/core/request_quarantine.py
@@ -14,6 +14,9 @@
 while, so that it does not take all engines of a service at once. Where several traits
 are suspected, the fewest that explain the ends are quarantined, those first that were
 never answered, then the most specific ones.
+
+A quarantine that takes most of a service is tried again by single requests
+(:mod:`cyclamenyoke.core.quarantine_trials`).
 """
 
 from collections import OrderedDict
@@ -31,6 +34,8 @@
     least_telling,
     place_end,
 )
+from cyclamenyoke.core.quarantine import Quarantine, QuarantineKey
+from cyclamenyoke.core.quarantine_trials import QuarantineTrials
 from cyclamenyoke.core.request_delivery import Attempt, AttemptOutcome
 from cyclamenyoke.core.request_fingerprint import RequestFingerprint
 from cyclamenyoke.core.units import HOUR, MILLISECOND, MINUTE, SECOND
@@ -47,6 +52,10 @@
 """Seconds for which a request is held back when one more end would quarantine it: about
 the time in which engines that ended are replaced."""
 
+TRIAL_DELAY = 5 * SECOND
+"""Seconds after the last end until a part that most requests share is tried again. Each
+further end prolongs that like the quarantine."""
+
 MIN_ENDS_STORED = 2
 """Separate ends under a trait from which the evidence is kept in the store. One tells
 little, and most requests have one beside an engine that ends."""
@@ -178,10 +187,22 @@
         """Return until when uncleared ends count."""
         if not ends:
             return -inf
-        further = max(0, self.count(ends.values()) - self.ends_needed)
-        lifetime = EVIDENCE_LIFETIME * LIFETIME_GROWTH**further
+        lifetime = EVIDENCE_LIFETIME * self._growth(ends)
         return latest_end(ends.values()) + min(MAX_EVIDENCE_LIFETIME, lifetime)
 
+    def trial_at(self, ends: Mapping[str, EngineEnd]) -> float:
+        """Return from when on a request with the trait may be tried.
+
+        Copies of a single request are not: withholding them takes no service down.
+        """
+        if _is_one_request(self.trait):
+            return inf
+        return latest_end(ends.values()) + TRIAL_DELAY * self._growth(ends)
+
+    def _growth(self, ends: Mapping[str, EngineEnd]) -> float:
+        further = max(0, self.count(ends.values()) - self.ends_needed)
+        return LIFETIME_GROWTH**further
+
     def is_forgotten(self, now: float) -> bool:
         """Return whether the trait may be dropped.
 
@@ -223,24 +244,6 @@
         return is_later and latest_end(self.ends.values()) > (before or 0.0)
 
 
-@dataclass(frozen=True, slots=True)
-class Quarantine:
-    """Traits that are withheld together, since the evidence does not tell them apart.
-
-    :param engines: incarnations of the engines that ended.
-    :param until: when the evidence no longer suffices.
-    """
-
-    service: str
-    traits: frozenset[str]
-    engines: frozenset[str]
-    until: float
-
-    def applies_to(self, traits: Iterable[str]) -> bool:
-        """Return whether a request with these traits is withheld."""
-        return self.traits.issubset(traits)
-
-
 class AnswerTimes:
     """When requests with a trait were last answered, for the most recent traits.
 
@@ -279,6 +282,7 @@
     :param stall: returns the seconds for which a group waits for a lost rank; 0 for no
         groups.
     :param on_change: called when there is news for peers.
+    :param is_trier: returns whether this node tries withheld requests for all nodes.
     """
 
     def __init__(
@@ -286,6 +290,7 @@
         stall: Callable[[], float],
         observer: QuarantineObserver | None = None,
         on_change: Callable[[], None] = lambda: None,
+        is_trier: Callable[[], bool] = lambda: False,
     ) -> None:
         self._stall = stall
         self._observer = observer or QuarantineObserver()
@@ -293,6 +298,7 @@
         self._suspects: dict[TraitKey, Suspect] = {}
         self._quarantines: list[Quarantine] = []
         self._services_with_suspected_requests: set[str] = set()
+        self._trials = QuarantineTrials(is_trier)
         self._answered_parts = AnswerTimes(MAX_ANSWERED_PARTS)
         self._answered_requests = AnswerTimes(MAX_ANSWERED_REQUESTS)
 
@@ -396,21 +402,62 @@
         return service in self._services_with_suspected_requests
 
     def withheld_until(
-        self, service: str, traits: tuple[str, ...], now: float
+        self,
+        service: str,
+        traits: tuple[str, ...],
+        now: float,
+        trial: frozenset[QuarantineKey] = frozenset(),
     ) -> float | None:
-        """Return until when a request is withheld; ``None`` if it may be sent."""
+        """Return until when a request is withheld; ``None`` if it may be sent.
+
+        :param trial: what :meth:`begin_trial` returned for it.
+        """
+        applying = self._applying(service, traits, now)
+        return max(
+            (each.until for each in applying if each.key not in trial), default=None
+        )
+
+    def retry_at(self, service: str, traits: tuple[str, ...], now: float) -> float:
+        """Return when the caller of a withheld request may ask again.
+
+        That is earlier than the end of a quarantine which is tried before.
+        """
+        applying = self._applying(service, traits, now)
+        return max((self._trials.retry_at(each, now) for each in applying), default=now)
+
+    def on_arrival(self, service: str, traits: Iterable[str]) -> None:
+        """Count a request, which shows how many are withheld."""
+        if self._quarantines:
+            self._trials.on_arrival(self._quarantines, service, traits)
+
+    def begin_trial(
+        self, service: str, traits: tuple[str, ...], now: float
+    ) -> frozenset[QuarantineKey]:
+        """Begin to try a withheld request; return what it is tried for.
+
+        Nothing is returned if the request must not be sent.
+        """
+        return self._trials.begin(self._applying(service, traits, now), now)
+
+    def end_trial(self, trial: frozenset[QuarantineKey], now: float) -> None:
+        """End a trial once its request was answered, or was not.
+
+        :param trial: what :meth:`begin_trial` returned.
+        """
+        self._trials.end(trial, now)
+
+    def _applying(
+        self, service: str, traits: tuple[str, ...], now: float
+    ) -> list[Quarantine]:
         if not self._quarantines or not traits:
-            return None
+            return []
         if any(each.until <= now for each in self._quarantines):
             self._update(now)
-        return max(
-            (
-                each.until
-                for each in self._quarantines
-                if each.service == service and each.applies_to(traits)
-            ),
-            default=None,
-        )
+        return [
+            each
+            for each in self._quarantines
+            if each.service == service and each.applies_to(traits)
+        ]
 
     @property
     def quarantines(self) -> list[Quarantine]:
@@ -513,13 +560,14 @@
             if ends and _is_one_request(trait)
         }
         before, self._quarantines = self._quarantines, self._decide(counted, now)
-        known = {(each.service, each.traits) for each in before}
-        current = {(each.service, each.traits) for each in self._quarantines}
+        self._trials.forget_others(self._quarantines)
+        known = {each.key for each in before}
+        current = {each.key for each in self._quarantines}
         for each in before:
-            if (each.service, each.traits) not in current:
+            if each.key not in current:
                 self._observer.on_end(each)
         for each in self._quarantines:
-            if (each.service, each.traits) not in known:
+            if each.key not in known:
                 self._observer.on_begin(each)
         self.on_change()
 
@@ -580,7 +628,10 @@
             explained |= {(service, id_) for id_ in unexplained}
             traits = frozenset({key[1], *self._inseparable(key, suspected, counted)})
             until = self._suspects[key].counts_until(ends)
-            quarantines.append(Quarantine(service, traits, frozenset(ends), until))
+            trial_at = self._suspects[key].trial_at(ends)
+            quarantines.append(
+                Quarantine(service, traits, frozenset(ends), until, trial_at)
+            )
         return quarantines
 
     def _inseparable(
--- a/src/cyclamenyoke/daemon/caller_response.py
+++ b/src/cyclamenyoke/daemon/caller_response.py
@@ -1,4 +1,4 @@
-"""The response to one caller, with a status that its attempts bear out."""
+"""The response to one caller, with a status that the attempts justify."""
 
 from cyclamenyoke.core.inbound_request import RejectionReason
 from cyclamenyoke.core.invariants import Invariant, InvariantMonitor
@@ -14,9 +14,9 @@
 
 
 class CallerResponse:
-    """Sends the response to one request once it is known where that may run.
+    """Sends the response to one request that has a route.
 
-    Every status that such a request's caller gets passes through here.
+    Every status that its caller gets passes through here.
 
     :param delivery: the request's attempts, which tell whether it may have run.
     """
@@ -59,7 +59,7 @@
     def send(self, head: EngineResponseHead, body: bytes) -> None:
         """Send an endpoint's complete response.
 
-        One with a status that the attempts do not bear out is replaced by a rejection.
+        One with a status that the attempts do not justify is replaced by a rejection.
         """
         if not self._check_forwarded(head):
             self.reject(RejectionReason.UNKNOWN, None)
--- a/src/cyclamenyoke/daemon/forwarder.py
+++ b/src/cyclamenyoke/daemon/forwarder.py
@@ -38,6 +38,7 @@
 from cyclamenyoke.core.pass_model import GapRatio, PassModel
 from cyclamenyoke.core.peers import BudgetPart, Peers
 from cyclamenyoke.core.prompt_placement import Prompt, PromptPlacement, is_long
+from cyclamenyoke.core.quarantine import QuarantineKey
 from cyclamenyoke.core.refusals import key_digest
 from cyclamenyoke.core.request_delivery import (
     Attempt,
@@ -191,6 +192,7 @@
     :param fingerprint: computed only when it is needed.
     :param silent: a response that has begun at an endpoint which is silent, until
         another endpoint goes on.
+    :param trial: the quarantines in spite of which it is tried; empty for none.
     :param may_have_ended_engine: whether its latest attempt ended with its engine just
         as that began to write on its prompt.
     """
@@ -213,6 +215,7 @@
     held_bytes: int = 0
     fingerprint: RequestFingerprint | None = None
     silent: SilentCall | None = None
+    trial: frozenset[QuarantineKey] = frozenset()
     may_have_ended_engine: bool = False
 
     @property
@@ -455,6 +458,7 @@
         if customer is not None and customer.priority is not None:
             context.priority = customer.priority
         self._retry_budget(service).on_first_attempt(self._clock.now())
+        self._quarantine.on_arrival(service, request.shared_parts)
         outcome = "caller_gone"
         task = asyncio.current_task()
         assert task is not None
@@ -469,6 +473,7 @@
         finally:
             self._serving.discard(task)
             context.drop_silent()
+            self._end_trial(context)
             self._response_memory.release(context.held_bytes)
             self._record_outcome(context, outcome, config)
 
@@ -590,16 +595,37 @@
 
         The check and the send are in one turn of the event loop.
         """
-        now = self._clock.now()
-        until = self._quarantine.withheld_until(
-            context.service, self._traits(context), now
-        )
-        if until is None:
+        now, service, traits = self._clock.now(), context.service, self._traits(context)
+        if self._quarantine.withheld_until(service, traits, now, context.trial) is None:
+            return False
+        context.trial = context.trial or self._begin_trial(context, traits)
+        if self._quarantine.withheld_until(service, traits, now, context.trial) is None:
             return False
         context.detail = "request is quarantined"
-        context.retry_after = until - now
+        context.retry_after = self._quarantine.retry_at(service, traits, now) - now
         return True
 
+    def _begin_trial(
+        self, context: RequestContext, traits: tuple[str, ...]
+    ) -> frozenset[QuarantineKey]:
+        now, service = self._clock.now(), context.service
+        trial = self._quarantine.begin_trial(service, traits, now)
+        if trial:
+            self._metrics.count("quarantine_trials", service=service)
+            self._log.info(
+                "quarantine is tried",
+                service=service,
+                parts=sorted(part for _, parts in trial for part in parts),
+                request=context.request.request_id,
+            )
+        return trial
+
+    def _end_trial(self, context: RequestContext) -> None:
+        """End a trial, so that its request is sent nowhere else if it told nothing."""
+        if context.trial:
+            self._quarantine.end_trial(context.trial, self._clock.now())
+            context.trial = frozenset()
+
     def _traits(self, context: RequestContext) -> tuple[str, ...]:
         """Return what a request has in common with others that may end engines."""
         parts = context.request.shared_parts
@@ -701,6 +727,7 @@
         max_connections: int,
     ) -> None:
         attempt.ended_at = self._clock.now()
+        self._end_trial(context)
         context.may_have_ended_engine = False
         if attempt.outcome is AttemptOutcome.ANSWERED:
             seconds = attempt.ended_at - attempt.sent_at
@@ -1011,9 +1038,13 @@
         )
         self._monitor.check(
             Invariant.QUARANTINED_REQUEST_SPARED,
-            not self._quarantine.withheld_until(
-                context.service, self._traits(context), self._clock.now()
-            ),
+            self._quarantine.withheld_until(
+                context.service,
+                self._traits(context),
+                self._clock.now(),
+                context.trial,
+            )
+            is None,
             f"request {context.request.request_id} sent though it is withheld",
         )
         self._on_load_change()
--- a/src/cyclamenyoke/daemon/gateway.py
+++ b/src/cyclamenyoke/daemon/gateway.py
@@ -167,7 +167,9 @@
         self._store = StoreClient(settings.store, self._clock)
         self._pool = ConnectionPool(self._clock)
         self._quarantine = RequestQuarantine(
-            lambda: settings.bounds.stall, LoggingObserver(self._log)
+            lambda: settings.bounds.stall,
+            LoggingObserver(self._log),
+            is_trier=self._is_list_reader,
         )
         self._evacuation = EvacuationSync(
             settings,
--- a/src/cyclamenyoke/daemon/quarantine_store.py
+++ b/src/cyclamenyoke/daemon/quarantine_store.py
@@ -13,8 +13,8 @@
 
 from cyclamenyoke.adapters.logs import Log
 from cyclamenyoke.core.decoding import Number, decode_json
+from cyclamenyoke.core.quarantine import Quarantine
 from cyclamenyoke.core.request_quarantine import (
-    Quarantine,
     QuarantineObserver,
     RequestQuarantine,
     TraitEvidence,
--- a/tests/test_truthful_statuses.py
+++ b/tests/test_truthful_statuses.py
@@ -199,7 +199,7 @@
 
 # Guards against a path to the caller that forgets to check the status.
 @pytest.mark.parametrize("outcome", AttemptOutcome)
-def test_status_that_the_attempts_do_not_bear_out_is_replaced(outcome):
+def test_status_that_the_attempts_do_not_justify_is_replaced(outcome):
     violations = []
     monitor = CountingMonitor(lambda invariant, _: violations.append(invariant))
     delivery = RequestDelivery("r-1", RetryMode.NEVER, 3, 5.0, monitor)
