Let drawn runs of the soak have the profile "misstating"

It is meant to be drawn, so that engines which fail orders as if these had not run are met beside stops and kills. The test stays as it is. Runs without a stated profile draw other profiles than before; all entries of KNOWN-RED.txt state theirs.

--- a/tests/process_soak/faults.py
+++ b/tests/process_soak/faults.py
@@ -597,7 +597,6 @@
         ),
         0.2,
         2.0,
-        is_drawn=False,
     ),
     "timeouts": Profile(
         (
