--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -634,7 +634,7 @@
         if engine.fault == "silent" and draw < 0.4:
             await asyncio.sleep(3600)
         if engine.fault == "fails" and draw < 0.4:
-            # Of half of these callers would conclude that they have not run.
+            # From half of the statuses callers conclude that the request has not run.
             status = 503 if draw < 0.2 else 500
             yield EngineResponseHead(
                 status, [], False, False, self._notice(engine),
