--- a/tests/test_truthful_statuses.py
+++ b/tests/test_truthful_statuses.py
@@ -14,8 +14,8 @@
 from cyclamenyoke.ports.engine import EngineResponseHead
 from cyclamenyoke.ports.response_writer import ResponseWriter
 from site_fixture import configuration, route
-from test_faulty_engines import SIGNED, Reply, event, message, refuse, site_with
-from test_unsigned_answers import done, reply_well, send
+from test_faulty_engines import SIGNED, Reply, event, refuse, site_with
+from test_unsigned_answers import done, reply_of, reply_well, send
 
 IMPLYING_NOT_RUN = [408, 429, 503]
 ONCE_ONLY = {"/order/a": "app", "/single/a": "llm"}
@@ -25,14 +25,7 @@
 
 def fail_after_running(status: int, *fields: str, body=b"failed", framing="length"):
     """Return the script of an engine that runs requests and signs a failure."""
-
-    def reply(headers, number):
-        data = message(
-            headers, status, body, fields=(*SIGNED, *fields), framing=framing
-        )
-        return Reply(data, closes=framing == "close")
-
-    return reply
+    return reply_of(status, *SIGNED, *fields, body=body, framing=framing)
 
 
 def assert_promises_nothing(response) -> None:
--- a/tests/test_unsigned_answers.py
+++ b/tests/test_unsigned_answers.py
@@ -30,12 +30,16 @@
 """Requests within which an engine of two that are chosen at random is asked."""
 
 
-def reply_of(status: int, *fields: str, body: bytes = b"no"):
-    """Return the script of an engine that answers all requests with a status."""
+def reply_of(status: int, *fields: str, body: bytes = b"no", framing: str = "length"):
+    """Return the script of an engine that answers all requests with a status.
+
+    :param framing: that of :func:`test_faulty_engines.message`.
+    """
 
     def reply(headers, number):
         content = b"" if status == 304 else body
-        return Reply(message(headers, status, content, fields=fields))
+        data = message(headers, status, content, fields=fields, framing=framing)
+        return Reply(data, closes=framing == "close")
 
     return reply
 
